--- /dev/null
+++ b/src/godwitvale/caller/caller.h
@@ -0,0 +1,9 @@
+/* The callers' side: takes requests off HTTP into the pipe. */
+#ifndef GODWITVALE_CALLER_CALLER_H
+#define GODWITVALE_CALLER_CALLER_H
+
+#include "godwitvale/serve/instance_defs.h"
+
+bool caller_open(struct instance *instance, GError **error);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/caller/listener.h
@@ -0,0 +1,17 @@
+/* An HTTP server on one address that can stop accepting connections. */
+#ifndef GODWITVALE_CALLER_LISTENER_H
+#define GODWITVALE_CALLER_LISTENER_H
+
+#include <libsoup/soup.h>
+
+#include "godwitvale/ops/settings_defs.h"
+
+struct listener;
+
+struct listener *listener_new(
+    const struct settings_address *address, GError **error);
+SoupServer *listener_server(struct listener *listener);
+void listener_stop(struct listener *listener);
+void listener_free(struct listener *listener);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/peer/peer_codec.c
@@ -0,0 +1,209 @@
+/* Conversion of messages between instances to and from their XDR form. */
+#include "godwitvale/peer/peer_codec.h"
+
+#include <string.h>
+
+/// Converts a key.
+///
+/// @param key  the key
+/// @return its wire form
+static wire_key
+key_to_wire(const struct quorum_key *key)
+{
+	wire_key wire = {
+	    .high = key->high,
+	    .low = key->low,
+	    .kind = key->kind,
+	};
+
+	return wire;
+}
+
+/// Converts a key back.
+///
+/// @param wire  its wire form
+/// @return the key
+static struct quorum_key
+key_from_wire(const wire_key *wire)
+{
+	struct quorum_key key = {
+	    .high = wire->high,
+	    .low = wire->low,
+	    .kind = (enum quorum_kind)wire->kind,
+	};
+
+	return key;
+}
+
+/// Checks the fields of a message that are of limited range.
+///
+/// @param wire  the message
+/// @return false when one is out of range
+static bool
+check_range(const wire_quorum *wire)
+{
+	if (wire->type < QUORUM_CLAIM || wire->type > QUORUM_HANDOVER ||
+	    wire->reason > QUORUM_REASON_TIMEOUT ||
+	    wire->verdict > VERDICT_RAN || wire->key.kind > QUORUM_VERSION ||
+	    wire->span < 0 ||
+	    wire->known_voters.known_voters_len > QUORUM_VOTERS_MAX ||
+	    wire->records.records_len > QUORUM_PAGE_RECORDS)
+		return false;
+	for (u_int i = 0; i < wire->records.records_len; i++) {
+		const wire_record *record = &wire->records.records_val[i];
+
+		if (record->verdict > VERDICT_RAN ||
+		    record->key.kind < QUORUM_ONCE ||
+		    record->key.kind > QUORUM_VERSION ||
+		    record->forget_after < 0)
+			return false;
+	}
+	return true;
+}
+
+/// Encodes a body.
+///
+/// @param body   the body
+/// @param bytes  room for its bytes
+/// @param size   size of that room
+/// @return number of bytes, 0 when the room is too small
+size_t
+peer_codec_encode(const wire_body *body, char *bytes, size_t size)
+{
+	XDR xdr;
+	size_t len = 0;
+
+	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
+	if (xdr_wire_body(&xdr, (wire_body *)body))
+		len = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return len;
+}
+
+/// Decodes a body.
+///
+/// @param body   filled in; release it by peer_codec_free()
+/// @param bytes  its bytes
+/// @param len    number of bytes
+/// @return false when malformed; body then needs no release
+bool
+peer_codec_decode(wire_body *body, char *bytes, size_t len)
+{
+	XDR xdr;
+	bool good;
+
+	memset(body, 0, sizeof(*body));
+	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
+	good = xdr_wire_body(&xdr, body) && xdr_getpos(&xdr) == len;
+	xdr_destroy(&xdr);
+	if (!good)
+		peer_codec_free(body);
+	return good;
+}
+
+/// Releases what decoding allocated.
+///
+/// @param body  a decoded body
+void
+peer_codec_free(wire_body *body)
+{
+	xdr_free((xdrproc_t)xdr_wire_body, (char *)body);
+	memset(body, 0, sizeof(*body));
+}
+
+/// Converts a message of the quorum part.
+///
+/// @param wire     filled in; it points into the two arrays
+/// @param message  the message
+/// @param voters   room for QUORUM_VOTERS_MAX identifiers
+/// @param records  room for QUORUM_PAGE_RECORDS records
+void
+peer_codec_from_quorum(wire_quorum *wire, const struct quorum_message *message,
+    u_quad_t *voters, wire_record *records)
+{
+	memset(wire, 0, sizeof(*wire));
+	wire->type = message->type;
+	wire->reason = message->reason;
+	wire->revision = message->revision;
+	wire->shard = message->shard;
+	wire->sender_boot = message->sender_boot;
+	wire->nonce = message->nonce;
+	wire->key = key_to_wire(&message->key);
+	wire->holder = message->holder;
+	wire->number = message->number;
+	wire->verdict = message->verdict;
+	wire->span = message->span;
+	wire->round = message->round;
+	wire->ready_revision = message->ready_revision;
+	wire->floor_revision = message->floor_revision;
+	wire->page = message->page;
+	wire->n_pages = message->n_pages;
+	wire->ready = message->ready;
+	wire->known_revision = message->known_revision;
+	for (uint32_t i = 0; i < message->n_known_voters; i++)
+		voters[i] = message->known_voters[i];
+	wire->known_voters.known_voters_len = message->n_known_voters;
+	wire->known_voters.known_voters_val = voters;
+	for (uint32_t i = 0; i < message->n_records; i++) {
+		const struct quorum_record *record = &message->records[i];
+
+		records[i].key = key_to_wire(&record->key);
+		records[i].holder = record->holder;
+		records[i].nonce = record->nonce;
+		records[i].number = record->number;
+		records[i].verdict = record->verdict;
+		records[i].contested = record->contested;
+		records[i].forget_after = record->forget_at;
+	}
+	wire->records.records_len = message->n_records;
+	wire->records.records_val = records;
+}
+
+/// Converts a message of the quorum part back.
+///
+/// @param message  filled in
+/// @param wire     the wire form
+/// @return false when a field is out of range
+bool
+peer_codec_to_quorum(struct quorum_message *message, const wire_quorum *wire)
+{
+	if (!check_range(wire))
+		return false;
+	memset(message, 0, sizeof(*message));
+	message->type = (enum quorum_message_type)wire->type;
+	message->reason = (enum quorum_reason)wire->reason;
+	message->revision = wire->revision;
+	message->shard = wire->shard;
+	message->sender_boot = wire->sender_boot;
+	message->nonce = wire->nonce;
+	message->key = key_from_wire(&wire->key);
+	message->holder = wire->holder;
+	message->number = wire->number;
+	message->verdict = (enum verdict)wire->verdict;
+	message->span = wire->span;
+	message->round = wire->round;
+	message->ready_revision = wire->ready_revision;
+	message->floor_revision = wire->floor_revision;
+	message->page = wire->page;
+	message->n_pages = wire->n_pages;
+	message->ready = wire->ready;
+	message->known_revision = wire->known_revision;
+	message->n_known_voters = wire->known_voters.known_voters_len;
+	for (uint32_t i = 0; i < message->n_known_voters; i++)
+		message->known_voters[i] =
+		    wire->known_voters.known_voters_val[i];
+	message->n_records = wire->records.records_len;
+	for (uint32_t i = 0; i < message->n_records; i++) {
+		const wire_record *from = &wire->records.records_val[i];
+		struct quorum_record *record = &message->records[i];
+
+		record->key = key_from_wire(&from->key);
+		record->holder = from->holder;
+		record->nonce = from->nonce;
+		record->number = from->number;
+		record->verdict = (enum verdict)from->verdict;
+		record->contested = from->contested;
+		record->forget_at = from->forget_after;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/godwitvale/platform/config.h
@@ -0,0 +1,11 @@
+/* Watching the configuration service for bundles. */
+#ifndef GODWITVALE_PLATFORM_CONFIG_H
+#define GODWITVALE_PLATFORM_CONFIG_H
+
+#include "godwitvale/serve/instance_defs.h"
+
+struct config_watch *config_watch_new(struct instance *instance);
+void config_watch_free(struct config_watch *watch);
+void config_watch_tick(struct config_watch *watch, usec_t now);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/serve/authority.c
@@ -0,0 +1,261 @@
+/*
+ * The bundle in force. A bundle is accepted once its version stands in a
+ * register that a majority of voters keeps; each instance reads that register
+ * and takes new work only while it has lately found no newer version there.
+ */
+#include "godwitvale/serve/authority.h"
+
+#include <string.h>
+
+#include "godwitvale/core/hash.h"
+#include "godwitvale/ops/log.h"
+#include "godwitvale/ops/metrics.h"
+#include "godwitvale/peer/peer.h"
+#include "godwitvale/platform/ask.h"
+#include "godwitvale/platform/members.h"
+#include "godwitvale/upstream/upstream.h"
+
+/// The register is read this often.
+#define VERSION_READ_INTERVAL (800 * USEC_PER_MSEC)
+/// A fetch of a bundle from a peer is given up after this.
+#define FETCH_TIMEOUT (2 * USEC_PER_SEC)
+
+/// Notes in the audit trail which zones and instances changed state.
+///
+/// @param instance  the instance
+/// @param old       the bundle before, or NULL
+/// @param bundle    the bundle now in force
+static void
+audit_states(struct instance *instance, const struct bundle *old,
+    const struct bundle *bundle)
+{
+	for (guint i = 0; i < bundle->zones->len; i++) {
+		const struct bundle_zone *zone =
+		    g_ptr_array_index(bundle->zones, i);
+		const struct bundle_zone *before =
+		    old == NULL ? NULL : bundle_find_zone(old, zone->name);
+
+		if (before != NULL ? before->state == zone->state
+				   : zone->state == BUNDLE_IN)
+			continue;
+		audit_add(instance->audit, AUDIT_ZONE, zone->name,
+		    bundle->signed_by, bundle->version, "%s",
+		    zone->state == BUNDLE_IN ? "in service" : "out of service");
+	}
+}
+
+/// Works out whether operators have taken this instance out.
+///
+/// @param instance  the instance
+/// @param bundle    the bundle
+/// @return true when it, or its zone, is out
+static bool
+is_taken_out(const struct instance *instance, const struct bundle *bundle)
+{
+	const struct bundle_zone *zone =
+	    bundle_find_zone(bundle, instance->settings->zone);
+
+	if (zone != NULL && zone->state == BUNDLE_OUT)
+		return true;
+	for (guint i = 0; i < bundle->instances->len; i++) {
+		const struct bundle_instance *entry =
+		    g_ptr_array_index(bundle->instances, i);
+
+		if (strcmp(entry->name, instance->settings->instance) == 0)
+			return entry->state == BUNDLE_OUT;
+	}
+	return false;
+}
+
+/// Puts a bundle in force.
+///
+/// @param instance  the instance
+/// @param bundle    a bundle newer than the present one; taken over
+/// @param text      its signed form
+/// @param len       number of bytes
+static void
+install(struct instance *instance, struct bundle *bundle, const char *text,
+    size_t len)
+{
+	struct bundle *old = instance->bundle;
+	bool taken_out = is_taken_out(instance, bundle);
+
+	instance->bundle = bundle;
+	g_clear_pointer(&instance->bundle_text, g_bytes_unref);
+	instance->bundle_text = g_bytes_new(text, len);
+	upstream_table_apply(instance->upstreams, bundle);
+	audit_add(instance->audit, AUDIT_BUNDLE, "bundle", bundle->signed_by,
+	    bundle->version, "in force");
+	audit_states(instance, old, bundle);
+	if (taken_out != instance->taken_out)
+		audit_add(instance->audit, AUDIT_INSTANCE,
+		    instance->settings->instance, bundle->signed_by,
+		    bundle->version, "%s",
+		    taken_out ? "out of service" : "in service");
+	instance->taken_out = taken_out;
+	metrics_set(METRIC_BUNDLE_VERSION, (int64_t)bundle->version);
+	quorum_raise_version(instance->quorum, g_get_monotonic_time(),
+	    &instance->bundle_key, bundle->version);
+	instance->version_read_due = 0;
+	if (old != NULL)
+		bundle_free(old);
+}
+
+/// Takes the answer to a fetch from a peer.
+///
+/// @param status  HTTP status, 0 on failure
+/// @param body    the signed bundle, or NULL
+/// @param data    the instance
+static void
+on_fetched(unsigned status, GBytes *body, gpointer data)
+{
+	struct instance *instance = data;
+	gsize len = 0;
+	const char *text;
+
+	instance->fetch_pending = false;
+	if (status != SOUP_STATUS_OK)
+		return;
+	text = g_bytes_get_data(body, &len);
+	authority_offer_bundle(instance, text, len, "peer");
+}
+
+/// Fetches the bundle from any listed peer.
+///
+/// @param instance  the instance
+static void
+fetch_from_any(struct instance *instance)
+{
+	GPtrArray *members = member_list_all(instance->members);
+	const struct member *member;
+
+	if (members->len == 0)
+		return;
+	member = g_ptr_array_index(members,
+	    g_rand_int_range(instance->random, 0, (gint32)members->len));
+	authority_fetch_from(instance, member->id);
+}
+
+/// While no majority of voters has ever answered, as in a fleet that just
+/// started: takes the word of a majority of the listed instances.
+///
+/// @param instance  the instance
+/// @param now       current time
+static void
+confirm_by_peers(struct instance *instance, usec_t now)
+{
+	usec_t span = instance->settings->bundle_freshness;
+	uint64_t highest = 0;
+	unsigned listed = member_list_all(instance->members)->len;
+	unsigned answered =
+	    peer_answered_since(instance->peer, now - span, &highest) + 1;
+
+	if (instance->version_known || instance->bundle == NULL ||
+	    listed == 0 || answered <= listed / 2 ||
+	    highest > instance->bundle->version)
+		return;
+	instance->authority_until = now + span / 2;
+}
+
+/// Offers a signed bundle from any source; it is taken when it is genuine,
+/// whole and newer.
+///
+/// @param instance  the instance
+/// @param text      the signed bundle
+/// @param len       number of bytes
+/// @param from      the source, for the log
+/// @return true when it came in force
+bool
+authority_offer_bundle(
+    struct instance *instance, const char *text, size_t len, const char *from)
+{
+	GError *error = NULL;
+	struct bundle *bundle =
+	    bundle_verify(text, len, instance->settings->bundle_key, &error);
+
+	if (bundle == NULL) {
+		metrics_add(METRIC_BUNDLE_REJECTED, 1);
+		log_event(LOG_LEVEL_WARN, "bundle_rejected",
+		    "from=%s error=\"%s\"", from, error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (instance->bundle != NULL &&
+	    bundle->version <= instance->bundle->version) {
+		if (bundle->version < instance->bundle->version)
+			log_event(LOG_LEVEL_INFO, "bundle_older",
+			    "from=%s version=%" G_GUINT64_FORMAT, from,
+			    bundle->version);
+		bundle_free(bundle);
+		return false;
+	}
+	install(instance, bundle, text, len);
+	return true;
+}
+
+/// Fetches the bundle of a peer.
+///
+/// @param instance  the instance
+/// @param peer      the peer
+void
+authority_fetch_from(struct instance *instance, node_id peer)
+{
+	const struct member *member = member_list_find(instance->members, peer);
+	struct settings_address address;
+
+	if (member == NULL || instance->fetch_pending ||
+	    peer == peer_self(instance->peer))
+		return;
+	instance->fetch_pending = true;
+	address.ip = member->ip;
+	address.port = member->peer_port;
+	ask_get(instance, &address, "/peer/bundle", FETCH_TIMEOUT, on_fetched,
+	    instance);
+}
+
+/// Reads the register when that is due.
+///
+/// @param instance  the instance
+/// @param now       current time
+void
+authority_tick(struct instance *instance, usec_t now)
+{
+	confirm_by_peers(instance, now);
+	if (instance->version_pending || now < instance->version_read_due)
+		return;
+	instance->version_read_due = now + VERSION_READ_INTERVAL;
+	instance->version_asked_at = now;
+	instance->version_pending = true;
+	quorum_read_version(instance->quorum, now, &instance->bundle_key);
+}
+
+/// Takes the register's value.
+///
+/// @param instance  the instance
+/// @param action    the value
+void
+authority_take_version(
+    struct instance *instance, const struct quorum_action *action)
+{
+	uint64_t version =
+	    instance->bundle == NULL ? 0 : instance->bundle->version;
+
+	instance->version_pending = false;
+	instance->version_known = true;
+	if (action->number > version) {
+		fetch_from_any(instance);
+		return;
+	}
+	if (instance->bundle != NULL)
+		instance->authority_until = instance->version_asked_at +
+		    instance->settings->bundle_freshness;
+}
+
+/// Takes the news that no majority answered a read.
+///
+/// @param instance  the instance
+void
+authority_take_isolation(struct instance *instance)
+{
+	instance->version_pending = false;
+}
--- /dev/null
+++ b/src/godwitvale/serve/operator.h
@@ -0,0 +1,9 @@
+/* The operators' side: status, audit trail and counters over HTTP. */
+#ifndef GODWITVALE_SERVE_OPERATOR_H
+#define GODWITVALE_SERVE_OPERATOR_H
+
+#include "godwitvale/serve/instance_defs.h"
+
+bool operator_open(struct instance *instance, GError **error);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/serve/request.c
@@ -0,0 +1,409 @@
+/* Table of the requests in progress, and the answers that callers get. */
+#include "godwitvale/serve/request.h"
+
+#include <json-c/json.h>
+
+#include "godwitvale/core/verdict.h"
+#include "godwitvale/ops/log.h"
+#include "godwitvale/ops/metrics.h"
+#include "godwitvale/upstream/generation.h"
+
+/// Bits of a handle that hold its place in the table.
+#define HANDLE_INDEX_BITS 20
+#define HANDLE_INDEX_MASK ((1u << HANDLE_INDEX_BITS) - 1)
+
+static uint64_t last_serial;
+
+/// Finds a free place in the table.
+///
+/// @param requests  the table; grown where it is full
+/// @return an index
+static guint
+free_index(GPtrArray *requests)
+{
+	for (guint i = 0; i < requests->len; i++) {
+		if (g_ptr_array_index(requests, i) == NULL)
+			return i;
+	}
+	g_ptr_array_add(requests, NULL);
+	return requests->len - 1;
+}
+
+/// Releases a request and its place in the table.
+///
+/// @param request  a request whose caller is gone or answered
+static void
+request_free(struct request *request)
+{
+	GPtrArray *table = request->instance->requests;
+
+	table->pdata[request->handle & HANDLE_INDEX_MASK] = NULL;
+	if (request->message != NULL) {
+		g_signal_handler_disconnect(
+		    request->message, request->finished_signal);
+		g_object_unref(request->message);
+	}
+	g_cancellable_cancel(request->cancellable);
+	g_object_unref(request->cancellable);
+	g_clear_pointer(&request->body, g_bytes_unref);
+	g_free(request->path);
+	g_free(request->target);
+	g_free(request->end_chunk);
+	g_string_free(request->text, TRUE);
+	g_string_free(request->pending, TRUE);
+	g_free(request);
+}
+
+/// Takes the end of the exchange with the caller, whole or broken off.
+///
+/// @param message  the exchange
+/// @param data     the request
+static void
+on_caller_finished(SoupServerMessage *message, gpointer data)
+{
+	struct request *request = data;
+	enum router_end end =
+	    request->answered ? ROUTER_END_DONE : ROUTER_END_CANCELLED;
+
+	(void)message;
+	if (request->kind == REQUEST_CALL && !request->idempotent &&
+	    !request->answered && request->granted) {
+		/* The call goes on: its outcome serves a repeat. */
+		g_signal_handler_disconnect(
+		    request->message, request->finished_signal);
+		g_clear_object(&request->message);
+		return;
+	}
+	if (request->kind == REQUEST_GENERATION && request->upstream != 0)
+		generation_abandon(request);
+	request_leave_router(request, end, request->relay.next_offset);
+	request_settle_claim(request);
+	request_free(request);
+}
+
+/// Sets what every answer carries.
+///
+/// @param request  the request
+/// @param status   HTTP status
+static void
+set_answer_headers(struct request *request, unsigned status)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_response_headers(request->message);
+
+	soup_server_message_set_status(request->message, status, NULL);
+	soup_message_headers_replace(
+	    headers, "X-Verdict", verdict_name(request->verdict));
+	if (request->instance->draining)
+		soup_message_headers_replace(headers, "Connection", "close");
+}
+
+/// Enters a caller's request into the table.
+///
+/// @param instance  the instance
+/// @param message   the exchange; it is paused until an answer is there
+/// @return the request, at the first filter
+struct request *
+request_new(struct instance *instance, SoupServerMessage *message)
+{
+	struct request *request = g_new0(struct request, 1);
+	guint index = free_index(instance->requests);
+
+	request->instance = instance;
+	request->stage = request_filters;
+	request->message = g_object_ref(message);
+	request->cancellable = g_cancellable_new();
+	request->text = g_string_new(NULL);
+	request->pending = g_string_new(NULL);
+	request->handle = (++last_serial << HANDLE_INDEX_BITS) | index;
+	request->finished_signal = g_signal_connect(
+	    message, "finished", G_CALLBACK(on_caller_finished), request);
+	instance->requests->pdata[index] = request;
+	soup_server_message_pause(message);
+	return request;
+}
+
+/// Finds a request by its handle.
+///
+/// @param instance  the instance
+/// @param handle    a handle, perhaps of a request that has ended
+/// @return the request, or NULL
+struct request *
+request_find(struct instance *instance, request_handle handle)
+{
+	guint index = handle & HANDLE_INDEX_MASK;
+	struct request *request;
+
+	if (index >= instance->requests->len)
+		return NULL;
+	request = g_ptr_array_index(instance->requests, index);
+	return request != NULL && request->handle == handle ? request : NULL;
+}
+
+/// Finds a request by the router's handle of it.
+///
+/// @param instance  the instance
+/// @param routed    the router's handle
+/// @return the request, or NULL
+struct request *
+request_find_routed(struct instance *instance, router_request routed)
+{
+	for (guint i = 0; i < instance->requests->len; i++) {
+		struct request *request =
+		    g_ptr_array_index(instance->requests, i);
+
+		if (request != NULL && request->routed == routed)
+			return request;
+	}
+	return NULL;
+}
+
+/// Finds a request by its claim.
+///
+/// @param instance  the instance
+/// @param ticket    the claim
+/// @return the request, or NULL
+struct request *
+request_find_ticket(struct instance *instance, quorum_ticket ticket)
+{
+	for (guint i = 0; i < instance->requests->len; i++) {
+		struct request *request =
+		    g_ptr_array_index(instance->requests, i);
+
+		if (request != NULL && request->ticket == ticket)
+			return request;
+	}
+	return NULL;
+}
+
+/// Counts the requests in progress.
+///
+/// @param instance  the instance
+/// @return their number
+unsigned
+request_count(const struct instance *instance)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < instance->requests->len; i++)
+		count += g_ptr_array_index(instance->requests, i) != NULL;
+	return count;
+}
+
+/// Runs a request's filters until one waits or answers.
+///
+/// @param request  the request; may be gone afterwards
+void
+request_advance(struct request *request)
+{
+	enum filter_result result;
+
+	do {
+		const struct filter *filter = request->stage;
+
+		g_assert(filter->run != NULL);
+		request->stage++;
+		result = filter->run(request);
+	} while (result == FILTER_NEXT);
+}
+
+/// Puts a request that is to be sent again back before its placement.
+///
+/// @param request  a request that the router has queued again
+void
+request_rewind(struct request *request)
+{
+	request->upstream = 0;
+	request->granted = false;
+	request->stage = request_placed_filter;
+}
+
+/// Gives the final answer to a request that is refused or has failed.
+///
+/// @param request   the request; its verdict goes into the answer
+/// @param status    HTTP status
+/// @param type      kind of error, one word
+/// @param message   for a person
+/// @param retry_at  when to come back; USEC_NEVER: no use
+void
+request_refuse(struct request *request, unsigned status, const char *type,
+    const char *message, usec_t retry_at)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *error = json_object_new_object();
+	const char *text;
+	GBytes *body;
+
+	log_event(LOG_LEVEL_INFO, "refused",
+	    "type=%s status=%u verdict=%s target=%s", type, status,
+	    verdict_name(request->verdict),
+	    request->target == NULL ? "-" : request->target);
+	json_object_object_add(error, "type", json_object_new_string(type));
+	json_object_object_add(
+	    error, "message", json_object_new_string(message));
+	json_object_object_add(error, "verdict",
+	    json_object_new_string(verdict_name(request->verdict)));
+	json_object_object_add(root, "error", error);
+	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
+	metrics_add(METRIC_REQUESTS_REFUSED, 1);
+	if (request->headers_sent) {
+		char *event =
+		    g_strdup_printf("event: error\ndata: %s\n\n", text);
+
+		request_stream_write(request, event, strlen(event));
+		g_free(event);
+		request_stream_end(request);
+		json_object_put(root);
+		return;
+	}
+	if (request->message != NULL && retry_at != USEC_NEVER) {
+		usec_t left = MAX(retry_at - g_get_monotonic_time(), 1);
+		char seconds[24];
+
+		g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
+		    (left + USEC_PER_SEC - 1) / USEC_PER_SEC);
+		soup_message_headers_replace(
+		    soup_server_message_get_response_headers(request->message),
+		    "Retry-After", seconds);
+	}
+	body = g_bytes_new(text, strlen(text));
+	request_answer(request, status, "application/json", body);
+	g_bytes_unref(body);
+	json_object_put(root);
+}
+
+/// Gives the final answer to a request in one piece.
+///
+/// @param request       the request
+/// @param status        HTTP status
+/// @param content_type  type of the body, or NULL
+/// @param body          the body
+void
+request_answer(struct request *request, unsigned status,
+    const char *content_type, GBytes *body)
+{
+	SoupMessageBody *out;
+
+	request_settle_claim(request);
+	g_assert(!request->answered);
+	request->answered = true;
+	request_leave_router(
+	    request, ROUTER_END_DONE, request->relay.next_offset);
+	if (request->message == NULL) {
+		request_free(request);
+		return;
+	}
+	set_answer_headers(request, status);
+	out = soup_server_message_get_response_body(request->message);
+	if (content_type != NULL)
+		soup_message_headers_replace(
+		    soup_server_message_get_response_headers(request->message),
+		    "Content-Type", content_type);
+	soup_message_body_append_bytes(out, body);
+	soup_message_body_complete(out);
+	soup_server_message_unpause(request->message);
+}
+
+/// Sends the headers of a streamed answer.
+///
+/// @param request  the request
+void
+request_stream_begin(struct request *request)
+{
+	SoupMessageHeaders *headers;
+	bool old = soup_server_message_get_http_version(request->message) ==
+	    SOUP_HTTP_1_0;
+
+	if (request->headers_sent)
+		return;
+	request->headers_sent = true;
+	set_answer_headers(request, SOUP_STATUS_OK);
+	headers = soup_server_message_get_response_headers(request->message);
+	soup_message_headers_replace(
+	    headers, "Content-Type", "text/event-stream");
+	soup_message_headers_replace(headers, "Cache-Control", "no-store");
+	soup_message_headers_set_encoding(
+	    headers, old ? SOUP_ENCODING_EOF : SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(
+	    soup_server_message_get_response_body(request->message), FALSE);
+}
+
+/// Adds bytes to a streamed answer; request_stream_flush() sends them.
+///
+/// @param request  the request
+/// @param data     first byte
+/// @param len      number of bytes
+void
+request_stream_write(struct request *request, const char *data, size_t len)
+{
+	g_string_append_len(request->pending, data, len);
+}
+
+/// Sends the bytes of a streamed answer that wait.
+///
+/// @param request  the request
+void
+request_stream_flush(struct request *request)
+{
+	GBytes *chunk;
+
+	if (request->pending->len == 0 || request->message == NULL)
+		return;
+	request_stream_begin(request);
+	chunk = g_string_free_to_bytes(request->pending);
+	request->pending = g_string_new(NULL);
+	soup_message_body_append_bytes(
+	    soup_server_message_get_response_body(request->message), chunk);
+	g_bytes_unref(chunk);
+	soup_server_message_unpause(request->message);
+}
+
+/// Ends a streamed answer.
+///
+/// @param request  the request
+void
+request_stream_end(struct request *request)
+{
+	request_stream_flush(request);
+	g_assert(!request->answered);
+	request->answered = true;
+	request_leave_router(
+	    request, ROUTER_END_DONE, request->relay.next_offset);
+	soup_message_body_complete(
+	    soup_server_message_get_response_body(request->message));
+	soup_server_message_unpause(request->message);
+}
+
+/// Tells the router that a request no longer uses its upstream.
+///
+/// @param request  the request
+/// @param end      how it ended
+/// @param tokens   tokens generated
+void
+request_leave_router(
+    struct request *request, enum router_end end, uint32_t tokens)
+{
+	if (request->routed == 0)
+		return;
+	router_finish(request->instance->router, g_get_monotonic_time(),
+	    request->routed, end, tokens);
+	request->routed = 0;
+}
+
+/// Records what became of a claimed call, so that repeats hear of it.
+///
+/// @param request  the request; nothing happens unless it has a claim
+void
+request_settle_claim(struct request *request)
+{
+	usec_t now = g_get_monotonic_time();
+	struct quorum *quorum = request->instance->quorum;
+
+	if (request->ticket == 0)
+		return;
+	if (request->granted && request->verdict != VERDICT_NOT_RUN)
+		quorum_finish(quorum, now, request->ticket, request->verdict);
+	else
+		quorum_release(quorum, now, request->ticket);
+	request->ticket = 0;
+}
--- /dev/null
+++ b/src/godwitvale/upstream/upstream.c
@@ -0,0 +1,381 @@
+/* The table of upstreams: follows the bundle, and asks for load reports. */
+#include "godwitvale/upstream/upstream.h"
+
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "godwitvale/ops/log.h"
+#include "godwitvale/serve/drive.h"
+#include "godwitvale/serve/parse.h"
+
+/// A report that takes longer counts as silence.
+#define REPORT_TIMEOUT (2 * USEC_PER_SEC)
+
+struct upstream_table {
+	struct instance *instance;
+	GPtrArray *upstreams; /// of struct upstream
+};
+
+/// One question to an upstream; it may be gone when the answer comes.
+struct question {
+	struct instance *instance;
+	router_upstream handle;
+	usec_t asked_at;
+	SoupMessage *message;
+	GCancellable *cancellable;
+	guint timeout_source;
+};
+
+/// Releases an upstream.
+///
+/// @param data  the upstream
+static void
+upstream_free(gpointer data)
+{
+	struct upstream *upstream = data;
+
+	g_free(upstream->name);
+	g_free(upstream->base);
+	g_free(upstream->zone);
+	g_free(upstream->model);
+	g_free(upstream);
+}
+
+/// Finds an upstream by name and address.
+///
+/// @param table  the table
+/// @param name   its name
+/// @param base   its address, as a base URI
+/// @return the upstream, or NULL
+static struct upstream *
+find_named(struct upstream_table *table, const char *name, const char *base)
+{
+	for (guint i = 0; i < table->upstreams->len; i++) {
+		struct upstream *upstream =
+		    g_ptr_array_index(table->upstreams, i);
+
+		if (strcmp(upstream->name, name) == 0 &&
+		    strcmp(upstream->base, base) == 0)
+			return upstream;
+	}
+	return NULL;
+}
+
+/// Formats an upstream's base URI.
+///
+/// @param options  the upstream's part of the bundle
+/// @return the URI; the caller frees it
+static char *
+make_base(const struct bundle_upstream *options)
+{
+	bool wide = strchr(options->ip, ':') != NULL;
+
+	return g_strdup_printf("http://%s%s%s:%u", wide ? "[" : "", options->ip,
+	    wide ? "]" : "", options->port);
+}
+
+/// Enters an upstream.
+///
+/// @param table    the table
+/// @param options  its part of the bundle
+/// @param base     its base URI; taken over
+/// @return the upstream
+static struct upstream *
+add_upstream(struct upstream_table *table,
+    const struct bundle_upstream *options, char *base)
+{
+	struct upstream *upstream = g_new0(struct upstream, 1);
+	struct router_upstream_options routed = {
+	    .kind = options->engine ? UPSTREAM_ENGINE : UPSTREAM_SERVICE,
+	    .service = g_quark_from_string(options->serves),
+	    .zone = g_quark_from_string(options->zone),
+	    .memory_tokens = options->memory_tokens,
+	    .max_running = options->max_running,
+	    .cold_limit = options->cold_limit,
+	    .warm_span = options->warm_span,
+	};
+
+	upstream->name = g_strdup(options->name);
+	upstream->base = base;
+	upstream->zone = g_strdup(options->zone);
+	upstream->serves = routed.service;
+	upstream->engine = options->engine;
+	upstream->checks_fence = options->checks_fence;
+	upstream->in_service = true;
+	upstream->handle = router_add_upstream(
+	    table->instance->router, g_get_monotonic_time(), &routed);
+	g_ptr_array_add(table->upstreams, upstream);
+	return upstream;
+}
+
+/// Puts an upstream in or out of service, with its zone.
+///
+/// @param table    the table
+/// @param bundle   the bundle
+/// @param upstream the upstream
+/// @param options  its part of the bundle
+static void
+apply_state(struct upstream_table *table, const struct bundle *bundle,
+    struct upstream *upstream, const struct bundle_upstream *options)
+{
+	const struct bundle_zone *zone =
+	    bundle_find_zone(bundle, options->zone);
+	bool in_service = options->state == BUNDLE_IN &&
+	    (zone == NULL || zone->state == BUNDLE_IN);
+
+	upstream->checks_fence = options->checks_fence;
+	router_set_in_service(table->instance->router, g_get_monotonic_time(),
+	    upstream->handle, in_service);
+	if (upstream->in_service == in_service)
+		return;
+	upstream->in_service = in_service;
+	audit_add(table->instance->audit, AUDIT_UPSTREAM, upstream->name,
+	    bundle->signed_by, bundle->version, "%s",
+	    in_service ? "in service" : "out of service");
+}
+
+/// Releases a question.
+///
+/// @param question  answered or given up
+static void
+question_free(struct question *question)
+{
+	if (question->timeout_source != 0)
+		g_source_remove(question->timeout_source);
+	g_object_unref(question->message);
+	g_object_unref(question->cancellable);
+	g_free(question);
+}
+
+/// Gives a question up at its deadline.
+///
+/// @param data  the question
+/// @return G_SOURCE_REMOVE
+static gboolean
+on_question_timeout(gpointer data)
+{
+	struct question *question = data;
+
+	question->timeout_source = 0;
+	g_cancellable_cancel(question->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+/// Reads a number out of a report.
+///
+/// @param root  the report
+/// @param name  the field
+/// @return its value, 0 where missing
+static uint64_t
+report_number(struct json_object *root, const char *name)
+{
+	struct json_object *value;
+
+	if (!json_object_object_get_ex(root, name, &value))
+		return 0;
+	return json_object_get_uint64(value);
+}
+
+/// Takes a load report.
+///
+/// @param question  what was asked
+/// @param upstream  the upstream
+/// @param root      the report
+static void
+take_report(const struct question *question, struct upstream *upstream,
+    struct json_object *root)
+{
+	struct router_report report = {
+	    .asked_at = question->asked_at,
+	    .start_epoch = report_number(root, "start_epoch"),
+	    .uptime = (usec_t)report_number(root, "uptime_ms") * USEC_PER_MSEC,
+	    .used_tokens = report_number(root, "used_tokens"),
+	    .running = (uint32_t)report_number(root, "running"),
+	    .waiting = (uint32_t)report_number(root, "waiting"),
+	    .preemptions = report_number(root, "preemptions"),
+	};
+	struct json_object *model;
+
+	upstream->start_epoch = report.start_epoch;
+	upstream->fence = report_number(root, "fence");
+	upstream->reported_at = question->asked_at;
+	g_clear_pointer(&upstream->model, g_free);
+	if (json_object_object_get_ex(root, "model", &model))
+		upstream->model = g_strdup(json_object_get_string(model));
+	router_report_load(question->instance->router, g_get_monotonic_time(),
+	    upstream->handle, &report);
+}
+
+/// Takes the answer to a question for a load report.
+///
+/// @param source  the session
+/// @param result  the answer
+/// @param data    the question
+static void
+on_report(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct question *question = data;
+	struct instance *instance = question->instance;
+	struct upstream *upstream =
+	    upstream_find(instance->upstreams, question->handle);
+	GBytes *body = soup_session_send_and_read_finish(
+	    SOUP_SESSION(source), result, NULL);
+	struct json_object *root = NULL;
+	gsize len = 0;
+	const char *text;
+
+	if (upstream == NULL)
+		goto out;
+	upstream->report_pending = false;
+	if (body != NULL &&
+	    soup_message_get_status(question->message) == SOUP_STATUS_OK) {
+		text = g_bytes_get_data(body, &len);
+		root = parse_json(text, len, NULL);
+	}
+	if (json_object_is_type(root, json_type_object))
+		take_report(question, upstream, root);
+	else
+		router_upstream_silent(
+		    instance->router, g_get_monotonic_time(), upstream->handle);
+	drive_instance(instance);
+out:
+	json_object_put(root);
+	g_clear_pointer(&body, g_bytes_unref);
+	question_free(question);
+}
+
+/// Asks one upstream for a load report.
+///
+/// @param table     the table
+/// @param upstream  the upstream
+/// @param now       current time
+static void
+ask_report(struct upstream_table *table, struct upstream *upstream, usec_t now)
+{
+	struct question *question = g_new0(struct question, 1);
+	char *uri = g_strconcat(upstream->base, "/load", NULL);
+
+	question->instance = table->instance;
+	question->handle = upstream->handle;
+	question->asked_at = now;
+	question->message = soup_message_new("GET", uri);
+	question->cancellable = g_cancellable_new();
+	question->timeout_source = g_timeout_add(
+	    REPORT_TIMEOUT / USEC_PER_MSEC, on_question_timeout, question);
+	upstream->report_pending = true;
+	soup_session_send_and_read_async(table->instance->session,
+	    question->message, G_PRIORITY_DEFAULT, question->cancellable,
+	    on_report, question);
+	g_free(uri);
+}
+
+/// Makes an empty table.
+///
+/// @param instance  the instance
+/// @return the table
+struct upstream_table *
+upstream_table_new(struct instance *instance)
+{
+	struct upstream_table *table = g_new0(struct upstream_table, 1);
+
+	table->instance = instance;
+	table->upstreams = g_ptr_array_new_with_free_func(upstream_free);
+	return table;
+}
+
+/// Releases a table.
+///
+/// @param table  the table
+void
+upstream_table_free(struct upstream_table *table)
+{
+	g_ptr_array_unref(table->upstreams);
+	g_free(table);
+}
+
+/// Makes the table follow a bundle that came in force.
+///
+/// @param table   the table
+/// @param bundle  the bundle
+void
+upstream_table_apply(struct upstream_table *table, const struct bundle *bundle)
+{
+	GHashTable *kept = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < bundle->upstreams->len; i++) {
+		const struct bundle_upstream *options =
+		    g_ptr_array_index(bundle->upstreams, i);
+		char *base = make_base(options);
+		struct upstream *upstream =
+		    find_named(table, options->name, base);
+
+		if (upstream == NULL)
+			upstream = add_upstream(table, options, base);
+		else
+			g_free(base);
+		apply_state(table, bundle, upstream, options);
+		g_hash_table_add(kept, upstream);
+	}
+	for (guint i = table->upstreams->len; i > 0; i--) {
+		struct upstream *upstream =
+		    g_ptr_array_index(table->upstreams, i - 1);
+
+		if (g_hash_table_contains(kept, upstream))
+			continue;
+		router_remove_upstream(table->instance->router,
+		    g_get_monotonic_time(), upstream->handle);
+		g_ptr_array_remove_index(table->upstreams, i - 1);
+	}
+	g_hash_table_unref(kept);
+}
+
+/// Finds an upstream by the router's handle.
+///
+/// @param table   the table
+/// @param handle  the handle
+/// @return the upstream, or NULL when it has left the bundle
+struct upstream *
+upstream_find(struct upstream_table *table, router_upstream handle)
+{
+	for (guint i = 0; i < table->upstreams->len; i++) {
+		struct upstream *upstream =
+		    g_ptr_array_index(table->upstreams, i);
+
+		if (upstream->handle == handle)
+			return upstream;
+	}
+	return NULL;
+}
+
+/// Lists the upstreams.
+///
+/// @param table  the table
+/// @return its own array of struct upstream
+GPtrArray *
+upstream_list(struct upstream_table *table)
+{
+	return table->upstreams;
+}
+
+/// Asks for the load reports that are due.
+///
+/// @param table  the table
+/// @param now    current time
+void
+upstream_poll_reports(struct upstream_table *table, usec_t now)
+{
+	usec_t interval = table->instance->settings->report_interval;
+
+	for (guint i = 0; i < table->upstreams->len; i++) {
+		struct upstream *upstream =
+		    g_ptr_array_index(table->upstreams, i);
+
+		if (upstream->report_pending || now < upstream->report_due)
+			continue;
+		upstream->report_due = now + interval / 2 +
+		    g_rand_int_range(
+			table->instance->random, 0, (gint32)interval);
+		ask_report(table, upstream, now);
+	}
+}
