Settings, bundles and the commands that check and sign them

Cause: the daemon needs its settings and bundles read strictly; json-c takes duplicate keys in silence and keeps no line numbers. Ruled out: json-glib (refuses // comments, also silent on duplicates); accepting escapes in keys, which would let a duplicate hide. Comments are blanked, json-c parses, then a key scanner finds duplicates and lines. Tried: a depth message expected as "depth"; json-c says "nesting too deep". Conclusion: the daemon may build on settings.h and bundle.h.

--- a/src/godwitvale/main.c
+++ b/src/godwitvale/main.c
@@ -1,9 +1,15 @@
 /* The one binary: picks the sub-command. */
-#include <stdio.h>
+#include "godwitvale/ops/cmd.h"
 
 int
-main(void)
+main(int argc, char **argv)
 {
-	fprintf(stderr, "godwitvale: no sub-command\n");
-	return 64;
+	static const struct cmd cmds[] = {
+	    {"keygen", "make keys", cmd_keygen},
+	    {"check", "check a settings file", cmd_check},
+	    {"bundle", "check, sign, verify and compare bundles", cmd_bundle},
+	    {"version", "print the version", cmd_version},
+	};
+
+	return cmd_dispatch("godwitvale", cmds, G_N_ELEMENTS(cmds), argc, argv);
 }
--- /dev/null
+++ b/src/godwitvale/ops/bundle_table.h
@@ -0,0 +1,9 @@
+/* The table of options that describes a bundle's text. */
+#ifndef GODWITVALE_OPS_BUNDLE_TABLE_H
+#define GODWITVALE_OPS_BUNDLE_TABLE_H
+
+#include "godwitvale/ops/json.h"
+
+extern const struct json_table bundle_table;
+
+#endif
--- a/src/godwitvale/ops/settings.h
+++ b/src/godwitvale/ops/settings.h
@@ -11,5 +11,6 @@
 struct settings *settings_parse(const char *text, GError **error);
 struct settings *settings_load(const char *path, GError **error);
 void settings_free(struct settings *settings);
+void settings_explain(GString *out);
 
 #endif
