Router: queue, placement by projected memory, slots of cold upstreams

Cause: the router API was agreed but had no code. Ruled out: one global queue without organisations (a large organisation would fill it); a static split of a cold upstream's limit (starves once the limit is below the number of instances). Change: estimate, fairqueue, prefix, warmup, budget and handle_table as modules of their own; router*.c on top. A SEND is checked once more when it is taken out of the outbox. A failed stream makes its upstream count as cold until a report asked for later.

--- /dev/null
+++ b/src/godwitvale/core/handle_table.h
@@ -0,0 +1,18 @@
+/*
+ * A table of pointers under small handles. A handle carries a generation, so
+ * one that was released finds nothing.
+ */
+#ifndef GODWITVALE_CORE_HANDLE_TABLE_H
+#define GODWITVALE_CORE_HANDLE_TABLE_H
+
+#include <stdint.h>
+
+struct handle_table;
+
+struct handle_table *handle_table_new(void);
+void handle_table_free(struct handle_table *table);
+uint32_t handle_table_add(struct handle_table *table, void *value);
+void *handle_table_get(const struct handle_table *table, uint32_t handle);
+void handle_table_remove(struct handle_table *table, uint32_t handle);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/core/prefix.h
@@ -0,0 +1,30 @@
+/*
+ * A view of which upstreams hold which prefix blocks in their caches. Survives
+ * events that come late, twice or not at all.
+ */
+#ifndef GODWITVALE_CORE_PREFIX_H
+#define GODWITVALE_CORE_PREFIX_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "godwitvale/core/time_defs.h"
+
+/// Upstreams remembered for each block.
+#define PREFIX_HOLDERS_MAX 4
+
+struct prefix;
+
+struct prefix *prefix_new(uint32_t max_blocks);
+void prefix_free(struct prefix *prefix);
+void prefix_event(struct prefix *prefix, usec_t now, uint32_t upstream,
+    uint64_t sequence, uint64_t block, bool stored);
+void prefix_assume(
+    struct prefix *prefix, usec_t now, uint32_t upstream, uint64_t block);
+void prefix_forget(struct prefix *prefix, uint32_t upstream);
+unsigned prefix_holders(struct prefix *prefix, usec_t now, uint64_t block,
+    uint32_t upstreams[PREFIX_HOLDERS_MAX]);
+double prefix_match(struct prefix *prefix, usec_t now, uint32_t upstream,
+    const uint64_t *blocks, unsigned n_blocks);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/core/router_slot.c
@@ -0,0 +1,193 @@
+/*
+ * Fleet-wide slots of cold upstreams: which are asked for, what a granted one
+ * is used for, when it is given back.
+ */
+#include "godwitvale/core/router.h"
+#include "godwitvale/core/router_state.h"
+
+/// Slots of one upstream asked for at a time.
+#define ASKED_MAX 2
+/// Upstreams looked at for slots in one step.
+#define LOOKED_AT_MAX 32
+/// A slot whose upstream had no room is not asked for again for this long.
+#define NO_ROOM_SPAN (100 * USEC_PER_MSEC)
+
+/// Puts a slot action into the outbox.
+///
+/// @param router    the router
+/// @param type      ROUTER_ACTION_SLOT or ROUTER_ACTION_SLOT_DONE
+/// @param upstream  the upstream
+/// @param slot      slot number
+static void
+push_slot(struct router *router, enum router_action_type type,
+    router_upstream upstream, uint32_t slot)
+{
+	struct router_action action = {
+	    .type = type, .upstream = upstream, .slot = slot};
+
+	router_push_action(router, &action);
+}
+
+/// Finds a slot that may be asked for, starting at a random one.
+///
+/// @param router    the router
+/// @param upstream  a cold upstream
+/// @param slot      filled in
+/// @return false when there is none
+static bool
+find_slot(struct router *router, struct upstream *upstream, uint32_t *slot)
+{
+	uint32_t limit = warmup_limit(&upstream->warmup, router->now);
+	uint32_t start;
+
+	if (limit == 0 || upstream->n_asked >= ASKED_MAX ||
+	    upstream->n_asked + upstream->own.length >= limit)
+		return false;
+	start = (uint32_t)g_rand_int_range(
+	    router->options.random, 0, (gint32)limit);
+	for (uint32_t i = 0; i < limit; i++) {
+		const struct slot *found =
+		    &upstream->slots[(start + i) % limit];
+
+		if (found->state != SLOT_FREE ||
+		    found->not_before > router->now)
+			continue;
+		*slot = (start + i) % limit;
+		return true;
+	}
+	return false;
+}
+
+/// Asks for slots of cold upstreams for the requests that wait.
+///
+/// @param router   the router
+/// @param service  a service whose warm upstreams are full
+void
+router_ask_slots(struct router *router, struct service *service)
+{
+	GPtrArray *considered = service->considered;
+	unsigned wanted = fairqueue_length(service->queue);
+	struct request *head =
+	    handle_table_get(router->requests, fairqueue_peek(service->queue));
+	guint start;
+
+	if (!router->options.use_slots || considered->len == 0 || !head)
+		return;
+	start = (guint)g_rand_int_range(
+	    router->options.random, 0, (gint32)considered->len);
+	for (guint i = 0; i < MIN(considered->len, LOOKED_AT_MAX); i++) {
+		struct upstream *upstream =
+		    considered->pdata[(start + i) % considered->len];
+		uint32_t slot;
+
+		if (service->n_asked >= wanted)
+			return;
+		if (!warmup_is_cold(&upstream->warmup, router->now) ||
+		    !router_fits(router, upstream, head) ||
+		    !find_slot(router, upstream, &slot))
+			continue;
+		upstream->slots[slot].state = SLOT_ASKED;
+		upstream->n_asked++;
+		service->n_asked++;
+		push_slot(router, ROUTER_ACTION_SLOT, upstream->handle, slot);
+	}
+}
+
+/// Gives back the slot that a request holds, if any.
+///
+/// @param router   the router
+/// @param request  the request, still on its upstream
+void
+router_give_slot_back(struct router *router, struct request *request)
+{
+	struct upstream *upstream = request->upstream;
+
+	if (!request->has_slot)
+		return;
+	request->has_slot = false;
+	upstream->slots[request->slot].state = SLOT_FREE;
+	upstream->n_in_use--;
+	push_slot(
+	    router, ROUTER_ACTION_SLOT_DONE, upstream->handle, request->slot);
+}
+
+/// Ends a question for a slot.
+///
+/// @param upstream    the upstream
+/// @param slot        slot number
+/// @param not_before  when it may be asked for again
+/// @return false when it wasn't asked for
+static bool
+end_question(struct upstream *upstream, uint32_t slot, usec_t not_before)
+{
+	if (upstream == NULL || slot >= upstream->options.max_running ||
+	    upstream->slots[slot].state != SLOT_ASKED)
+		return false;
+	upstream->slots[slot].state = SLOT_FREE;
+	upstream->slots[slot].not_before = not_before;
+	upstream->n_asked--;
+	upstream->service->n_asked--;
+	return true;
+}
+
+/// Takes a lease on a slot: the request that should start next goes, or the
+/// slot is given back when none can use it. A grant that nobody waits for any
+/// more is given back too.
+///
+/// @param router    the router
+/// @param now       current time
+/// @param upstream  the upstream
+/// @param slot      slot number
+void
+router_slot_granted(
+    struct router *router, usec_t now, router_upstream upstream, uint32_t slot)
+{
+	struct upstream *found = handle_table_get(router->upstreams, upstream);
+	struct request *request;
+	bool usable;
+
+	router->now = now;
+	if (!end_question(found, slot, now + NO_ROOM_SPAN)) {
+		push_slot(router, ROUTER_ACTION_SLOT_DONE, upstream, slot);
+		return;
+	}
+	request = handle_table_get(
+	    router->requests, fairqueue_peek(found->service->queue));
+	usable = request != NULL && found->considered &&
+	    slot < warmup_limit(&found->warmup, now);
+	if (usable) {
+		router_profile_request(request, &request->memory);
+		usable = router_fits(router, found, request);
+	}
+	if (!usable) {
+		push_slot(router, ROUTER_ACTION_SLOT_DONE, upstream, slot);
+		return;
+	}
+	found->slots[slot].state = SLOT_IN_USE;
+	found->slots[slot].not_before = now;
+	found->n_in_use++;
+	request->has_slot = true;
+	request->slot = slot;
+	found->service->starts += 1;
+	fairqueue_start(found->service->queue, request->handle);
+	router_place_request(router, request, found);
+	router_dispatch(router, found->service);
+}
+
+/// Takes the news that a slot can't be had now: another one is tried.
+///
+/// @param router    the router
+/// @param now       current time
+/// @param upstream  the upstream
+/// @param slot      slot number
+/// @param retry_at  this slot is left alone until then
+void
+router_slot_denied(struct router *router, usec_t now, router_upstream upstream,
+    uint32_t slot, usec_t retry_at)
+{
+	struct upstream *found = handle_table_get(router->upstreams, upstream);
+
+	router->now = now;
+	if (end_question(found, slot, retry_at))
+		router_dispatch(router, found->service);
+}
--- /dev/null
+++ b/src/godwitvale/core/router_state.h
@@ -0,0 +1,171 @@
+/*
+ * What the router's own modules share: its tables and the steps between them.
+ * Not for embedders.
+ */
+#ifndef GODWITVALE_CORE_ROUTER_STATE_H
+#define GODWITVALE_CORE_ROUTER_STATE_H
+
+#include "godwitvale/core/budget.h"
+#include "godwitvale/core/estimate.h"
+#include "godwitvale/core/fairqueue.h"
+#include "godwitvale/core/handle_table.h"
+#include "godwitvale/core/prefix.h"
+#include "godwitvale/core/router_defs.h"
+#include "godwitvale/core/warmup.h"
+
+/// Memory is projected to these many generated tokens ahead.
+#define ROUTER_HORIZONS 6
+extern const uint32_t router_horizons[ROUTER_HORIZONS];
+
+/// Expected memory at each horizon, in tokens.
+struct memory_profile {
+	double at[ROUTER_HORIZONS];
+};
+
+enum slot_state {
+	SLOT_FREE = 0,
+	SLOT_ASKED,
+	SLOT_IN_USE,
+};
+
+/// One slot of a cold upstream, as this instance sees it.
+struct slot {
+	enum slot_state state;
+	usec_t not_before; /// don't ask again before this
+};
+
+struct service {
+	uint32_t id;
+	enum upstream_kind kind;
+	struct fairqueue *queue;
+	GPtrArray *all;         /// struct upstream, every one
+	GPtrArray *considered;  /// in service and in this instance's subset
+	GSequence *by_pressure; /// the considered ones
+	unsigned next_turn;     /// round robin
+	unsigned n_asked;       /// slots asked for
+	uint64_t max_memory;    /// largest engine's, in tokens
+
+	struct memory_profile keep;     /// share of tokens kept, of any request
+	struct memory_profile growth;   /// tokens added, by any request
+	struct memory_profile newcomer; /// memory of a request just sent
+	double send_rate;               /// own sends a second
+	double sends;                   /// since the rate was worked out
+
+	usec_t marked_at;    /// backlog is accounted for until then
+	double backlog_time; /// seconds with a backlog, decaying
+	double starts;       /// starts in that time, decaying
+};
+
+struct upstream {
+	router_upstream handle;
+	struct router_upstream_options options;
+	struct service *service;
+	uint64_t rank; /// rendezvous hash: lowest are in the subset
+	bool in_service;
+	bool considered;
+	struct warmup warmup;
+	unsigned n_starts; /// starts seen; a send is bound to one
+	bool was_cold;     /// told to the embedder
+	bool reported;
+	struct router_report report;
+	usec_t trusted_from; /// reports asked for before this are ignored
+	double others;       /// requests of other instances in the report
+	double others_tokens;
+	GQueue own; /// struct request, running here
+	struct memory_profile own_memory;
+	GSequenceIter *place; /// in by_pressure
+	double pressure;
+	struct slot *slots; /// max_running of them
+	unsigned n_asked;
+	unsigned n_in_use;
+};
+
+enum request_state {
+	REQUEST_QUEUED = 1,
+	REQUEST_DELAYED, /// waits for its next try
+	REQUEST_SENDING, /// SEND is in the outbox
+	REQUEST_RUNNING,
+	REQUEST_ENDED, /// failed; router_retry() decides
+};
+
+struct request {
+	router_request handle;
+	struct router_request_options options;
+	enum request_state state;
+	struct service *service;
+	struct estimate_series *series;
+	struct upstream *upstream;
+	unsigned start_seen; /// the upstream's n_starts at the decision
+	GList link;          /// in the upstream's own
+	usec_t sent_at;
+	usec_t since;        /// submitted
+	usec_t counted_from; /// its start deadline counts from here
+	unsigned retries;
+	usec_t not_before;
+	GSequenceIter *delayed;
+	uint32_t so_far; /// tokens generated
+	double charged;
+	bool has_slot;
+	uint32_t slot;
+	struct memory_profile memory;
+};
+
+struct router {
+	struct router_options options;
+	usec_t now;
+	struct handle_table *requests;
+	struct handle_table *upstreams;
+	GHashTable *all_requests;  /// struct request, for the end
+	GHashTable *all_upstreams; /// struct upstream
+	GHashTable *services;      /// id -> struct service
+	struct estimate *estimate;
+	struct prefix *prefix;
+	struct budget *budget;
+	GSequence *delayed; /// struct request by not_before
+	GQueue outbox;      /// struct router_action
+	usec_t tick_at;
+	usec_t survey_at; /// next survey of the running requests
+	usec_t surveyed_at;
+};
+
+/* router_pressure.c */
+void router_profile_request(
+    const struct request *request, struct memory_profile *memory);
+double router_pressure(const struct router *router,
+    const struct upstream *upstream, const struct request *extra);
+bool router_fits(const struct router *router, const struct upstream *upstream,
+    const struct request *request);
+void router_update_own(struct upstream *upstream);
+void router_take_report(struct router *router, struct upstream *upstream,
+    const struct router_report *report);
+void router_survey(struct router *router, struct service *service);
+
+/* router_place.c */
+struct upstream *router_choose(struct router *router, struct request *request);
+void router_place_request(
+    struct router *router, struct request *request, struct upstream *upstream);
+void router_unplace_request(struct router *router, struct request *request);
+void router_reindex(struct router *router, struct upstream *upstream);
+void router_consider(struct router *router, struct service *service);
+void router_note_cold(struct router *router, struct upstream *upstream);
+
+/* router_slot.c */
+void router_ask_slots(struct router *router, struct service *service);
+void router_give_slot_back(struct router *router, struct request *request);
+
+/* router_queue.c */
+void router_enqueue(struct router *router, struct request *request);
+void router_delay(
+    struct router *router, struct request *request, usec_t not_before);
+void router_requeue_due(struct router *router);
+void router_dispatch(struct router *router, struct service *service);
+void router_dispatch_all(struct router *router);
+void router_refuse(struct router *router, struct request *request,
+    enum router_refusal refusal);
+void router_refuse_hopeless(struct router *router, struct service *service);
+bool router_refuse_late(struct router *router, struct request *request);
+void router_release(struct router *router, struct request *request);
+void router_push_action(
+    struct router *router, const struct router_action *action);
+
+#endif
--- /dev/null
+++ b/test/unit/prefix_test.c
@@ -0,0 +1,133 @@
+/* Unit tests of the prefix view. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "godwitvale/core/prefix.h"
+
+static const uint64_t prompt_blocks[] = {11, 12, 13, 14};
+
+static double
+match(struct prefix *prefix, usec_t now, uint32_t upstream)
+{
+	return prefix_match(prefix, now, upstream, prompt_blocks, 4);
+}
+
+static void
+store_all(struct prefix *prefix, uint32_t upstream, uint64_t sequence)
+{
+	for (int i = 0; i < 4; i++)
+		prefix_event(
+		    prefix, 0, upstream, sequence + i, prompt_blocks[i], true);
+}
+
+static void
+matches_leading_blocks(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+	uint32_t holders[PREFIX_HOLDERS_MAX];
+
+	(void)state;
+	store_all(prefix, 1, 1);
+	prefix_event(prefix, 0, 2, 1, prompt_blocks[1], true);
+	assert_true(match(prefix, 1, 1) == 4);
+	assert_true(match(prefix, 1, 2) == 0);
+	assert_int_equal(
+	    prefix_holders(prefix, 1, prompt_blocks[1], holders), 2);
+	prefix_event(prefix, 1, 1, 5, prompt_blocks[2], false);
+	assert_true(match(prefix, 2, 1) == 2);
+	prefix_free(prefix);
+}
+
+static void
+late_and_repeated_events_do_no_harm(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+
+	(void)state;
+	store_all(prefix, 1, 1);
+	prefix_event(prefix, 1, 1, 6, prompt_blocks[0], false);
+	prefix_event(prefix, 1, 1, 1, prompt_blocks[0], true);
+	assert_true(match(prefix, 2, 1) == 0);
+	prefix_event(prefix, 1, 1, 7, prompt_blocks[0], true);
+	prefix_event(prefix, 1, 1, 6, prompt_blocks[0], false);
+	assert_true(match(prefix, 2, 1) > 0.9);
+	prefix_free(prefix);
+}
+
+static void
+a_gap_halves_trust_and_then_expires_it(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+
+	(void)state;
+	store_all(prefix, 1, 1);
+	prefix_event(prefix, 1, 1, 9, 99, true);
+	assert_true(match(prefix, 2, 1) == 2);
+	assert_true(match(prefix, 31 * USEC_PER_SEC, 1) == 0);
+	prefix_event(prefix, 31 * USEC_PER_SEC, 1, 10, prompt_blocks[0], true);
+	assert_true(match(prefix, 31 * USEC_PER_SEC, 1) == 1);
+	prefix_free(prefix);
+}
+
+static void
+what_is_only_assumed_expires(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+
+	(void)state;
+	prefix_assume(prefix, 0, 1, prompt_blocks[0]);
+	assert_true(match(prefix, 1, 1) == 1);
+	assert_true(match(prefix, 21 * USEC_PER_SEC, 1) == 0);
+	prefix_free(prefix);
+}
+
+static void
+restart_voids_and_starts_a_new_sequence(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+
+	(void)state;
+	store_all(prefix, 1, 100);
+	prefix_forget(prefix, 1);
+	assert_true(match(prefix, 1, 1) == 0);
+	store_all(prefix, 1, 1);
+	assert_true(match(prefix, 2, 1) == 4);
+	prefix_free(prefix);
+}
+
+static void
+stays_bounded(void **state)
+{
+	struct prefix *prefix = prefix_new(100);
+	uint32_t holders[PREFIX_HOLDERS_MAX];
+	unsigned kept = 0;
+
+	(void)state;
+	for (uint64_t i = 1; i <= 1000; i++)
+		prefix_event(prefix, 0, 1, i, i, true);
+	for (uint64_t i = 1; i <= 1000; i++)
+		kept += prefix_holders(prefix, 0, i, holders);
+	assert_in_range(kept, 50, 100);
+	prefix_free(prefix);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(matches_leading_blocks),
+	    cmocka_unit_test(late_and_repeated_events_do_no_harm),
+	    cmocka_unit_test(a_gap_halves_trust_and_then_expires_it),
+	    cmocka_unit_test(what_is_only_assumed_expires),
+	    cmocka_unit_test(restart_voids_and_starts_a_new_sequence),
+	    cmocka_unit_test(stays_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
