Settings: the resend window

Cause: voters keep records for the window within which callers repeat calls. Change: timing.resend_window_ms.

--- a/src/godwitvale/ops/settings.c
+++ b/src/godwitvale/ops/settings.c
@@ -76,6 +76,8 @@
 	.choices = settings_log_levels,
 	.fallback = "\"info\"",
 	.doc = "least severe level that is logged"},
+    SPAN("timing.resend_window_ms", resend_window, 100, "60000",
+	"callers repeat a call within this, the longest of all services"),
     SPAN("timing.members_interval_ms", members_interval, 100, "1000",
 	"between reads of the membership list"),
     SPAN("timing.report_interval_ms", report_interval, 10, "250",
