Quorum header: claim options, rounds and lives in messages

Cause: quorum_claim() had no way to ask for a fencing number or to name the highest one that an upstream has seen; answers could not be told apart by round; a restarted voter could not say which views it may have voted in. Ruled out: reusing the page fields for rounds (misread by other parts). Change: struct quorum_claim_options replaces the lease term; the message gains round, ready_revision and floor_revision. Conclusion: code that sends messages must carry the three new fields.

--- a/src/godwitvale/core/quorum.h
+++ b/src/godwitvale/core/quorum.h
@@ -24,7 +24,7 @@
 bool quorum_next_action(struct quorum *quorum, struct quorum_action *action);
 
 quorum_ticket quorum_claim(struct quorum *quorum, usec_t now,
-    const struct quorum_key *key, usec_t lease_term);
+    const struct quorum_key *key, const struct quorum_claim_options *options);
 bool quorum_may_act(
     const struct quorum *quorum, usec_t now, quorum_ticket ticket);
 void quorum_finish(struct quorum *quorum, usec_t now, quorum_ticket ticket,
--- a/src/godwitvale/core/quorum_defs.h
+++ b/src/godwitvale/core/quorum_defs.h
@@ -100,7 +100,14 @@
 	node_id holder;
 	uint64_t number;
 	enum verdict verdict;
-	usec_t span;      /// term of a lease, or what is left of one
+	usec_t span;    /// term of a lease, or what is left of one
+	uint32_t round; /// round of a claim, echoed; serial of an answer
+	/// STATE: the newest revision that the sender was ready in; 0: none.
+	/// SEAL: the newest revision known to the sender to have been active.
+	uint64_t ready_revision;
+	/// STATE: no former life of the sender saw a revision above this one;
+	/// 0: it started so long ago that former lives are of no account.
+	uint64_t floor_revision;
 	uint32_t page;    /// page of a STATE or HANDOVER
 	uint32_t n_pages; /// pages in all
 	bool ready;       /// sender may vote in that view's shard
@@ -112,6 +119,13 @@
 	struct quorum_record records[QUORUM_PAGE_RECORDS];
 };
 
+/// How a claim is made. All zero for QUORUM_ONCE.
+struct quorum_claim_options {
+	usec_t lease_term;    /// LEASE: at most resend_window
+	bool fenced;          /// LEASE: with a fencing number, one round more
+	uint64_t fence_floor; /// the number is to be above this one
+};
+
 /// Handle of a claim in the claimant's table; 0 is none.
 typedef uint32_t quorum_ticket;
 
