Authority part, fleet scripts and demo (in progress)

Cause: whether new work may be taken under the bundle in force is a decision, and the scenarios must drive the same code as the daemon. Change: moved from the daemon's rollout into the core.

--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,263 @@
+# A small fleet on loopback, for the demo and the functional tests: stand-ins
+# of the platform and the upstreams, and entry instances. Sourced after
+# test/functional/lib.sh, whose functions it uses.
+
+PEER_KEY=
+PUBLIC_KEY=
+bundle_version=0
+zones_out=
+upstreams_out=
+upstream_rows=()
+member_rows=()
+model_version=1
+service_window_ms=3000
+declare -A caller_of operator_of peer_of pid_of zone_of
+
+# make_keys: the operators' key pair and the instances' common key.
+make_keys()
+{
+	"$BINDIR/godwitvale" keygen --out "$workdir/operator.key" >/dev/null ||
+	    fail "keygen"
+	PUBLIC_KEY=$(sed -n 's/^public *[:=]* *//p' "$workdir/operator.key")
+	PEER_KEY=$("$BINDIR/godwitvale" keygen --peer)
+}
+
+# start_platform [CONFIG_OPTION...]: configuration service and member list.
+start_platform()
+{
+	start_standin config "$@"
+	config=$address
+	config_pid=$pid
+	start_standin members --lag-ms "${LIST_LAG_MS:-200}"
+	members=$address
+}
+
+# start_engine NAME ZONE [OPTION...]
+# start_service NAME ZONE SERVES [OPTION...]
+start_engine()
+{
+	start_standin engine --model m1/1 "${@:3}"
+	upstream_rows+=("$1 $2 $address m1")
+	pid_of[$1]=$pid
+	caller_of[$1]=$address
+}
+
+start_service()
+{
+	start_standin service "${@:4}"
+	upstream_rows+=("$1 $2 $address $3")
+	pid_of[$1]=$pid
+	caller_of[$1]=$address
+}
+
+# state NAME LIST: "out" where NAME is one of the words of LIST.
+state()
+{
+	case " $2 " in
+	*" $1 "*) echo out ;;
+	*) echo in ;;
+	esac
+}
+
+# upstream_json NAME ZONE ADDRESS SERVES
+upstream_json()
+{
+	local engine=false memory=0
+	[ "$4" = m1 ] && engine=true memory=${MEMORY_TOKENS:-20000}
+	printf '{"name":"%s","address":"%s","zone":"%s","serves":"%s",' \
+	    "$1" "$3" "$2" "$4"
+	printf '"engine":%s,"checks_fence":true,"memory_tokens":%s,' \
+	    "$engine" "$memory"
+	printf '"max_running":16,"cold_limit":%s,"warm_span_ms":%s,' \
+	    "${COLD_LIMIT:-2}" "${WARM_SPAN_MS:-1000}"
+	printf '"state":"%s"}' "$(state "$1" "$upstreams_out")"
+}
+
+# write_bundle FILE: the bundle's text, version $bundle_version.
+write_bundle()
+{
+	local zone row separator=
+	{
+		printf '// Made for a run on stand-ins.\n{"version":%s,' \
+		    "$bundle_version"
+		printf '"signed_by":"operator","zones":['
+		for zone in bilbao santander oviedo; do
+			printf '%s{"name":"%s","region":"norte","state":"%s"}' \
+			    "$separator" "$zone" "$(state $zone "$zones_out")"
+			separator=,
+		done
+		printf '],"models":[{"name":"m1","max_tokens":20000,'
+		printf '"context_tokens":20000,"version":"%s"}],' \
+		    "$model_version"
+		printf '"services":[{"name":"orders","idempotent":false,'
+		printf '"identity":"header","identity_header":"x-request-id",'
+		printf '"resend_window_ms":%s,"timeout_ms":5000},' \
+		    "$service_window_ms"
+		printf '{"name":"stock","idempotent":true,'
+		printf '"identity":"body","timeout_ms":5000}],'
+		printf '"organisations":[{"name":"clinic","token":"clinic-1",'
+		printf '"weight":1}],"classes":[{"name":"default",'
+		printf '"priority":0,"patience_ms":10000}],"upstreams":['
+		separator=
+		for row in "${upstream_rows[@]}"; do
+			# shellcheck disable=SC2086 # a row of words
+			printf '%s%s' "$separator" "$(upstream_json $row)"
+			separator=,
+		done
+		printf '],"instances":[],"policy":{}}\n'
+	} >"$1"
+}
+
+# publish_bundle: signs the next version and gives it to the service.
+publish_bundle()
+{
+	bundle_version=$((bundle_version + 1))
+	write_bundle "$workdir/bundle-$bundle_version.json"
+	"$BINDIR/godwitvale" bundle sign --key "$workdir/operator.key" \
+	    --out "$workdir/bundle-$bundle_version.signed" \
+	    "$workdir/bundle-$bundle_version.json" >/dev/null ||
+	    fail "bundle sign"
+	offer_bundle "$workdir/bundle-$bundle_version.signed"
+}
+
+# offer_bundle FILE: gives a signed bundle to the configuration service.
+offer_bundle()
+{
+	[ "$(status "$config/control/bundle" -X PUT --data-binary @"$1")" \
+	    = 200 ] || fail "offer bundle"
+}
+
+# write_settings NAME ZONE FILE
+write_settings()
+{
+	cat >"$3" <<EOF
+{
+	"instance": "$1", // made for a run on stand-ins
+	"zone": "$2",
+	"listen": {"caller": "${caller_of[$1]}", "peer": "${peer_of[$1]}",
+		"operator": "${operator_of[$1]}"},
+	"platform": {"config": "$config", "members": "$members"},
+	"keys": {"peer": "$PEER_KEY", "bundle": "$PUBLIC_KEY"},
+	"timing": {"members_interval_ms": 200, "report_interval_ms": 100,
+		"claim_timeout_ms": 500, "list_lag_ms": 300,
+		"list_freshness_ms": 1000, "bundle_freshness_ms": 3000,
+		"progress_timeout_ms": ${PROGRESS_MS:-1000},
+		"resend_window_ms": 3000}
+}
+EOF
+}
+
+# add_instance NAME ZONE: reserves its addresses and lists it.
+add_instance()
+{
+	free_port
+	caller_of[$1]=127.0.0.1:$port
+	free_port
+	operator_of[$1]=127.0.0.1:$port
+	free_port
+	peer_of[$1]=127.0.0.1:$port
+	zone_of[$1]=$2
+	member_rows+=("$1")
+}
+
+# list_members NAME...: publishes the membership list.
+list_members()
+{
+	local name separator=
+	{
+		printf '['
+		for name in "$@"; do
+			printf '%s{"name":"%s","ip":"127.0.0.1",' \
+			    "$separator" "$name"
+			printf '"peer_port":%s,"zone":"%s","state":"live"}' \
+			    "${peer_of[$name]#*:}" "${zone_of[$name]}"
+			separator=,
+		done
+		printf ']\n'
+	} >"$workdir/members.json"
+	[ "$(status "$members/control/members" -X PUT \
+	    --data-binary @"$workdir/members.json")" = 200 ] ||
+	    fail "list members"
+}
+
+# start_instance NAME: its log goes to $workdir/NAME.log.
+start_instance()
+{
+	write_settings "$1" "${zone_of[$1]}" "$workdir/$1.json"
+	"$BINDIR/godwitvale" serve --settings "$workdir/$1.json" \
+	    >>"$workdir/$1.log" 2>&1 &
+	pid_of[$1]=$!
+	pids+=($!)
+}
+
+# json_is NAME PATH FIELD VALUE: looks at an instance's operator address.
+json_is()
+{
+	get "${operator_of[$1]}$2" | tr -d ' \t\n' |
+	    grep -q "\"$3\":$4[,}]"
+}
+
+# wait_voting NAME...: until each votes and is sure of the newest bundle.
+wait_voting()
+{
+	local name
+	for name in "$@"; do
+		wait_for "$name to vote" json_is "$name" /status votes true
+		wait_for "$name to be sure of the bundle" \
+		    json_is "$name" /status authorised true
+	done
+}
+
+# wait_bundle VERSION NAME...
+wait_bundle()
+{
+	local name version=$1
+	shift
+	for name in "$@"; do
+		wait_for "bundle $version at $name" \
+		    json_is "$name" /status bundle_version "$version"
+	done
+}
+
+# metric NAME COUNTER: a counter's value at an instance.
+metric()
+{
+	get "${operator_of[$1]}/metrics" | sed -n "s/^$2 //p"
+}
+
+# generate INSTANCE PROMPT STREAM [CURL_OPTION...]
+generate()
+{
+	get "${caller_of[$1]}/v1/completions" \
+	    -H 'Authorization: Bearer clinic-1' \
+	    -d "{\"model\":\"m1\",\"prompt\":\"$2\",\"stream\":$3}" "${@:4}"
+}
+
+# order INSTANCE ID [CURL_OPTION...]: places an order by its request id.
+order()
+{
+	get "${caller_of[$1]}/services/orders/orders" \
+	    -H 'Authorization: Bearer clinic-1' -H "X-Request-Id: $2" \
+	    -d '{"van":1}' "${@:3}"
+}
+
+# start_fleet: platform, two engines, one order worker, three instances.
+start_fleet()
+{
+	make_keys
+	start_platform
+	start_engine g1 bilbao --step-ms 5
+	start_engine g2 santander --step-ms 5
+	start_service s1 oviedo orders
+	start_service s2 oviedo stock
+	publish_bundle
+	add_instance e1 bilbao
+	add_instance e2 santander
+	add_instance e3 oviedo
+	list_members e1 e2 e3
+	start_instance e1
+	start_instance e2
+	start_instance e3
+	wait_bundle 1 e1 e2 e3
+	wait_voting e1 e2 e3
+}
--- a/src/godwitvale/ops/settings_defs.h
+++ b/src/godwitvale/ops/settings_defs.h
@@ -38,7 +38,7 @@
 	usec_t list_freshness;      /// "timing.list_freshness_ms"
 	usec_t bundle_freshness;    /// "timing.bundle_freshness_ms"
 	usec_t progress_timeout;    /// "timing.progress_timeout_ms"
-	usec_t resend_window;	 /// "timing.resend_window_ms"
+	usec_t resend_window;       /// "timing.resend_window_ms"
 	uint32_t max_request_bytes; /// "limits.max_request_bytes"
 	uint32_t max_requests;      /// "limits.max_requests"
 };
--- a/src/godwitvale/peer/peer.c
+++ b/src/godwitvale/peer/peer.c
@@ -20,7 +20,7 @@
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer_codec.h"
 #include "godwitvale/platform/members.h"
-#include "godwitvale/serve/authority.h"
+#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
 
 /// Largest datagram sent: the envelope and what RPC puts around it.
@@ -287,7 +287,7 @@
 		member_list_read_soon(instance->members);
 	if (instance->bundle == NULL ||
 	    hello->bundle_version > instance->bundle->version)
-		authority_fetch_from(instance, envelope->sender);
+		rollout_fetch_from(instance, envelope->sender);
 }
 
 /// Takes a message of the quorum part, unless it is of another life or a
--- a/src/godwitvale/platform/config.c
+++ b/src/godwitvale/platform/config.c
@@ -11,7 +11,7 @@
 #include "godwitvale/peer/peer.h"
 #include "godwitvale/platform/ask.h"
 #include "godwitvale/platform/members.h"
-#include "godwitvale/serve/authority.h"
+#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
 
 /// Instances that wait on a watch at a time.
@@ -92,8 +92,7 @@
 	}
 	if (status == SOUP_STATUS_OK) {
 		text = g_bytes_get_data(body, &len);
-		if (!authority_offer_bundle(
-			watch->instance, text, len, "config"))
+		if (!rollout_offer(watch->instance, text, len, "config"))
 			watch->read_due = now + jitter(watch, USEC_PER_SEC);
 	}
 	drive_instance(watch->instance);
--- a/src/godwitvale/serve/drive.c
+++ b/src/godwitvale/serve/drive.c
@@ -9,7 +9,7 @@
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer.h"
 #include "godwitvale/platform/members.h"
-#include "godwitvale/serve/authority.h"
+#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/request.h"
 #include "godwitvale/serve/slots.h"
 #include "godwitvale/upstream/join.h"
@@ -179,10 +179,10 @@
 		take_claim_result(instance, action);
 		break;
 	case QUORUM_ACTION_VERSION:
-		authority_take_version(instance, action);
+		rollout_take_version(instance, action->number);
 		break;
 	case QUORUM_ACTION_ISOLATED:
-		authority_take_isolation(instance);
+		authority_take_isolation(&instance->authority);
 		break;
 	case QUORUM_ACTION_LIST:
 		member_list_read_soon(instance->members);
--- a/src/godwitvale/serve/filters.c
+++ b/src/godwitvale/serve/filters.c
@@ -225,7 +225,7 @@
 {
 	usec_t now = g_get_monotonic_time();
 
-	if (now < request->instance->authority_until)
+	if (authority_may_admit(&request->instance->authority, now))
 		return FILTER_NEXT;
 	metrics_add(METRIC_STALE_BUNDLE_REFUSALS, 1);
 	request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE, "isolated",
--- a/src/godwitvale/serve/instance_defs.h
+++ b/src/godwitvale/serve/instance_defs.h
@@ -5,6 +5,7 @@
 #include <gio/gio.h>
 #include <libsoup/soup.h>
 
+#include "godwitvale/core/authority.h"
 #include "godwitvale/core/quorum.h"
 #include "godwitvale/core/router.h"
 #include "godwitvale/ops/audit.h"
@@ -40,18 +41,14 @@
 	struct listener *operator_listener;
 	struct listener *peer_listener;
 	struct quorum_key bundle_key; /// the newest accepted version's register
-	usec_t version_read_due;      /// when that register is read next
-	usec_t version_asked_at;      /// when it was asked for last
-	bool version_pending;
-	bool version_known;     /// a majority has answered once
-	bool fetch_pending;     /// a bundle is being fetched from a peer
-	usec_t authority_until; /// the bundle is known to be newest until then
-	bool draining;          /// leaving: no new work
-	bool taken_out;         /// operators took this instance or zone out
-	GHashTable *answers;    /// answers of calls that ran, for repeats
-	GArray *slots;          /// slots of cold upstreams held or asked for
-	usec_t requests_due;    /// when requests are looked at next
-	usec_t leave_after;     /// leaving: not before this
+	struct authority authority;   /// whether new work may be taken
+	bool fetch_pending;           /// a bundle is being fetched from a peer
+	bool draining;                /// leaving: no new work
+	bool taken_out;      /// operators took this instance or zone out
+	GHashTable *answers; /// answers of calls that ran, for repeats
+	GArray *slots;       /// slots of cold upstreams held or asked for
+	usec_t requests_due; /// when requests are looked at next
+	usec_t leave_after;  /// leaving: not before this
 };
 
 #endif
--- a/src/godwitvale/serve/operator.c
+++ b/src/godwitvale/serve/operator.c
@@ -77,7 +77,8 @@
 	json_object_object_add(root, "members_revision",
 	    json_object_new_uint64(member_list_revision(instance->members)));
 	json_object_object_add(root, "authorised",
-	    json_object_new_boolean(now < instance->authority_until));
+	    json_object_new_boolean(
+		authority_may_admit(&instance->authority, now)));
 	json_object_object_add(root, "votes",
 	    json_object_new_boolean(quorum_ready(instance->quorum, now)));
 	json_object_object_add(
--- a/src/godwitvale/serve/authority.c
+++ b/src/godwitvale/serve/rollout.c
@@ -1,9 +1,8 @@
 /*
- * The bundle in force. A bundle is accepted once its version stands in a
- * register that a majority of voters keeps; each instance reads that register
- * and takes new work only while it has lately found no newer version there.
+ * The bundle in force: takes bundles from the configuration service and from
+ * peers, and tells all parts when one comes in force.
  */
-#include "godwitvale/serve/authority.h"
+#include "godwitvale/serve/rollout.h"
 
 #include <string.h>
 
@@ -15,8 +14,6 @@
 #include "godwitvale/platform/members.h"
 #include "godwitvale/upstream/upstream.h"
 
-/// The register is read this often.
-#define VERSION_READ_INTERVAL (800 * USEC_PER_MSEC)
 /// A fetch of a bundle from a peer is given up after this.
 #define FETCH_TIMEOUT (2 * USEC_PER_SEC)
 
@@ -96,7 +93,6 @@
 	metrics_set(METRIC_BUNDLE_VERSION, (int64_t)bundle->version);
 	quorum_raise_version(instance->quorum, g_get_monotonic_time(),
 	    &instance->bundle_key, bundle->version);
-	instance->version_read_due = 0;
 	if (old != NULL)
 		bundle_free(old);
 }
@@ -117,7 +113,7 @@
 	if (status != SOUP_STATUS_OK)
 		return;
 	text = g_bytes_get_data(body, &len);
-	authority_offer_bundle(instance, text, len, "peer");
+	rollout_offer(instance, text, len, "peer");
 }
 
 /// Fetches the bundle from any listed peer.
@@ -133,28 +129,7 @@
 		return;
 	member = g_ptr_array_index(members,
 	    g_rand_int_range(instance->random, 0, (gint32)members->len));
-	authority_fetch_from(instance, member->id);
-}
-
-/// While no majority of voters has ever answered, as in a fleet that just
-/// started: takes the word of a majority of the listed instances.
-///
-/// @param instance  the instance
-/// @param now       current time
-static void
-confirm_by_peers(struct instance *instance, usec_t now)
-{
-	usec_t span = instance->settings->bundle_freshness;
-	uint64_t highest = 0;
-	unsigned listed = member_list_all(instance->members)->len;
-	unsigned answered =
-	    peer_answered_since(instance->peer, now - span, &highest) + 1;
-
-	if (instance->version_known || instance->bundle == NULL ||
-	    listed == 0 || answered <= listed / 2 ||
-	    highest > instance->bundle->version)
-		return;
-	instance->authority_until = now + span / 2;
+	rollout_fetch_from(instance, member->id);
 }
 
 /// Offers a signed bundle from any source; it is taken when it is genuine,
@@ -166,7 +141,7 @@
 /// @param from      the source, for the log
 /// @return true when it came in force
 bool
-authority_offer_bundle(
+rollout_offer(
     struct instance *instance, const char *text, size_t len, const char *from)
 {
 	GError *error = NULL;
@@ -198,7 +173,7 @@
 /// @param instance  the instance
 /// @param peer      the peer
 void
-authority_fetch_from(struct instance *instance, node_id peer)
+rollout_fetch_from(struct instance *instance, node_id peer)
 {
 	const struct member *member = member_list_find(instance->members, peer);
 	struct settings_address address;
@@ -213,49 +188,34 @@
 	    instance);
 }
 
-/// Reads the register when that is due.
+/// Reads the register when that is due, and hears the peers.
 ///
 /// @param instance  the instance
 /// @param now       current time
 void
-authority_tick(struct instance *instance, usec_t now)
+rollout_tick(struct instance *instance, usec_t now)
 {
-	confirm_by_peers(instance, now);
-	if (instance->version_pending || now < instance->version_read_due)
-		return;
-	instance->version_read_due = now + VERSION_READ_INTERVAL;
-	instance->version_asked_at = now;
-	instance->version_pending = true;
-	quorum_read_version(instance->quorum, now, &instance->bundle_key);
+	usec_t since = now - instance->settings->bundle_freshness;
+	uint64_t highest = 0;
+	unsigned listed = member_list_all(instance->members)->len;
+	unsigned answered =
+	    peer_answered_since(instance->peer, since, &highest) + 1;
+
+	authority_take_peers(
+	    &instance->authority, now, listed, answered, highest);
+	if (authority_tick(&instance->authority, now) == AUTHORITY_READ)
+		quorum_read_version(
+		    instance->quorum, now, &instance->bundle_key);
 }
 
 /// Takes the register's value.
 ///
 /// @param instance  the instance
-/// @param action    the value
+/// @param version   the highest accepted version
 void
-authority_take_version(
-    struct instance *instance, const struct quorum_action *action)
+rollout_take_version(struct instance *instance, uint64_t version)
 {
-	uint64_t version =
-	    instance->bundle == NULL ? 0 : instance->bundle->version;
-
-	instance->version_pending = false;
-	instance->version_known = true;
-	if (action->number > version) {
+	if (authority_take_read(&instance->authority, version) ==
+	    AUTHORITY_FETCH)
 		fetch_from_any(instance);
-		return;
-	}
-	if (instance->bundle != NULL)
-		instance->authority_until = instance->version_asked_at +
-		    instance->settings->bundle_freshness;
-}
-
-/// Takes the news that no majority answered a read.
-///
-/// @param instance  the instance
-void
-authority_take_isolation(struct instance *instance)
-{
-	instance->version_pending = false;
 }
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -14,7 +14,7 @@
 #include "godwitvale/peer/peer_http.h"
 #include "godwitvale/platform/config.h"
 #include "godwitvale/platform/members.h"
-#include "godwitvale/serve/authority.h"
+#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/operator.h"
 #include "godwitvale/serve/request.h"
@@ -44,7 +44,8 @@
 #define RETRY_RATIO 0.1
 #define RETRY_BURST 10
 #define RESEND_INTERVAL (100 * USEC_PER_MSEC)
-#define RESEND_WINDOW_DEFAULT (60 * USEC_PER_SEC)
+/// The register of the accepted version is read this often.
+#define VERSION_READ_INTERVAL (800 * USEC_PER_MSEC)
 
 /// Looks after the requests in progress.
 ///
@@ -79,7 +80,7 @@
 	if (!instance->draining || now < instance->leave_after ||
 	    request_count(instance) > 0)
 		return;
-	log_event(LOG_LEVEL_INFO, "left", "");
+	log_event(LOG_LEVEL_INFO, "left", "in_progress=0");
 	g_main_loop_quit(instance->loop);
 }
 
@@ -96,7 +97,7 @@
 	member_list_tick(instance->members, now);
 	config_watch_tick(instance->config, now);
 	peer_tick(instance->peer, now);
-	authority_tick(instance, now);
+	rollout_tick(instance, now);
 	upstream_poll_reports(instance->upstreams, now);
 	quorum_tick(instance->quorum, now);
 	router_tick(instance->router, now);
@@ -160,7 +161,7 @@
 	instance->router = router_new(&options);
 }
 
-/// Makes the quorum part.
+/// Makes the quorum part, and the authority part that reads it.
 ///
 /// @param instance  the instance
 static void
@@ -178,8 +179,13 @@
 	    .list_freshness = settings->list_freshness,
 	    .resend_interval = RESEND_INTERVAL,
 	};
+	struct authority_options authority = {
+	    .freshness = settings->bundle_freshness,
+	    .read_interval = VERSION_READ_INTERVAL,
+	};
 
 	instance->quorum = quorum_new(&options);
+	authority_init(&instance->authority, &authority);
 	instance->bundle_key = quorum_key_make(QUORUM_VERSION, "bundle", "", 0);
 }
 
