Daemon: typed refusals and one way to retry

Cause: refusals were spelled where they were made, retries in two places. Change: a table of refusals; request_retry() tells the router and rewinds.

--- a/src/godwitvale/caller/caller.c
+++ b/src/godwitvale/caller/caller.c
@@ -83,11 +83,9 @@
 	request->body = soup_message_body_flatten(
 	    soup_server_message_get_request_body(message));
 	if (g_object_get_data(G_OBJECT(message), TOO_LARGE_KEY) != NULL)
-		request_refuse(request, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
-		    "too-large", "the request's body is too large", USEC_NEVER);
+		request_refuse(request, REFUSAL_BODY_TOO_LARGE, retry_at, NULL);
 	else if (request_count(instance) > instance->settings->max_requests)
-		request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE, "full",
-		    "too many requests are in progress", retry_at);
+		request_refuse(request, REFUSAL_TOO_MANY, retry_at, NULL);
 	else
 		request_advance(request);
 	drive_instance(instance);
--- a/src/godwitvale/platform/members.c
+++ b/src/godwitvale/platform/members.c
@@ -133,7 +133,7 @@
 	}
 	quorum_set_view(list->instance->quorum, now, &view);
 	router_set_entries(list->instance->router, MAX(list->members->len, 1));
-	metrics_set(METRIC_MEMBERS_REVISION, (int64_t)list->revision);
+	metrics_set(METRIC_MEMBERS_REVISION, list->revision);
 	g_free(view.members);
 }
 
--- a/src/godwitvale/serve/drive.c
+++ b/src/godwitvale/serve/drive.c
@@ -15,23 +15,6 @@
 #include "godwitvale/upstream/join.h"
 #include "godwitvale/upstream/upstream.h"
 
-/// Words for the router's refusals: error type, message, HTTP status.
-static const struct {
-	const char *type;
-	const char *message;
-	unsigned status;
-} refusals[] = {
-    [ROUTER_REFUSE_NONE] = {"refused", "refused", 503},
-    [ROUTER_REFUSE_DEADLINE] = {"overloaded", "it can't start in time", 503},
-    [ROUTER_REFUSE_QUEUE_FULL] = {"queue-full",
-	"too many of your requests wait", 429},
-    [ROUTER_REFUSE_NO_UPSTREAM] = {"no-upstream",
-	"no upstream serves it at present", 503},
-    [ROUTER_REFUSE_RETRIES] = {"retries", "the retry budget is used up", 503},
-    [ROUTER_REFUSE_TOO_LARGE] = {"too-large",
-	"prompt and output exceed every engine", 413},
-};
-
 /// Sends a request that the router has placed.
 ///
 /// @param instance  the instance
@@ -58,16 +41,12 @@
 {
 	struct request *request =
 	    request_find_routed(instance, action->request);
-	usec_t retry_at = action->retry_at;
 
 	if (request == NULL)
 		return;
 	request->routed = 0;
-	if (action->refusal == ROUTER_REFUSE_TOO_LARGE)
-		retry_at = USEC_NEVER;
-	request_refuse(request, refusals[action->refusal].status,
-	    refusals[action->refusal].type, refusals[action->refusal].message,
-	    retry_at);
+	request_refuse(request, refusal_of_router(action->refusal),
+	    action->retry_at, NULL);
 }
 
 /// Carries out one action of the router.
@@ -121,14 +100,8 @@
 	request_leave_router(request, ROUTER_END_CANCELLED, 0);
 	if (held && join_start(request, action->holder))
 		return;
-	if (held)
-		request_refuse(request, SOUP_STATUS_CONFLICT, "repeated",
-		    "this request was taken before; its outcome is not here",
-		    retry_at);
-	else
-		request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE,
-		    "no-grant", "it can't be made sure that it runs once",
-		    retry_at);
+	request_refuse(request, held ? REFUSAL_REPEATED : REFUSAL_NO_GRANT,
+	    retry_at, NULL);
 }
 
 /// Goes on with a call whose claim was granted.
--- a/src/godwitvale/serve/filters.c
+++ b/src/godwitvale/serve/filters.c
@@ -21,18 +21,16 @@
 #define DEFAULT_PATIENCE (30 * USEC_PER_SEC)
 #define SERVICE_PREFIX "/services/"
 
-/// Refuses a request for good; coming back unchanged is of no use.
+/// Refuses a request.
 ///
 /// @param request  the request
-/// @param status   HTTP status
-/// @param type     kind of error
-/// @param message  for a person
+/// @param refusal  why
 /// @return FILTER_DONE
 static enum filter_result
-reject(struct request *request, unsigned status, const char *type,
-    const char *message)
+reject(struct request *request, enum refusal refusal)
 {
-	request_refuse(request, status, type, message, USEC_NEVER);
+	request_refuse(
+	    request, refusal, g_get_monotonic_time() + RETRY_SOON, NULL);
 	return FILTER_DONE;
 }
 
@@ -73,22 +71,17 @@
 	if (g_str_has_prefix(path, SERVICE_PREFIX)) {
 		request->kind = REQUEST_CALL;
 		if (!split_service_path(request, path, g_uri_get_query(uri)))
-			return reject(request, SOUP_STATUS_NOT_FOUND,
-			    "no-service", "the path names no service");
+			return reject(request, REFUSAL_NO_SERVICE);
 		return FILTER_NEXT;
 	}
 	request->kind = REQUEST_GENERATION;
 	request->chat = strcmp(path, "/v1/chat/completions") == 0;
 	if (!request->chat && strcmp(path, "/v1/completions") != 0)
-		return reject(request, SOUP_STATUS_NOT_FOUND, "no-such-path",
-		    "expected /v1/completions, /v1/chat/completions or "
-		    "/services/NAME");
+		return reject(request, REFUSAL_NO_SUCH_PATH);
 	if (strcmp(method, "POST") != 0)
-		return reject(request, SOUP_STATUS_METHOD_NOT_ALLOWED, "method",
-		    "expected POST");
+		return reject(request, REFUSAL_METHOD);
 	if (!parse_generation(request, &error)) {
-		request_refuse(request, SOUP_STATUS_BAD_REQUEST, "bad-request",
-		    error->message, USEC_NEVER);
+		request_refuse(request, REFUSAL_BAD_REQUEST, 0, error->message);
 		g_error_free(error);
 		return FILTER_DONE;
 	}
@@ -184,21 +177,15 @@
 	const struct bundle_service *service;
 	const struct bundle_model *model;
 
-	if (bundle == NULL) {
-		request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE,
-		    "no-bundle", "no bundle is in force yet",
-		    g_get_monotonic_time() + RETRY_SOON);
-		return FILTER_DONE;
-	}
+	if (bundle == NULL)
+		return reject(request, REFUSAL_NO_BUNDLE);
 	if (!identify_caller(request, bundle))
-		return reject(request, SOUP_STATUS_UNAUTHORIZED, "organisation",
-		    "unknown organisation");
+		return reject(request, REFUSAL_ORGANISATION);
 	if (request->kind == REQUEST_GENERATION) {
 		request->idempotent = true;
 		model = bundle_find_model(bundle, request->target);
 		if (model == NULL)
-			return reject(request, SOUP_STATUS_NOT_FOUND,
-			    "no-model", "unknown model");
+			return reject(request, REFUSAL_NO_MODEL);
 		if (request->max_tokens == 0 ||
 		    request->max_tokens > model->max_tokens)
 			request->max_tokens = model->max_tokens;
@@ -206,13 +193,11 @@
 	}
 	service = bundle_find_service(bundle, request->target);
 	if (service == NULL)
-		return reject(request, SOUP_STATUS_NOT_FOUND, "no-service",
-		    "unknown service");
+		return reject(request, REFUSAL_NO_SERVICE);
 	request->idempotent = service->idempotent;
 	request->call_timeout = service->timeout;
 	if (!service->idempotent && !identify_call(request, service))
-		return reject(request, SOUP_STATUS_BAD_REQUEST, "no-request-id",
-		    "a call of this service needs its request id");
+		return reject(request, REFUSAL_NO_REQUEST_ID);
 	return FILTER_NEXT;
 }
 
@@ -228,9 +213,7 @@
 	if (authority_may_admit(&request->instance->authority, now))
 		return FILTER_NEXT;
 	metrics_add(METRIC_STALE_BUNDLE_REFUSALS, 1);
-	request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE, "isolated",
-	    "the newest bundle can't be confirmed", now + RETRY_SOON);
-	return FILTER_DONE;
+	return reject(request, REFUSAL_ISOLATED);
 }
 
 /// Filter: takes new work only while the bundle in force is known to be the
@@ -242,14 +225,9 @@
 filter_authorise(struct request *request)
 {
 	struct instance *instance = request->instance;
-	usec_t now = g_get_monotonic_time();
 
-	if (instance->draining || instance->taken_out) {
-		request_refuse(request, SOUP_STATUS_SERVICE_UNAVAILABLE,
-		    "leaving", "this instance takes no new work",
-		    now + RETRY_SOON);
-		return FILTER_DONE;
-	}
+	if (instance->draining || instance->taken_out)
+		return reject(request, REFUSAL_LEAVING);
 	return check_authority(request);
 }
 
--- a/src/godwitvale/serve/request.c
+++ b/src/godwitvale/serve/request.c
@@ -1,6 +1,8 @@
 /* Table of the requests in progress, and the answers that callers get. */
 #include "godwitvale/serve/request.h"
 
+#include <string.h>
+
 #include <json-c/json.h>
 
 #include "godwitvale/core/verdict.h"
@@ -207,69 +209,106 @@
 	} while (result == FILTER_NEXT);
 }
 
-/// Puts a request that is to be sent again back before its placement.
+/// Queues a request whose sending failed once more, where budget and verdict
+/// allow it.
 ///
-/// @param request  a request that the router has queued again
-void
-request_rewind(struct request *request)
+/// @param request  the request
+/// @param end      how the sending ended: ROUTER_END_FAILED or _BUSY
+/// @return false when the caller is to get its final answer now
+bool
+request_retry(struct request *request, enum router_end end)
 {
+	struct router *router = request->instance->router;
+	usec_t now = g_get_monotonic_time();
+
+	router_finish(
+	    router, now, request->routed, end, request->relay.next_offset);
+	if (!router_retry(router, now, request->routed, request->verdict)) {
+		request->routed = 0;
+		return false;
+	}
+	metrics_add(METRIC_RETRIES, 1);
+	request_settle_claim(request);
 	request->upstream = 0;
 	request->granted = false;
 	request->stage = request_placed_filter;
+	return true;
 }
 
-/// Gives the final answer to a request that is refused or has failed.
+/// Formats a refusal as callers get it.
 ///
-/// @param request   the request; its verdict goes into the answer
-/// @param status    HTTP status
-/// @param type      kind of error, one word
-/// @param message   for a person
-/// @param retry_at  when to come back; USEC_NEVER: no use
-void
-request_refuse(struct request *request, unsigned status, const char *type,
-    const char *message, usec_t retry_at)
+/// @param request  the request
+/// @param words    what the refusal says
+/// @param detail   more for a person, or NULL
+/// @return JSON text; the caller frees it
+static char *
+format_refusal(const struct request *request, const struct refusal_words *words,
+    const char *detail)
 {
 	struct json_object *root = json_object_new_object();
 	struct json_object *error = json_object_new_object();
-	const char *text;
-	GBytes *body;
+	char *text;
 
-	log_event(LOG_LEVEL_INFO, "refused",
-	    "type=%s status=%u verdict=%s target=%s", type, status,
-	    verdict_name(request->verdict),
-	    request->target == NULL ? "-" : request->target);
-	json_object_object_add(error, "type", json_object_new_string(type));
 	json_object_object_add(
-	    error, "message", json_object_new_string(message));
+	    error, "type", json_object_new_string(words->type));
+	json_object_object_add(error, "message",
+	    json_object_new_string(detail == NULL ? words->message : detail));
 	json_object_object_add(error, "verdict",
 	    json_object_new_string(verdict_name(request->verdict)));
 	json_object_object_add(root, "error", error);
-	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
-	metrics_add(METRIC_REQUESTS_REFUSED, 1);
-	if (request->headers_sent) {
-		char *event =
-		    g_strdup_printf("event: error\ndata: %s\n\n", text);
+	text = g_strdup(
+	    json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+	json_object_put(root);
+	return text;
+}
 
-		request_stream_write(request, event, strlen(event));
-		g_free(event);
+/// Says when to come back, in whole seconds.
+///
+/// @param request   the request
+/// @param retry_at  the time
+static void
+set_retry_after(struct request *request, usec_t retry_at)
+{
+	usec_t left = MAX(retry_at - g_get_monotonic_time(), 1);
+	char seconds[24];
+
+	g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
+	    (left + USEC_PER_SEC - 1) / USEC_PER_SEC);
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(request->message),
+	    "Retry-After", seconds);
+}
+
+/// Gives the final answer, at once, to a request that is refused or failed.
+///
+/// @param request   the request; its verdict goes into the answer
+/// @param refusal   why
+/// @param retry_at  when to come back, where that can help
+/// @param detail    more for a person, or NULL
+void
+request_refuse(struct request *request, enum refusal refusal, usec_t retry_at,
+    const char *detail)
+{
+	const struct refusal_words *words = refusal_words(refusal);
+	char *text = format_refusal(request, words, detail);
+	GBytes *body;
+
+	log_event(LOG_LEVEL_INFO, "refused", "type=%s verdict=%s target=%s",
+	    words->type, verdict_name(request->verdict),
+	    request->target == NULL ? "-" : request->target);
+	metrics_add(words->metric, 1);
+	if (request->headers_sent) {
+		g_string_append_printf(
+		    request->pending, "event: error\ndata: %s\n\n", text);
+		g_free(text);
 		request_stream_end(request);
-		json_object_put(root);
 		return;
 	}
-	if (request->message != NULL && retry_at != USEC_NEVER) {
-		usec_t left = MAX(retry_at - g_get_monotonic_time(), 1);
-		char seconds[24];
-
-		g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
-		    (left + USEC_PER_SEC - 1) / USEC_PER_SEC);
-		soup_message_headers_replace(
-		    soup_server_message_get_response_headers(request->message),
-		    "Retry-After", seconds);
-	}
-	body = g_bytes_new(text, strlen(text));
-	request_answer(request, status, "application/json", body);
+	if (request->message != NULL && words->retry)
+		set_retry_after(request, retry_at);
+	body = g_bytes_new_take(text, strlen(text));
+	request_answer(request, words->status, "application/json", body);
 	g_bytes_unref(body);
-	json_object_put(root);
 }
 
 /// Gives the final answer to a request in one piece.
--- a/src/godwitvale/serve/request.h
+++ b/src/godwitvale/serve/request.h
@@ -2,6 +2,7 @@
 #ifndef GODWITVALE_SERVE_REQUEST_H
 #define GODWITVALE_SERVE_REQUEST_H
 
+#include "godwitvale/serve/refusal.h"
 #include "godwitvale/serve/request_defs.h"
 
 struct request *request_new(
@@ -13,9 +14,9 @@
     struct instance *instance, quorum_ticket ticket);
 unsigned request_count(const struct instance *instance);
 void request_advance(struct request *request);
-void request_rewind(struct request *request);
-void request_refuse(struct request *request, unsigned status, const char *type,
-    const char *message, usec_t retry_at);
+bool request_retry(struct request *request, enum router_end end);
+void request_refuse(struct request *request, enum refusal refusal,
+    usec_t retry_at, const char *detail);
 void request_answer(struct request *request, unsigned status,
     const char *content_type, GBytes *body);
 void request_stream_begin(struct request *request);
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -90,7 +90,7 @@
 		    bundle->version, "%s",
 		    taken_out ? "out of service" : "in service");
 	instance->taken_out = taken_out;
-	metrics_set(METRIC_BUNDLE_VERSION, (int64_t)bundle->version);
+	metrics_set(METRIC_BUNDLE_VERSION, bundle->version);
 	quorum_raise_version(instance->quorum, g_get_monotonic_time(),
 	    &instance->bundle_key, bundle->version);
 	if (old != NULL)
--- a/src/godwitvale/upstream/call.c
+++ b/src/godwitvale/upstream/call.c
@@ -13,6 +13,8 @@
 #include "godwitvale/serve/request.h"
 #include "godwitvale/upstream/upstream.h"
 
+/// HTTP status that libsoup has no name for.
+#define STATUS_TOO_MANY_REQUESTS 429
 /// When a caller may ask again after a failure.
 #define RETRY_AFTER_FAILURE (1 * USEC_PER_SEC)
 /// Largest answer kept for repeats, in bytes.
@@ -151,7 +153,7 @@
 	unsigned status = soup_message_get_status(message);
 
 	return verdict != NULL &&
-	    (status == SOUP_STATUS_TOO_MANY_REQUESTS ||
+	    (status == STATUS_TOO_MANY_REQUESTS ||
 		status == SOUP_STATUS_SERVICE_UNAVAILABLE) &&
 	    strcmp(verdict, verdict_name(VERDICT_NOT_RUN)) == 0;
 }
@@ -174,8 +176,8 @@
 		return;
 	}
 	request->routed = 0;
-	request_refuse(request, SOUP_STATUS_BAD_GATEWAY, "service-failed",
-	    "the service gave no whole answer", now + RETRY_AFTER_FAILURE);
+	request_refuse(
+	    request, REFUSAL_SERVICE_FAILED, now + RETRY_AFTER_FAILURE, NULL);
 }
 
 /// Takes the answer of a plain service.
--- a/src/godwitvale/upstream/generation.c
+++ b/src/godwitvale/upstream/generation.c
@@ -21,6 +21,8 @@
 #define READ_BYTES (32 * 1024)
 /// Resumes without any progress before a generation is given up.
 #define RESUME_LIMIT 4
+/// HTTP status that libsoup has no name for.
+#define STATUS_TOO_MANY_REQUESTS 429
 /// When a caller may ask again after a failure.
 #define RETRY_AFTER_FAILURE (2 * USEC_PER_SEC)
 
@@ -88,9 +90,8 @@
 		return;
 	}
 	request->routed = 0;
-	request_refuse(request, SOUP_STATUS_BAD_GATEWAY, "engine-failed",
-	    "the engine failed and the retries are used up",
-	    now + RETRY_AFTER_FAILURE);
+	request_refuse(
+	    request, REFUSAL_ENGINE_FAILED, now + RETRY_AFTER_FAILURE, NULL);
 }
 
 /// Does what the relay decided after a stream was lost.
@@ -115,10 +116,8 @@
 		return;
 	case RELAY_FAIL:
 		generation_abandon(request);
-		request_refuse(request, SOUP_STATUS_BAD_GATEWAY,
-		    "generation-lost",
-		    "the engine lost the generation part way",
-		    now + RETRY_AFTER_FAILURE);
+		request_refuse(request, REFUSAL_GENERATION_LOST,
+		    now + RETRY_AFTER_FAILURE, NULL);
 		return;
 	default:
 		return;
@@ -349,7 +348,7 @@
 take_refusal(struct stream *stream, struct request *request, unsigned status)
 {
 	usec_t now = g_get_monotonic_time();
-	bool retry = status == SOUP_STATUS_TOO_MANY_REQUESTS ||
+	bool retry = status == STATUS_TOO_MANY_REQUESTS ||
 	    status >= SOUP_STATUS_INTERNAL_SERVER_ERROR;
 
 	if (stream->resume && status == SOUP_STATUS_NOT_FOUND) {
@@ -364,8 +363,7 @@
 		restart(request);
 		return;
 	}
-	request_refuse(request, status, "engine-refused",
-	    "the engine refused the request", USEC_NEVER);
+	request_refuse(request, REFUSAL_ENGINE_REFUSED, now, NULL);
 }
 
 /// Takes the head of an engine's answer.
@@ -377,7 +375,6 @@
 on_head(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct stream *stream = data;
-	struct instance *instance = stream->instance;
 	struct request *request = stream_request(stream);
 	unsigned status;
 
--- a/src/godwitvale/upstream/join.c
+++ b/src/godwitvale/upstream/join.c
@@ -34,9 +34,8 @@
 give_up(struct request *request)
 {
 	request->join_holder = 0;
-	request_refuse(request, SOUP_STATUS_CONFLICT, "repeated",
-	    "this request was taken before; its outcome is not here",
-	    g_get_monotonic_time() + JOIN_RETRY);
+	request_refuse(request, REFUSAL_REPEATED,
+	    g_get_monotonic_time() + JOIN_RETRY, NULL);
 }
 
 /// Takes the holder's answer.
