Log: one bare line an event, values quoted

Cause: lines came out with "[stderr] " before them. The stream2 type writes the appender's name before each line itself, whatever its name; on the predefined appender "stderr" it also takes that appender's FILE for its own state, and the second event crashed. Ruled out: an appender of another name with stream2: lines began "[own] " (a trial). Setting log4c up again after log4c_fini(): crashes (a trial). Change: an appender type of our own; log4c is set up once; log_value() quotes; line breaks in an event become blanks; a line cut at its limit still ends in a line break.

--- a/src/godwitvale/ops/log.c
+++ b/src/godwitvale/ops/log.c
@@ -2,17 +2,18 @@
 #include "godwitvale/ops/log.h"
 
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
 
 #include <glib.h>
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 
 /// Longest line, in bytes; what is longer is cut.
 #define LOG_LINE_BYTES 2048
 
 static log4c_category_t *log_category;
-static char log_instance[64];
+static bool log_ready;
+static char log_instance[LOG_VALUE_BYTES];
 static char log_line[LOG_LINE_BYTES];
 
 static const int log_priorities[] = {
@@ -22,6 +23,25 @@
     [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
 };
 
+/// Names a priority as the settings do.
+///
+/// @param priority  of log4c
+/// @return one word
+static const char *
+log_level_name(int priority)
+{
+	switch (priority) {
+	case LOG4C_PRIORITY_ERROR:
+		return "error";
+	case LOG4C_PRIORITY_WARN:
+		return "warn";
+	case LOG4C_PRIORITY_INFO:
+		return "info";
+	default:
+		return "debug";
+	}
+}
+
 /// Formats one event for log4c: time, level, instance, then the event.
 ///
 /// @param layout  unused
@@ -39,13 +59,32 @@
 	gmtime_r(&seconds, &parts);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
 	snprintf(log_line, sizeof(log_line),
-	    "time=%s.%03ldZ level=%s instance=%s %s\n", stamp,
+	    "time=%s.%03ldZ level=%s instance=%s %s", stamp,
 	    (long)event->evt_timestamp.tv_usec / 1000,
-	    log4c_priority_to_string(event->evt_priority), log_instance,
-	    event->evt_msg);
+	    log_level_name(event->evt_priority), log_instance, event->evt_msg);
+	g_strdelimit(log_line, "\r\n", ' ');
+	g_strchomp(log_line);
 	return log_line;
 }
 
+/// Writes one event, as laid out, to standard error. log4c's own types for
+/// streams put the appender's name before each line.
+///
+/// @param appender  unused
+/// @param event     the event
+/// @return bytes written, negative on failure
+static int
+log_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+}
+
+static const log4c_appender_type_t log_appender_type = {
+    .name = "godwitvale",
+    .append = log_append,
+};
+
 static const log4c_layout_type_t log_layout_type = {
     .name = "godwitvale",
     .format = log_format_line,
@@ -62,14 +101,14 @@
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 
-	g_strlcpy(log_instance, instance, sizeof(log_instance));
-	if (log4c_init() != 0)
+	log_value(instance, log_instance);
+	if (!log_ready && log4c_init() != 0)
 		return false;
+	log_ready = true;
 	layout = log4c_layout_get("godwitvale");
 	log4c_layout_set_type(layout, &log_layout_type);
-	appender = log4c_appender_get("stderr");
-	log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
-	log4c_stream2_set_fp(appender, stderr);
+	appender = log4c_appender_get("godwitvale");
+	log4c_appender_set_type(appender, &log_appender_type);
 	log4c_appender_set_layout(appender, layout);
 	log_category = log4c_category_get("godwitvale");
 	log4c_category_set_appender(log_category, appender);
@@ -78,14 +117,12 @@
 	return true;
 }
 
-/// Closes the log; later events are dropped.
+/// Closes the log; later events are dropped until it is opened again. log4c
+/// stays set up, because it can't be set up a second time.
 void
 log_close(void)
 {
-	if (log_category == NULL)
-		return;
 	log_category = NULL;
-	log4c_fini();
 }
 
 /// Writes one event.
@@ -107,3 +144,56 @@
 	log4c_category_log(
 	    log_category, log_priorities[level], "event=%s %s", event, fields);
 }
+
+/// Whether a value can stand in a line as it is.
+///
+/// @param value  the value
+/// @return false when it must be quoted
+static bool
+is_plain(const char *value)
+{
+	for (const char *c = value; *c != '\0'; c++)
+		if ((unsigned char)*c <= ' ' || *c == '"' || *c == '=' ||
+		    *c == '\\' || *c == 0x7f)
+			return false;
+	return *value != '\0';
+}
+
+/// Writes a value so that it reads back as one: quoted where it is empty or
+/// holds blanks, quotes, '=' or control characters.
+///
+/// @param value   the value; NULL stands for an empty one
+/// @param buffer  filled in
+/// @return buffer
+const char *
+log_value(const char *value, char buffer[LOG_VALUE_BYTES])
+{
+	/* Room for the longest escape, the closing quote and the end. */
+	char *last = buffer + LOG_VALUE_BYTES - sizeof("\\x00\"");
+	char *out = buffer;
+
+	if (value == NULL)
+		value = "";
+	if (is_plain(value) && strlen(value) < LOG_VALUE_BYTES) {
+		g_strlcpy(buffer, value, LOG_VALUE_BYTES);
+		return buffer;
+	}
+	*out++ = '"';
+	for (; *value != '\0' && out < last; value++) {
+		unsigned char c = (unsigned char)*value;
+
+		if (c == '\n') {
+			*out++ = '\\';
+			*out++ = 'n';
+		} else if (c < ' ' || c == 0x7f) {
+			out += sprintf(out, "\\x%02x", c);
+		} else {
+			if (c == '"' || c == '\\')
+				*out++ = '\\';
+			*out++ = (char)c;
+		}
+	}
+	*out++ = '"';
+	*out = '\0';
+	return buffer;
+}
--- a/src/godwitvale/ops/log.h
+++ b/src/godwitvale/ops/log.h
@@ -11,9 +11,13 @@
 	LOG_LEVEL_DEBUG
 };
 
+/// Longest quoted value, in bytes; what is longer is cut.
+#define LOG_VALUE_BYTES 512
+
 bool log_open(const char *instance, enum log_level level);
 void log_close(void);
 void log_event(enum log_level level, const char *event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
+const char *log_value(const char *value, char buffer[LOG_VALUE_BYTES]);
 
 #endif
