--- /dev/null
+++ b/src/godwitvale/ops/audit.c
@@ -0,0 +1,186 @@
+/* Audit trail: the latest changes in memory, each also written to the log. */
+#include "godwitvale/ops/audit.h"
+
+#include <json-c/json.h>
+
+#include "godwitvale/ops/log.h"
+
+/// One change that took effect.
+struct audit_entry {
+	enum audit_kind kind;
+	char *subject;
+	char *who;
+	uint64_t version;
+	int64_t when; /// microseconds since 1970, UTC
+	char *detail;
+};
+
+/// The trail: the latest `keep` entries, oldest first.
+struct audit {
+	char *instance;
+	size_t keep;
+	GQueue entries;
+};
+
+static const char *const audit_kind_names[] = {
+    [AUDIT_BUNDLE] = "bundle",
+    [AUDIT_ZONE] = "zone",
+    [AUDIT_INSTANCE] = "instance",
+    [AUDIT_UPSTREAM] = "upstream",
+    [AUDIT_LEASE] = "lease",
+    [AUDIT_MODEL_ORDER] = "model-order",
+};
+
+/// Frees an entry.
+///
+/// @param data  the entry
+static void
+free_entry(gpointer data)
+{
+	struct audit_entry *entry = data;
+
+	g_free(entry->subject);
+	g_free(entry->who);
+	g_free(entry->detail);
+	g_free(entry);
+}
+
+/// Writes a point in time in the form of ISO 8601.
+///
+/// @param when  microseconds since 1970, UTC
+/// @return a text to be freed
+static char *
+format_time(int64_t when)
+{
+	GDateTime *seconds =
+	    g_date_time_new_from_unix_utc(when / G_USEC_PER_SEC);
+	GDateTime *exact = g_date_time_add(seconds, when % G_USEC_PER_SEC);
+	char *text = g_date_time_format(exact, "%Y-%m-%dT%H:%M:%S.%fZ");
+
+	g_date_time_unref(exact);
+	g_date_time_unref(seconds);
+	return text;
+}
+
+/// Writes an entry to the log.
+///
+/// @param entry  the entry
+static void
+log_entry(const struct audit_entry *entry)
+{
+	char subject[LOG_VALUE_BYTES];
+	char who[LOG_VALUE_BYTES];
+	char detail[LOG_VALUE_BYTES];
+
+	log_event(LOG_LEVEL_INFO, "audit",
+	    "kind=%s subject=%s who=%s version=%" G_GUINT64_FORMAT " detail=%s",
+	    audit_kind_names[entry->kind], log_value(entry->subject, subject),
+	    log_value(entry->who, who), entry->version,
+	    log_value(entry->detail, detail));
+}
+
+/// Describes an entry as a JSON object.
+///
+/// @param audit  its trail
+/// @param entry  the entry
+/// @return the object, owned by the caller
+static json_object *
+entry_to_json(const struct audit *audit, const struct audit_entry *entry)
+{
+	json_object *object = json_object_new_object();
+	char *when = format_time(entry->when);
+
+	json_object_object_add(object, "kind",
+	    json_object_new_string(audit_kind_names[entry->kind]));
+	json_object_object_add(
+	    object, "subject", json_object_new_string(entry->subject));
+	json_object_object_add(
+	    object, "who", json_object_new_string(entry->who));
+	json_object_object_add(
+	    object, "version", json_object_new_uint64(entry->version));
+	json_object_object_add(object, "when", json_object_new_string(when));
+	json_object_object_add(
+	    object, "instance", json_object_new_string(audit->instance));
+	json_object_object_add(
+	    object, "detail", json_object_new_string(entry->detail));
+	g_free(when);
+	return object;
+}
+
+/// Makes an empty trail.
+///
+/// @param instance  this instance's name, in every entry
+/// @param keep      most entries kept, 1 or more
+/// @return the trail, to be freed by audit_free()
+struct audit *
+audit_new(const char *instance, size_t keep)
+{
+	struct audit *audit = g_new0(struct audit, 1);
+
+	g_assert(keep > 0);
+	audit->instance = g_strdup(instance);
+	audit->keep = keep;
+	g_queue_init(&audit->entries);
+	return audit;
+}
+
+/// Frees a trail.
+///
+/// @param audit  may be NULL
+void
+audit_free(struct audit *audit)
+{
+	if (audit == NULL)
+		return;
+	g_queue_clear_full(&audit->entries, free_entry);
+	g_free(audit->instance);
+	g_free(audit);
+}
+
+/// Adds a change that has just taken effect; the oldest entry goes when the
+/// trail is full.
+///
+/// @param audit    the trail
+/// @param kind     what changed
+/// @param subject  which one, by name
+/// @param who      who signed it off, or the part that decided it
+/// @param version  the bundle's version, fencing number or the like
+/// @param format   printf format of the detail
+void
+audit_add(struct audit *audit, enum audit_kind kind, const char *subject,
+    const char *who, uint64_t version, const char *format, ...)
+{
+	struct audit_entry *entry = g_new0(struct audit_entry, 1);
+	va_list arguments;
+
+	entry->kind = kind;
+	entry->subject = g_strdup(subject);
+	entry->who = g_strdup(who);
+	entry->version = version;
+	entry->when = g_get_real_time();
+	va_start(arguments, format);
+	entry->detail = g_strdup_vprintf(format, arguments);
+	va_end(arguments);
+	if (g_queue_get_length(&audit->entries) == audit->keep)
+		free_entry(g_queue_pop_head(&audit->entries));
+	g_queue_push_tail(&audit->entries, entry);
+	log_entry(entry);
+}
+
+/// Writes the trail as a JSON list, oldest entry first.
+///
+/// @param audit  the trail
+/// @return the text, to be freed
+GString *
+audit_to_json(const struct audit *audit)
+{
+	json_object *list = json_object_new_array();
+	GString *out;
+
+	for (const GList *at = audit->entries.head; at != NULL; at = at->next)
+		json_object_array_add(list, entry_to_json(audit, at->data));
+	out = g_string_new(json_object_to_json_string_ext(
+	    list, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+	json_object_put(list);
+	return out;
+}
