Fleet scripts: key reading and sourcing

Cause: the demo went on without its shell library, and read no public key. Change: sourcing must succeed; the key is read from the JSON key file.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,8 +5,8 @@
 BINDIR=${BUILD:-build}
 FIRST_PORT=19500
 cd "$(dirname "$0")/.." || exit 1
-. test/functional/lib.sh
-. scripts/fleet.sh
+. test/functional/lib.sh || exit 1
+. scripts/fleet.sh || exit 1
 
 step()
 {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -18,7 +18,8 @@
 {
 	"$BINDIR/godwitvale" keygen --out "$workdir/operator.key" >/dev/null ||
 	    fail "keygen"
-	PUBLIC_KEY=$(sed -n 's/^public *[:=]* *//p' "$workdir/operator.key")
+	PUBLIC_KEY=$(sed -n 's/.*"public": *"\([0-9a-f]*\)".*/\1/p' \
+	    "$workdir/operator.key")
 	PEER_KEY=$("$BINDIR/godwitvale" keygen --peer)
 }
 
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -4,8 +4,8 @@
 BINDIR=${BUILD:-build}
 FIRST_PORT=19600
 cd "$(dirname "$0")/.." || exit 1
-. test/functional/lib.sh
-. scripts/fleet.sh
+. test/functional/lib.sh || exit 1
+. scripts/fleet.sh || exit 1
 start_fleet
 cat <<EOF
 Three instances serve. Try, from another terminal:
--- a/src/godwitvale/upstream/call.c
+++ b/src/godwitvale/upstream/call.c
@@ -161,21 +161,14 @@
 /// Ends a call that got no answer: retries it where that is safe.
 ///
 /// @param request  the call
+/// @param end      how it ended
 static void
-fail(struct request *request)
+fail(struct request *request, enum router_end end)
 {
 	usec_t now = g_get_monotonic_time();
 
-	if (request->message != NULL &&
-	    router_retry(request->instance->router, now, request->routed,
-		request->verdict)) {
-		metrics_add(METRIC_RETRIES, 1);
-		request_settle_claim(request);
-		request->granted = false;
-		request_rewind(request);
+	if (request->message != NULL && request_retry(request, end))
 		return;
-	}
-	request->routed = 0;
 	request_refuse(
 	    request, REFUSAL_SERVICE_FAILED, now + RETRY_AFTER_FAILURE, NULL);
 }
@@ -199,14 +192,14 @@
 		goto out;
 	if (body != NULL && says_not_run(exchange->message)) {
 		request->verdict = VERDICT_NOT_RUN;
-		fail(request);
+		fail(request, ROUTER_END_BUSY);
 	} else if (body != NULL) {
 		pass_answer(request, exchange->message, body);
 	} else {
 		log_event(LOG_LEVEL_INFO, "call_failed",
 		    "verdict=%s error=\"%s\"", verdict_name(request->verdict),
 		    error->message);
-		fail(request);
+		fail(request, ROUTER_END_FAILED);
 	}
 	drive_instance(instance);
 out:
@@ -271,7 +264,7 @@
 	    upstream == NULL ? NULL : make_message(request, upstream);
 
 	if (message == NULL) {
-		fail(request);
+		fail(request, ROUTER_END_FAILED);
 		return;
 	}
 	exchange = g_new0(struct exchange, 1);
--- a/src/godwitvale/upstream/generation.c
+++ b/src/godwitvale/upstream/generation.c
@@ -75,21 +75,18 @@
 /// Starts a lost generation anew, elsewhere, where the budget allows it.
 ///
 /// @param request  a request of which nothing was delivered
+/// @param end      how the attempt ended
 static void
-restart(struct request *request)
+restart(struct request *request, enum router_end end)
 {
 	usec_t now = g_get_monotonic_time();
 
 	generation_abandon(request);
-	metrics_add(METRIC_REGENERATIONS, 1);
 	g_string_truncate(request->text, 0);
-	relay_restart(&request->relay, now);
-	if (router_retry(request->instance->router, now, request->routed,
-		request->verdict)) {
-		request_rewind(request);
+	if (request_retry(request, end)) {
+		metrics_add(METRIC_REGENERATIONS, 1);
 		return;
 	}
-	request->routed = 0;
 	request_refuse(
 	    request, REFUSAL_ENGINE_FAILED, now + RETRY_AFTER_FAILURE, NULL);
 }
@@ -112,7 +109,7 @@
 		start_stream(request, true);
 		return;
 	case RELAY_RESTART:
-		restart(request);
+		restart(request, ROUTER_END_FAILED);
 		return;
 	case RELAY_FAIL:
 		generation_abandon(request);
@@ -348,8 +345,8 @@
 take_refusal(struct stream *stream, struct request *request, unsigned status)
 {
 	usec_t now = g_get_monotonic_time();
-	bool retry = status == STATUS_TOO_MANY_REQUESTS ||
-	    status >= SOUP_STATUS_INTERNAL_SERVER_ERROR;
+	bool busy = status == STATUS_TOO_MANY_REQUESTS ||
+	    status == SOUP_STATUS_SERVICE_UNAVAILABLE;
 
 	if (stream->resume && status == SOUP_STATUS_NOT_FOUND) {
 		recover(request, relay_resume_refused(&request->relay, now));
@@ -359,8 +356,9 @@
 		recover(request, relay_lost(&request->relay, now));
 		return;
 	}
-	if (retry) {
-		restart(request);
+	if (busy || status >= SOUP_STATUS_INTERNAL_SERVER_ERROR) {
+		restart(
+		    request, busy ? ROUTER_END_BUSY : ROUTER_END_FAILED);
 		return;
 	}
 	request_refuse(request, REFUSAL_ENGINE_REFUSED, now, NULL);
