--- a/src/godwitvale/main.c
+++ b/src/godwitvale/main.c
@@ -8,6 +8,9 @@
 	    {"keygen", "make keys", cmd_keygen},
 	    {"check", "check a settings file", cmd_check},
 	    {"bundle", "check, sign, verify and compare bundles", cmd_bundle},
+	    {"status", "show the state of an instance", cmd_status},
+	    {"audit", "show an instance's audit trail", cmd_audit},
+	    {"metrics", "show an instance's counters", cmd_metrics},
 	    {"version", "print the version", cmd_version},
 	};
 
