--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -10,6 +10,7 @@
 #include "godwitvale/ops/settings.h"
 
 #define EXAMPLE "examples/settings.json"
+#define PAGE "docs/operate/settings.md"
 #define MUTATIONS 4000
 
 /// One edit of the example that must be refused.
@@ -208,8 +209,9 @@
 }
 
 static void
-explains_every_key(void **state)
+explains_every_key_as_the_page_does(void **state)
 {
+	char *page = NULL;
 	GString *out = g_string_new(NULL);
 
 	(void)state;
@@ -220,6 +222,9 @@
 	assert_non_null(strstr(out->str,
 	    "instance: a text of 1 to 63 bytes; "
 	    "required"));
+	assert_true(g_file_get_contents(PAGE, &page, NULL, NULL));
+	assert_non_null(strstr(page, out->str));
+	g_free(page);
 	g_string_free(out, TRUE);
 }
 
@@ -233,7 +238,7 @@
 	    cmocka_unit_test(takes_ip_version_6),
 	    cmocka_unit_test(refuses_every_truncation),
 	    cmocka_unit_test(survives_mutations),
-	    cmocka_unit_test(explains_every_key),
+	    cmocka_unit_test(explains_every_key_as_the_page_does),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
