Bundle check in a module of its own, with lines; addresses in one form

Cause: inconsistencies were refused without their line, and bundle.c held four jobs. Two spellings of one IPv6 number passed as two addresses. Ruled out: keeping the spelling and comparing numbers at each place of use. Change: bundle_check.c, whose errors name path and line; addresses are kept in the form that inet_ntop gives.

--- a/src/godwitvale/ops/bundle.c
+++ b/src/godwitvale/ops/bundle.c
@@ -1,10 +1,11 @@
-/* Bundles: whole check, signature, comparison and look-ups. */
+/* Bundles: parsing, signature, comparison and look-ups. */
 #include "godwitvale/ops/bundle.h"
 
 #include <string.h>
 
 #include <sodium.h>
 
+#include "godwitvale/ops/bundle_check.h"
 #include "godwitvale/ops/bundle_table.h"
 
 G_DEFINE_QUARK(bundle - error - quark, bundle_error)
@@ -54,155 +55,6 @@
 	return NULL;
 }
 
-/// Checks that a text field's values are all different.
-///
-/// @param items   array of structs
-/// @param offset  of the char * field in them
-/// @param list    the list's key
-/// @param key     the field's key
-/// @param error   set on a duplicate
-/// @return false with error set
-static bool
-check_unique(const GPtrArray *items, size_t offset, const char *list,
-    const char *key, GError **error)
-{
-	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	guint i;
-
-	for (i = 0; i < items->len; i++)
-		if (!g_hash_table_add(
-			seen, *(char **)((char *)items->pdata[i] + offset)))
-			break;
-	g_hash_table_unref(seen);
-	if (i == items->len)
-		return true;
-	g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
-	    "%s[%u].%s: the value is there twice", list, i, key);
-	return false;
-}
-
-/// Checks the names of every list, and the organisations' tokens.
-///
-/// @param bundle  read
-/// @param error   set on a duplicate
-/// @return false with error set
-static bool
-check_names(const struct bundle *bundle, GError **error)
-{
-	for (size_t i = 0; i < bundle_table.n_options; i++) {
-		const struct json_option *option = &bundle_table.options[i];
-
-		if (option->type == JSON_LIST &&
-		    !check_unique(*(GPtrArray *const *)((const char *)bundle +
-				      option->offset),
-			option->item->options[0].offset, option->path, "name",
-			error))
-			return false;
-	}
-	for (guint i = 0; i < bundle->services->len; i++) {
-		const struct bundle_service *service =
-		    bundle->services->pdata[i];
-
-		if (bundle_find_model(bundle, service->name) == NULL)
-			continue;
-		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
-		    "services[%u].name: a model has this name", i);
-		return false;
-	}
-	return check_unique(bundle->organisations,
-	    offsetof(struct bundle_organisation, token), "organisations",
-	    "token", error);
-}
-
-/// Checks that the identity of each service's calls can be told.
-///
-/// @param bundle  read
-/// @param error   set when it can't
-/// @return false with error set
-static bool
-check_services(const struct bundle *bundle, GError **error)
-{
-	for (guint i = 0; i < bundle->services->len; i++) {
-		const struct bundle_service *service =
-		    bundle->services->pdata[i];
-		bool by_header = service->identity == BUNDLE_IDENTITY_HEADER;
-
-		if (by_header == (service->identity_header != NULL))
-			continue;
-		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
-		    "services[%u].identity_header: needed with identity "
-		    "\"header\", and only there",
-		    i);
-		return false;
-	}
-	for (guint i = 0; i < bundle->models->len; i++) {
-		const struct bundle_model *model = bundle->models->pdata[i];
-
-		if (model->max_tokens <= model->context_tokens)
-			continue;
-		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
-		    "models[%u].max_tokens: above context_tokens", i);
-		return false;
-	}
-	return true;
-}
-
-/// Says what is inconsistent about an upstream.
-///
-/// @param bundle    read
-/// @param upstream  one of its upstreams
-/// @return the message, or NULL
-static const char *
-upstream_fault(
-    const struct bundle *bundle, const struct bundle_upstream *upstream)
-{
-	if (bundle_find_zone(bundle, upstream->zone) == NULL)
-		return "zone: no such zone";
-	if (upstream->engine &&
-	    bundle_find_model(bundle, upstream->serves) == NULL)
-		return "serves: no such model";
-	if (!upstream->engine &&
-	    bundle_find_service(bundle, upstream->serves) == NULL)
-		return "serves: no such service";
-	if (upstream->engine && upstream->memory_tokens == 0)
-		return "memory_tokens: an engine needs it";
-	if (upstream->cold_limit > upstream->max_running)
-		return "cold_limit: above max_running";
-	return NULL;
-}
-
-/// Checks each upstream's references, and that no two share an address.
-///
-/// @param bundle  read
-/// @param error   set when one is inconsistent
-/// @return false with error set
-static bool
-check_upstreams(const struct bundle *bundle, GError **error)
-{
-	GHashTable *addresses =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	const char *fault = NULL;
-	guint i;
-
-	for (i = 0; i < bundle->upstreams->len; i++) {
-		const struct bundle_upstream *upstream =
-		    bundle->upstreams->pdata[i];
-
-		fault = upstream_fault(bundle, upstream);
-		if (!g_hash_table_add(addresses,
-			g_strdup_printf("%s %u", upstream->ip, upstream->port)))
-			fault = "address: another upstream has it";
-		if (fault != NULL)
-			break;
-	}
-	g_hash_table_unref(addresses);
-	if (fault == NULL)
-		return true;
-	g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
-	    "upstreams[%u].%s", i, fault);
-	return false;
-}
-
 /// Appends how two structs of one table differ.
 ///
 /// @param table   their options
@@ -290,8 +142,7 @@
 	ok = json_document_open(&document, text, len, BUNDLE_ERROR,
 		 BUNDLE_ERROR_INVALID, error) &&
 	    json_table_read(&bundle_table, &document, bundle, error) &&
-	    check_names(bundle, error) && check_services(bundle, error) &&
-	    check_upstreams(bundle, error);
+	    bundle_check(bundle, &document, error);
 	json_document_close(&document);
 	if (!ok)
 		g_clear_pointer(&bundle, bundle_free);
--- a/src/godwitvale/ops/json_table.c
+++ b/src/godwitvale/ops/json_table.c
@@ -477,17 +477,20 @@
 /// Reads "1.2.3.4:80" or "[::1]:80".
 ///
 /// @param text  the address
-/// @param ip    set to its number, to be freed
+/// @param ip    set to its number in the usual form, to be freed
 /// @param port  set
 /// @return false when it isn't one
 bool
 json_parse_address(const char *text, char **ip, uint16_t *port)
 {
 	unsigned char number[sizeof(struct in6_addr)];
+	char canonical[INET6_ADDRSTRLEN];
 	const char *colon = strrchr(text, ':');
 	guint64 value;
 	bool is_v6 = text[0] == '[';
 	char *host;
+	int family;
+	bool ok;
 
 	if (colon == NULL || colon == text ||
 	    !g_ascii_string_to_unsigned(
@@ -497,11 +500,12 @@
 		return false;
 	host = is_v6 ? g_strndup(text + 1, (gsize)(colon - text - 2))
 		     : g_strndup(text, (gsize)(colon - text));
-	if (inet_pton(is_v6 ? AF_INET6 : AF_INET, host, number) != 1) {
-		g_free(host);
+	family = is_v6 ? AF_INET6 : AF_INET;
+	ok = inet_pton(family, host, number) == 1;
+	g_free(host);
+	if (!ok)
 		return false;
-	}
-	*ip = host;
+	*ip = g_strdup(inet_ntop(family, number, canonical, sizeof(canonical)));
 	*port = (uint16_t)value;
 	return true;
 }
--- a/test/unit/bundle_test.c
+++ b/test/unit/bundle_test.c
@@ -49,7 +49,7 @@
     {"127.0.0.1:9101", "127.0.0.1:9100", BUNDLE_ERROR_INCONSISTENT,
 	"upstreams[1].address: another upstream has it"},
     {"\"zone\": \"tanta-a\"", "\"zone\": \"atlantis\"",
-	BUNDLE_ERROR_INCONSISTENT, "upstreams[0].zone: no such zone"},
+	BUNDLE_ERROR_INCONSISTENT, "line 46: upstreams[0].zone: no such zone"},
     {"\"serves\": \"kit-booklet\"", "\"serves\": \"orders\"",
 	BUNDLE_ERROR_INCONSISTENT, "upstreams[0].serves: no such model"},
     {"\"serves\": \"stock\"", "\"serves\": \"kit-diagram\"",
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -152,7 +152,7 @@
 {
 	char *text = read_example();
 	char *edited =
-	    replace_first(text, "\"127.0.0.1:8080\"", "\"[::1]:80\"");
+	    replace_first(text, "\"127.0.0.1:8080\"", "\"[0:0::1]:80\"");
 	struct settings *settings = settings_parse(edited, NULL);
 
 	(void)state;
