--- a/test/standin/config.c
+++ b/test/standin/config.c
@@ -205,7 +205,8 @@
 int
 config_main(int argc, char **argv)
 {
-	static const struct standin_kind kind = {request, control, stats};
+	static const struct standin_kind kind = {
+	    .request = request, .control = control, .stats = stats};
 	static struct config config = {.base = {.kind = &kind}};
 	static char *listen = NULL;
 	static char *file = NULL;
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -29,6 +29,7 @@
 	int event_lag_ms;
 	int load_ms;
 	gboolean ignore_fence;
+	bool paused;       /// no step is made
 	int64_t cut_after; /// the next stream ends after so many; 0 for off
 	int64_t repeat_every;
 };
@@ -450,14 +451,15 @@
 		standin_refuse(message, SOUP_STATUS_NOT_FOUND, "no such path");
 }
 
-/// Starts anew and cold: all is forgotten, each connection closes.
+/// Starts anew and cold: all is forgotten.
 static void
-restart(struct engine *engine)
+restart(struct standin *standin)
 {
+	struct engine *engine = (struct engine *)standin;
+
 	batch_restart(&engine->batch, standin_now_ms());
 	g_queue_clear_full(&engine->reports, report_free);
 	keep_report(engine, standin_now_ms());
-	standin_close_all(&engine->base);
 }
 
 static gboolean
@@ -466,11 +468,16 @@
 	struct engine *engine = data;
 	int64_t now_ms = standin_now_ms();
 
-	if (!batch_step(&engine->batch, now_ms))
-		restart(engine);
+	if (engine->paused)
+		return G_SOURCE_CONTINUE;
+	if (!batch_step(&engine->batch, now_ms)) {
+		restart(&engine->base);
+		standin_close_all(&engine->base);
+	}
 	for (guint i = engine->streams->len; i-- > 0;)
 		pump_stream(g_ptr_array_index(engine->streams, i));
-	keep_report(engine, now_ms);
+	if (engine->report_lag_ms > 0)
+		keep_report(engine, now_ms);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -487,8 +494,7 @@
 	    standin_number(body, "cut_after", engine->cut_after);
 	engine->repeat_every =
 	    standin_number(body, "repeat_every", engine->repeat_every);
-	if (standin_number(body, "restart", 0) != 0)
-		restart(engine);
+	engine->paused = standin_number(body, "paused", engine->paused) != 0;
 	return true;
 }
 
@@ -522,7 +528,10 @@
 int
 engine_main(int argc, char **argv)
 {
-	static const struct standin_kind kind = {request, control, stats};
+	static const struct standin_kind kind = {.request = request,
+	    .control = control,
+	    .restart = restart,
+	    .stats = stats};
 	static struct engine engine = {.base = {.kind = &kind},
 	    .reports = G_QUEUE_INIT,
 	    .step_ms = 5,
--- a/test/standin/members.c
+++ b/test/standin/members.c
@@ -74,7 +74,8 @@
 	(void)message;
 	if (strcmp(path, "/control/members") != 0)
 		return false;
-	json_object_object_get_ex(body, "members", &list);
+	if (json_object_is_type(body, json_type_object))
+		json_object_object_get_ex(body, "members", &list);
 	if (!json_object_is_type(list, json_type_array))
 		return false;
 	visible_revision(members);
@@ -95,7 +96,8 @@
 int
 members_main(int argc, char **argv)
 {
-	static const struct standin_kind kind = {request, control, stats};
+	static const struct standin_kind kind = {
+	    .request = request, .control = control, .stats = stats};
 	static struct members members = {
 	    .base = {.kind = &kind}, .revisions = G_QUEUE_INIT};
 	static char *listen = NULL;
--- a/test/standin/service.c
+++ b/test/standin/service.c
@@ -33,12 +33,13 @@
 };
 
 static void
-restart(struct service *service)
+restart(struct standin *standin)
 {
+	struct service *service = (struct service *)standin;
+
 	service->start_epoch = (uint64_t)g_random_int() + 1;
 	service->started_ms = standin_now_ms();
 	service->running = 0;
-	standin_close_all(&service->base);
 }
 
 static gboolean
@@ -138,7 +139,8 @@
 	}
 	if (!enter(service)) {
 		service->overloads++;
-		restart(service);
+		restart(standin);
+		standin_close_all(standin);
 		standin_close(message);
 		return;
 	}
@@ -175,8 +177,6 @@
 	    standin_number(body, "close_after_read", service->close_after_read);
 	service->close_mid_body =
 	    standin_number(body, "close_mid_body", service->close_mid_body);
-	if (standin_number(body, "restart", 0) != 0)
-		restart(service);
 	return true;
 }
 
@@ -209,7 +209,10 @@
 int
 service_main(int argc, char **argv)
 {
-	static const struct standin_kind kind = {request, control, stats};
+	static const struct standin_kind kind = {.request = request,
+	    .control = control,
+	    .restart = restart,
+	    .stats = stats};
 	static struct service service = {
 	    .base = {.kind = &kind}, .cold_limit = 4};
 	static char *listen = NULL;
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -70,6 +70,9 @@
 	if (standin_gone(message))
 		return;
 	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	/* Without a chunk to write, the failure would not be noticed. */
+	soup_message_body_complete(
+	    soup_server_message_get_response_body(message));
 	soup_server_message_unpause(message);
 }
 
@@ -231,7 +234,7 @@
 	return false;
 }
 
-/// Puts a switched fault into force, after the control call's answer is out.
+/// Puts a switched fault into force, once the control call is answered.
 static void
 fault_answered(SoupServerMessage *message, gpointer data)
 {
@@ -245,21 +248,49 @@
 }
 
 static void
-handle_control(struct standin *standin, SoupServerMessage *message,
+restart_answered(SoupServerMessage *message, gpointer data)
+{
+	struct standin *standin = data;
+
+	(void)message;
+	standin->kind->restart(standin);
+	standin_close_all(standin);
+}
+
+static bool
+run_control(struct standin *standin, SoupServerMessage *message,
     const char *path, json_object *body)
 {
 	const char *fault = standin_string(body, "fault", NULL);
 
-	if (fault != NULL && set_fault(standin, body, fault)) {
+	if (fault != NULL) {
 		g_signal_connect(
 		    message, "finished", G_CALLBACK(fault_answered), standin);
-	} else if (fault != NULL ||
-	    !standin->kind->control(standin, message, path, body)) {
+		return set_fault(standin, body, fault);
+	}
+	if (standin_number(body, "restart", 0) != 0) {
+		if (standin->kind->restart == NULL)
+			return false;
+		g_signal_connect(
+		    message, "finished", G_CALLBACK(restart_answered), standin);
+		return true;
+	}
+	return standin->kind->control(standin, message, path, body);
+}
+
+static void
+handle_control(
+    struct standin *standin, SoupServerMessage *message, const char *path)
+{
+	json_object *body = standin_body(message);
+
+	if (run_control(standin, message, path, body))
+		standin_answer_json(
+		    message, SOUP_STATUS_OK, json_object_new_object());
+	else
 		standin_refuse(
 		    message, SOUP_STATUS_BAD_REQUEST, "no such control call");
-		return;
-	}
-	standin_answer_json(message, SOUP_STATUS_OK, json_object_new_object());
+	json_object_put(body);
 }
 
 static void
@@ -312,10 +343,7 @@
 	}
 	if (strcmp(path, "/control") == 0 ||
 	    g_str_has_prefix(path, "/control/")) {
-		json_object *body = standin_body(message);
-
-		handle_control(standin, message, path, body);
-		json_object_put(body);
+		handle_control(standin, message, path);
 		return;
 	}
 	if (standin_silenced(standin, message))
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -28,6 +28,9 @@
 	/// Returns false when it knows no such call.
 	bool (*control)(struct standin *standin, SoupServerMessage *message,
 	    const char *path, json_object *body);
+	/// Starts anew and cold; NULL for kinds that are never cold. The
+	/// connections are closed afterwards.
+	void (*restart)(struct standin *standin);
 	/// Adds the kind's counters.
 	void (*stats)(struct standin *standin, json_object *stats);
 };
--- a/test/standin/weights.c
+++ b/test/standin/weights.c
@@ -57,7 +57,8 @@
 int
 weights_main(int argc, char **argv)
 {
-	static const struct standin_kind kind = {request, control, stats};
+	static const struct standin_kind kind = {
+	    .request = request, .control = control, .stats = stats};
 	static struct weights weights = {.base = {.kind = &kind}, .size = 4096};
 	static char *listen = NULL;
 	const GOptionEntry entries[] = {
