Router: length estimates and prefix matches without logarithms and repeated lookups

Ruled out: leaving the mean out of the fair queue's cost (shares would be in requests, not tokens). Change: buckets by bit length and a table of edges, the sum beyond each bucket kept with the tail, an upstream's feed looked up once a match.

--- a/src/godwitvale/core/estimate.c
+++ b/src/godwitvale/core/estimate.c
@@ -1,8 +1,6 @@
 /* Decaying log-spaced histograms of output length, with shared priors. */
 #include "godwitvale/core/estimate.h"
 
-#include <math.h>
-
 #include <glib.h>
 
 /// Buckets for each doubling of the length, and in all (up to 2^17 tokens).
@@ -23,6 +21,8 @@
 	double total;
 	double fresh;               /// weight added since the last refresh
 	double tail[N_BUCKETS + 1]; /// share of lengths in this bucket or above
+	double
+	    beyond[N_BUCKETS + 1]; /// sum of that share over the tokens above
 };
 
 struct estimate {
@@ -58,26 +58,50 @@
 	    a->class_id == b->class_id;
 }
 
-/// Gives the place of a length on the bucket scale.
+/// Gives the lower edge of a bucket.
 ///
-/// @param tokens  length
-/// @return the place, whole numbers being lower edges of buckets
+/// @param bucket  0 to N_BUCKETS
+/// @return length in tokens
 static double
-bucket_place(double tokens)
+bucket_edge(int bucket)
 {
-	double place = log2(tokens + 1) * BUCKETS_PER_OCTAVE;
+	static const double quarters[BUCKETS_PER_OCTAVE] = {
+	    1.0, 1.189207115, 1.414213562, 1.681792831};
+	double octave = (double)(1u << (bucket / BUCKETS_PER_OCTAVE));
 
-	return MIN(place, N_BUCKETS - 0.001);
+	return octave * quarters[bucket % BUCKETS_PER_OCTAVE] - 1;
 }
 
-/// Gives the length at a place on the bucket scale.
+/// Gives the bucket of a length.
 ///
-/// @param place  as from bucket_place()
-/// @return length in tokens
+/// @param tokens  length
+/// @return 0 to N_BUCKETS - 1
+static int
+bucket_of(uint32_t tokens)
+{
+	int octave = (int)g_bit_storage((gulong)tokens + 1) - 1;
+	int bucket = octave * BUCKETS_PER_OCTAVE;
+	int end = bucket + BUCKETS_PER_OCTAVE;
+
+	if (end > N_BUCKETS)
+		return N_BUCKETS - 1;
+	while (bucket + 1 < end && tokens >= bucket_edge(bucket + 1))
+		bucket++;
+	return bucket;
+}
+
+/// Gives how far a length lies into its bucket.
+///
+/// @param bucket  its bucket
+/// @param tokens  length
+/// @return 0 to 1
 static double
-place_tokens(double place)
+part_of(int bucket, uint32_t tokens)
 {
-	return exp2(place / BUCKETS_PER_OCTAVE) - 1;
+	double low = bucket_edge(bucket);
+	double part = (tokens - low) / (bucket_edge(bucket + 1) - low);
+
+	return CLAMP(part, 0, 1);
 }
 
 /// Works out the share of lengths above each bucket's edge.
@@ -98,19 +122,26 @@
 		above += series->count[i];
 		series->tail[i] = (above + prior_weight * prior) / all;
 	}
+	series->beyond[N_BUCKETS] = 0;
+	for (int i = N_BUCKETS - 1; i >= 0; i--) {
+		double width = bucket_edge(i + 1) - bucket_edge(i);
+
+		series->beyond[i] = series->beyond[i + 1] +
+		    width * (series->tail[i] + series->tail[i + 1]) / 2;
+	}
 	series->fresh = 0;
 }
 
-/// Gives the share of lengths at or above a place.
+/// Gives the share of lengths at or above one.
 ///
 /// @param series  the series
-/// @param place   as from bucket_place()
+/// @param tokens  length
 /// @return share, 0 to 1
 static double
-tail_at(const struct estimate_series *series, double place)
+tail_at(const struct estimate_series *series, uint32_t tokens)
 {
-	int i = (int)place;
-	double part = place - i;
+	int i = bucket_of(tokens);
+	double part = part_of(i, tokens);
 
 	return series->tail[i] * (1 - part) + series->tail[i + 1] * part;
 }
@@ -190,7 +221,7 @@
 void
 estimate_add(struct estimate_series *series, uint32_t tokens)
 {
-	int bucket = (int)bucket_place(tokens);
+	int bucket = bucket_of(tokens);
 
 	if (series->prior != NULL)
 		estimate_add(series->prior, tokens);
@@ -216,8 +247,8 @@
 estimate_survival(
     struct estimate_series *series, uint32_t so_far, uint32_t more)
 {
-	double now = tail_at(series, bucket_place(so_far));
-	double then = tail_at(series, bucket_place((double)so_far + more));
+	double now = tail_at(series, so_far);
+	double then = tail_at(series, so_far + more);
 
 	return now <= 0 ? 0 : then / now;
 }
@@ -231,20 +262,21 @@
 uint32_t
 estimate_quantile(struct estimate_series *series, uint32_t so_far, double share)
 {
-	double start = bucket_place(so_far);
-	double target = tail_at(series, start) * (1 - share);
+	double target = tail_at(series, so_far) * (1 - share);
 
-	for (int i = (int)start; i < N_BUCKETS; i++) {
+	for (int i = bucket_of(so_far); i < N_BUCKETS; i++) {
 		double high = series->tail[i];
 		double low = series->tail[i + 1];
-		double place;
+		double edge = bucket_edge(i);
+		double part;
 
 		if (low > target)
 			continue;
-		place = high > low ? i + (high - target) / (high - low) : i;
-		return (uint32_t)place_tokens(MAX(place, start));
+		part = high > low ? (high - target) / (high - low) : 0;
+		edge += part * (bucket_edge(i + 1) - edge);
+		return MAX(so_far, (uint32_t)MAX(edge, 0));
 	}
-	return MAX(so_far, (uint32_t)place_tokens(N_BUCKETS));
+	return MAX(so_far, (uint32_t)bucket_edge(N_BUCKETS));
 }
 
 /// Gives the mean of the whole output's length.
@@ -255,20 +287,12 @@
 double
 estimate_mean(struct estimate_series *series, uint32_t so_far)
 {
-	double start = bucket_place(so_far);
-	double now = tail_at(series, start);
-	double mean = so_far;
-	double place = start;
-
-	if (now <= 0)
-		return so_far;
-	for (int i = (int)start + 1; i <= N_BUCKETS; i++) {
-		double share = (tail_at(series, place) + series->tail[i]) / 2;
-
-		mean += share / now * (place_tokens(i) - place_tokens(place));
-		place = i;
-		if (i == N_BUCKETS)
-			break;
-	}
-	return mean;
+	int bucket = bucket_of(so_far);
+	double now = tail_at(series, so_far);
+	double rest = (1 - part_of(bucket, so_far)) *
+	    (bucket_edge(bucket + 1) - bucket_edge(bucket));
+	double beyond = series->beyond[bucket + 1] +
+	    rest * (now + series->tail[bucket + 1]) / 2;
+
+	return now <= 0 ? so_far : so_far + beyond / now;
 }
--- a/src/godwitvale/core/prefix.c
+++ b/src/godwitvale/core/prefix.c
@@ -104,19 +104,17 @@
 
 /// Gives the trust in a holder's record.
 ///
-/// @param prefix  the view
+/// @param feed    what is known of the upstream's events
 /// @param now     current time
 /// @param holder  the record
 /// @return probability that the upstream still holds the block
 static double
-trust(struct prefix *prefix, usec_t now, const struct holder *holder)
+trust(const struct feed *feed, usec_t now, const struct holder *holder)
 {
-	struct feed *feed;
 	double worth = 1;
 
-	if (holder->upstream == 0 || !holder->stored)
+	if (!holder->stored)
 		return 0;
-	feed = feed_of(prefix, holder->upstream);
 	if (holder->sequence == 0 && now > holder->learnt_at + ASSUMED_SPAN)
 		return 0;
 	if (feed->gaps != holder->gaps && now > feed->gap_at + GAP_SPAN)
@@ -235,7 +233,7 @@
 	uint64_t sequence = 0;
 
 	if (holder->upstream == upstream) {
-		if (trust(prefix, now, holder) >= 1 && holder->sequence != 0)
+		if (trust(feed, now, holder) >= 1 && holder->sequence != 0)
 			return;
 		sequence = holder->stored ? 0 : holder->sequence;
 	}
@@ -274,8 +272,11 @@
 	unsigned n = 0;
 
 	for (int i = 0; found != NULL && i < PREFIX_HOLDERS_MAX; i++) {
-		if (trust(prefix, now, &found->holders[i]) > 0)
-			upstreams[n++] = found->holders[i].upstream;
+		const struct holder *holder = &found->holders[i];
+
+		if (holder->upstream != 0 &&
+		    trust(feed_of(prefix, holder->upstream), now, holder) > 0)
+			upstreams[n++] = holder->upstream;
 	}
 	return n;
 }
@@ -292,6 +293,7 @@
 prefix_match(struct prefix *prefix, usec_t now, uint32_t upstream,
     const uint64_t *blocks, unsigned n_blocks)
 {
+	const struct feed *feed = feed_of(prefix, upstream);
 	double expected = 0;
 	double chain = 1;
 
@@ -304,7 +306,7 @@
 		holder = holder_of(found, upstream);
 		if (holder->upstream != upstream)
 			break;
-		chain = MIN(chain, trust(prefix, now, holder));
+		chain = MIN(chain, trust(feed, now, holder));
 		expected += chain;
 	}
 	return expected;
