--- a/src/godwitvale/main.c
+++ b/src/godwitvale/main.c
@@ -11,6 +11,7 @@
 	    {"status", "show the state of an instance", cmd_status},
 	    {"audit", "show an instance's audit trail", cmd_audit},
 	    {"metrics", "show an instance's counters", cmd_metrics},
+	    {"serve", "run an entry instance", cmd_serve},
 	    {"version", "print the version", cmd_version},
 	};
 
