Stand-ins keep connections alive; more faults in the smoke run

Cause: a second request on a kept connection was cut. libsoup 3.2 keeps a connection only while the server has listeners of its own, and the stand-ins accepted connections themselves. Callers that pool connections, and the silent fault on pooled ones, could not be tested. Ruled out: a faulty client (a plain completion and /load failed alike). Change: the server listens itself; "request-started", which comes at the accept, enters the connection into the table. A call that outlives its connection no longer looks at a socket that is gone; the script's check of standard error had found that. The script now also covers kept connections, an accepted connection that turns silent, lagging reports, late and gapped cache events, eviction and the slow fault. Conclusion: keep-alive holds, also after a stream and after a silent fault.

--- a/test/functional/standin_smoke.sh
+++ b/test/functional/standin_smoke.sh
@@ -65,6 +65,10 @@
 get "$engine/v1/completions" -d "{\"prompt\":\"$prompt\",\"max_tokens\":1}" |
     tokens
 field "$engine/stats" cached_tokens
+echo "-- a connection is kept, also after a stream"
+get "$engine/v1/completions" -d '{"prompt":"a","max_tokens":1}' \
+    -w '%{num_connects}\n' -o /dev/null --next -sS -m "$CURL_CAP" \
+    -w '%{num_connects}\n' -o /dev/null "http://$engine/load"
 echo "-- cut and resumed"
 control "$engine" '{"cut_after":2}'
 get "$engine/v1/chat/completions" \
@@ -82,12 +86,20 @@
     -d '{"prompt":"a","max_tokens":90000}'
 stalled=$call
 wait_for "first tokens" grep -q ':3$' "$workdir/silent"
+exec 4<>"/dev/tcp/${engine%:*}/${engine#*:}"
 control "$engine" '{"fault":"silent"}'
+printf 'GET /load HTTP/1.0\r\n\r\n' >&4
 id=$(sed -n 's/^id: \([0-9]*\):.*/\1/p' "$workdir/silent" | head -1)
 start_get "$workdir/resumed" "$engine/generations/$id?offset=1000"
 wait_for "later tokens" grep -q ':1009$' "$workdir/resumed"
 tokens <"$workdir/resumed" | cut -d' ' -f1-5
 grep -c ':1000$' "$workdir/silent"
+if read -r -t 1 -u 4; then
+	echo "answered"
+elif [ $? -gt 128 ]; then
+	echo "unanswered"
+fi
+exec 4>&-
 kill -0 "$stalled" && echo "still open"
 control "$engine" '{"fault":"none"}'
 get "$engine/generations/$id" -X DELETE
@@ -143,6 +155,24 @@
 wait_for "its end" field_is "$address/load" running 0
 field "$address/stats" streams
 
+echo "== engine, lagging and gapped reports"
+start_standin engine --report-lag-ms 10000000 --event-lag-ms 10000000
+start_get "$workdir/lag" "$address/v1/completions" \
+    -d "{\"prompt\":\"$prompt\",\"max_tokens\":90000}"
+wait_for "first tokens" grep -q ':3$' "$workdir/lag"
+field "$address/load" running
+get "$address/cache-events?after=0"
+start_standin engine --cache-blocks 2 --gap-every 3
+for word in x y; do
+	get "$address/v1/completions" -o /dev/null \
+	    -d "{\"prompt\":\"$word $prompt\",\"max_tokens\":1}"
+done
+get "$address/cache-events?after=0" | grep -o '"seq":[0-9]*\|"op":"[a-z]*"'
+control "$address" '{"fault":"slow","slow_ms":10000000}'
+status "$address/load" -m 1
+control "$address" '{"fault":"none"}'
+status "$address/load"
+
 echo "== engine, cold"
 start_standin engine --cold-ms 100000 --cold-limit 1
 get "$address/v1/completions" -d '{"prompt":"a","max_tokens":2}' | tokens
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -91,11 +91,12 @@
 static bool
 reader_left(struct stream *stream)
 {
-	GSocket *socket = standin_socket(stream->message);
+	GSocket *socket = soup_server_message_get_socket(stream->message);
 	char byte = 0;
 
-	return recv(g_socket_get_fd(socket), &byte, 1,
-		   MSG_PEEK | MSG_DONTWAIT) == 0;
+	return socket == NULL ||
+	    recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+	    0;
 }
 
 static void
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -10,9 +10,7 @@
 
 #include <glib-unix.h>
 
-#define LISTEN_BACKLOG 512
 #define GONE_KEY "standin-gone"
-#define SOCKET_KEY "standin-socket"
 #define SILENCE_KEY "standin-silences"
 
 /// A request held back by the slow fault.
@@ -27,22 +25,14 @@
 	return g_get_monotonic_time() / 1000;
 }
 
-/// @return the socket that the message came over
-GSocket *
-standin_socket(SoupServerMessage *message)
-{
-	GSocketAddress *remote =
-	    soup_server_message_get_remote_address(message);
-
-	return g_object_get_data(G_OBJECT(remote), SOCKET_KEY);
-}
-
 /// @return whether the message's connection was there when silence came
 bool
 standin_silenced(struct standin *standin, SoupServerMessage *message)
 {
-	GSocket *socket = standin_socket(message);
+	GSocket *socket = soup_server_message_get_socket(message);
 
+	if (socket == NULL)
+		return false;
 	return GPOINTER_TO_UINT(g_object_get_data(
 		   G_OBJECT(socket), SILENCE_KEY)) < standin->silences;
 }
@@ -65,11 +55,12 @@
 void
 standin_close(SoupServerMessage *message)
 {
-	GSocket *socket = standin_socket(message);
+	GSocket *socket = soup_server_message_get_socket(message);
 
 	if (standin_gone(message))
 		return;
-	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	if (socket != NULL)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
 	/* Without a chunk to write, the failure would not be noticed. */
 	soup_message_body_complete(
 	    soup_server_message_get_response_body(message));
@@ -367,33 +358,20 @@
 	g_hash_table_remove(standin->sockets, socket);
 }
 
-static gboolean
-accept_connection(GSocketService *service, GSocketConnection *connection,
-    GObject *source, gpointer data)
+/// Enters a connection, at its first request-to-come, into the table.
+static void
+request_started(SoupServer *server, SoupServerMessage *message, gpointer data)
 {
 	struct standin *standin = data;
-	GSocket *socket = g_socket_connection_get_socket(connection);
-	GSocketAddress *remote = NULL;
-	GSocketAddress *local = NULL;
+	GSocket *socket = soup_server_message_get_socket(message);
 
-	(void)service;
-	(void)source;
+	(void)server;
+	if (socket == NULL || !g_hash_table_add(standin->sockets, socket))
+		return;
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
 	g_object_set_data(
 	    G_OBJECT(socket), SILENCE_KEY, GUINT_TO_POINTER(standin->silences));
-	g_hash_table_add(standin->sockets, socket);
 	g_object_weak_ref(G_OBJECT(socket), socket_gone, standin);
-	remote = g_socket_connection_get_remote_address(connection, NULL);
-	local = g_socket_connection_get_local_address(connection, NULL);
-	if (remote != NULL && local != NULL) {
-		g_object_set_data_full(G_OBJECT(remote), SOCKET_KEY,
-		    g_object_ref(socket), g_object_unref);
-		soup_server_accept_iostream(standin->server,
-		    G_IO_STREAM(connection), local, remote, NULL);
-	}
-	g_clear_object(&remote);
-	g_clear_object(&local);
-	return TRUE;
 }
 
 static gboolean
@@ -403,6 +381,29 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/// Listens on "IP:PORT". Returns false, with an error, when it can't.
+static bool
+listen_on(SoupServer *server, const char *text, GError **error)
+{
+	GSocketConnectable *where = g_network_address_parse(text, 0, error);
+	GSocketAddress *address = NULL;
+	bool good = false;
+
+	if (where == NULL)
+		return false;
+	address = g_inet_socket_address_new_from_string(
+	    g_network_address_get_hostname(G_NETWORK_ADDRESS(where)),
+	    g_network_address_get_port(G_NETWORK_ADDRESS(where)));
+	if (address != NULL)
+		good = soup_server_listen(server, address, 0, error);
+	else
+		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+		    "not an IP number");
+	g_clear_object(&address);
+	g_object_unref(where);
+	return good;
+}
+
 /// Serves until SIGTERM or SIGINT.
 ///
 /// @return the process's exit status
@@ -410,48 +411,29 @@
 standin_run(struct standin *standin, const char *listen)
 {
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
-	GSocketService *service = g_socket_service_new();
-	GSocketConnectable *where = NULL;
-	GSocketAddress *address = NULL;
 	GError *error = NULL;
-	int status = EXIT_FAILURE;
 
 	signal(SIGPIPE, SIG_IGN);
 	standin->sockets = g_hash_table_new(NULL, NULL);
 	standin->server = soup_server_new(NULL, NULL);
+	g_signal_connect(standin->server, "request-started",
+	    G_CALLBACK(request_started), standin);
 	soup_server_add_handler(
 	    standin->server, NULL, handle_request, standin, NULL);
-	g_socket_listener_set_backlog(
-	    G_SOCKET_LISTENER(service), LISTEN_BACKLOG);
-	where = g_network_address_parse(listen, 0, &error);
-	if (where == NULL)
-		goto out;
-	address = g_inet_socket_address_new_from_string(
-	    g_network_address_get_hostname(G_NETWORK_ADDRESS(where)),
-	    g_network_address_get_port(G_NETWORK_ADDRESS(where)));
-	if (address == NULL ||
-	    !g_socket_listener_add_address(G_SOCKET_LISTENER(service), address,
-		G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
-		&error))
-		goto out;
-	g_signal_connect(
-	    service, "incoming", G_CALLBACK(accept_connection), standin);
+	if (!listen_on(standin->server, listen, &error)) {
+		fprintf(stderr, "standin: can't listen on %s: %s\n", listen,
+		    error->message);
+		g_clear_error(&error);
+		g_main_loop_unref(loop);
+		return EXIT_FAILURE;
+	}
 	g_unix_signal_add(SIGTERM, stop_loop, loop);
 	g_unix_signal_add(SIGINT, stop_loop, loop);
 	printf("ready %s\n", listen);
 	fflush(stdout);
 	g_main_loop_run(loop);
-	status = EXIT_SUCCESS;
-out:
-	if (status != EXIT_SUCCESS)
-		fprintf(stderr, "standin: can't listen on %s: %s\n", listen,
-		    error != NULL ? error->message : "not an IP number");
-	g_clear_error(&error);
-	g_clear_object(&address);
-	g_clear_object(&where);
-	g_object_unref(service);
 	g_main_loop_unref(loop);
-	return status;
+	return EXIT_SUCCESS;
 }
 
 /// Parses a kind's options; says on standard error what is wrong.
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -58,7 +58,6 @@
     int argc, char **argv, const GOptionEntry *entries, const char *summary);
 int64_t standin_now_ms(void);
 bool standin_silenced(struct standin *standin, SoupServerMessage *message);
-GSocket *standin_socket(SoupServerMessage *message);
 bool standin_gone(SoupServerMessage *message);
 void standin_close(SoupServerMessage *message);
 void standin_close_all(struct standin *standin);
