Listener: keep connections alive, stop by replacing the socket

Its own listening can only be stopped together with all connections. Change: the server listens itself; stopping puts a quiet pipe in the place of the listening socket. Bundles offered go through the authority part, which the daemon had passed over, so that it never admitted.

--- a/src/godwitvale/caller/listener.c
+++ b/src/godwitvale/caller/listener.c
@@ -1,46 +1,42 @@
 /*
- * HTTP servers: accepts connections and hands them to libsoup. Stopping
- * closes the listening socket only, so that requests under way go on.
+ * HTTP servers. Stopping takes the listening socket away, but leaves the
+ * server and its connections, so that requests under way go on.
  */
 #include "godwitvale/caller/listener.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <errno.h>
+#include <unistd.h>
 
 struct listener {
-	GSocketService *service;
 	SoupServer *server;
+	GSocket *socket;   /// the listening socket
+	int quiet_pipe[2]; /// stands in for the socket once stopped
+	bool stopped;
 };
 
-/// Hands an accepted connection to the HTTP server.
+/// Opens a listening socket.
 ///
-/// @param service     unused
-/// @param connection  the connection
-/// @param source      unused
-/// @param data        the listener
-/// @return TRUE: handled
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *connection,
-    GObject *source, gpointer data)
+/// @param address  IP number and port
+/// @param error    set on failure
+/// @return the socket, or NULL
+static GSocket *
+open_socket(const struct settings_address *address, GError **error)
 {
-	struct listener *listener = data;
-	GSocketAddress *local =
-	    g_socket_connection_get_local_address(connection, NULL);
-	GSocketAddress *remote =
-	    g_socket_connection_get_remote_address(connection, NULL);
-	GSocket *socket = g_socket_connection_get_socket(connection);
+	GSocketAddress *target =
+	    g_inet_socket_address_new_from_string(address->ip, address->port);
+	GSocket *socket = g_socket_new(g_socket_address_get_family(target),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
 
-	(void)service;
-	(void)source;
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	soup_server_accept_iostream(
-	    listener->server, G_IO_STREAM(connection), local, remote, NULL);
-	g_clear_object(&local);
-	g_clear_object(&remote);
-	return TRUE;
+	if (socket != NULL &&
+	    (!g_socket_bind(socket, target, TRUE, error) ||
+		!g_socket_listen(socket, error)))
+		g_clear_object(&socket);
+	g_object_unref(target);
+	return socket;
 }
 
-/// Opens a server.
+/// Opens a server. It listens by itself: libsoup keeps no connection alive
+/// that was accepted elsewhere.
 ///
 /// @param address  IP number and port
 /// @param error    set when it can't be listened on
@@ -49,26 +45,21 @@
 listener_new(const struct settings_address *address, GError **error)
 {
 	struct listener *listener = g_new0(struct listener, 1);
-	GSocketAddress *socket_address =
-	    g_inet_socket_address_new_from_string(address->ip, address->port);
 
-	listener->service = g_socket_service_new();
+	listener->quiet_pipe[0] = -1;
+	listener->quiet_pipe[1] = -1;
 	listener->server = soup_server_new("server-header", "godwitvale", NULL);
-	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(listener->service),
-		socket_address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-		NULL, NULL, error)) {
-		g_object_unref(socket_address);
+	listener->socket = open_socket(address, error);
+	if (listener->socket == NULL ||
+	    !soup_server_listen_socket(
+		listener->server, listener->socket, 0, error)) {
 		listener_free(listener);
 		return NULL;
 	}
-	g_object_unref(socket_address);
-	g_signal_connect(
-	    listener->service, "incoming", G_CALLBACK(on_incoming), listener);
-	g_socket_service_start(listener->service);
 	return listener;
 }
 
-/// Gives the HTTP server, to add handlers to.
+/// Gets the HTTP server, to add handlers to.
 ///
 /// @param listener  the listener
 /// @return the server
@@ -78,14 +69,21 @@
 	return listener->server;
 }
 
-/// Stops accepting connections; requests under way go on.
+/// Stops accepting connections; requests under way go on. libsoup can only
+/// stop listening together with closing all connections, so a pipe on which
+/// nothing ever arrives takes the place of the listening socket.
 ///
 /// @param listener  the listener
 void
 listener_stop(struct listener *listener)
 {
-	g_socket_service_stop(listener->service);
-	g_socket_listener_close(G_SOCKET_LISTENER(listener->service));
+	if (listener->stopped || pipe(listener->quiet_pipe) != 0)
+		return;
+	listener->stopped = true;
+	while (dup2(listener->quiet_pipe[0],
+		   g_socket_get_fd(listener->socket)) < 0 &&
+	    errno == EINTR)
+		continue;
 }
 
 /// Releases a listener and closes its connections.
@@ -96,9 +94,12 @@
 {
 	if (listener == NULL)
 		return;
-	listener_stop(listener);
 	soup_server_disconnect(listener->server);
 	g_object_unref(listener->server);
-	g_object_unref(listener->service);
+	g_clear_object(&listener->socket);
+	for (int i = 0; i < 2; i++) {
+		if (listener->quiet_pipe[i] >= 0)
+			close(listener->quiet_pipe[i]);
+	}
 	g_free(listener);
 }
--- a/src/godwitvale/caller/listener.h
+++ b/src/godwitvale/caller/listener.h
@@ -2,6 +2,8 @@
 #ifndef GODWITVALE_CALLER_LISTENER_H
 #define GODWITVALE_CALLER_LISTENER_H
 
+#include <stdbool.h>
+
 #include <libsoup/soup.h>
 
 #include "godwitvale/ops/settings_defs.h"
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -155,8 +155,7 @@
 		g_error_free(error);
 		return false;
 	}
-	if (instance->bundle != NULL &&
-	    bundle->version <= instance->bundle->version) {
+	if (!authority_offer(&instance->authority, bundle->version)) {
 		if (bundle->version < instance->bundle->version)
 			log_event(LOG_LEVEL_INFO, "bundle_older",
 			    "from=%s version=%" G_GUINT64_FORMAT, from,
--- a/src/godwitvale/upstream/generation.c
+++ b/src/godwitvale/upstream/generation.c
@@ -357,8 +357,7 @@
 		return;
 	}
 	if (busy || status >= SOUP_STATUS_INTERNAL_SERVER_ERROR) {
-		restart(
-		    request, busy ? ROUTER_END_BUSY : ROUTER_END_FAILED);
+		restart(request, busy ? ROUTER_END_BUSY : ROUTER_END_FAILED);
 		return;
 	}
 	request_refuse(request, REFUSAL_ENGINE_REFUSED, now, NULL);
