--- a/src/godwitvale/core/quorum_defs.h
+++ b/src/godwitvale/core/quorum_defs.h
@@ -105,9 +105,11 @@
 	/// STATE: the newest revision that the sender was ready in; 0: none.
 	/// SEAL: the newest revision known to the sender to have been active.
 	uint64_t ready_revision;
-	/// STATE: no former life of the sender saw a revision above this one;
-	/// 0: it started so long ago that former lives are of no account.
+	/// STATE: no former life of the sender saw a revision above this one.
 	uint64_t floor_revision;
+	/// STATE: the sender started so long ago that all its former lives
+	/// promised has lapsed.
+	bool lapsed;
 	uint32_t page;    /// page of a STATE or HANDOVER
 	uint32_t n_pages; /// pages in all
 	bool ready;       /// sender may vote in that view's shard
