Router: room kept for the spread of memory, and turns among instances

The expected memory alone ignores its variance; all instances see the same room in the same report and use it each; requests went to upstreams that did not answer, which burnt the retry budget; reported plain calls are long over when counted. Ruled out: a larger fixed reserve (it is paid at every load and ignores how many long generations there are). Change: projections carry a variance, and a spread set by the bundle's weights is kept free; a report is dated by the uptime in it; while there is a backlog an instance assumes a random turn among the others; upstreams that don't report get nothing while others do; plain calls are bounded by twice the even share; organisations are charged the expected cost only, as the correction at the end moved a small one back by one long draft. Tests that counted sends under an empty estimate now let the router learn short outputs first, since an unknown length keeps more room free than before; the counts stay.

--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -13,6 +13,9 @@
 #define RETRY_DOUBLINGS_MAX 5
 /// Blocks of prompts remembered.
 #define PREFIX_BLOCKS 65536
+/// Standard deviations of projected memory kept free when the bundle weighs
+/// stalls and zone changes alike.
+#define SPREAD_EVEN 1.5
 /// Used where the options leave them at 0.
 #define AGEING_SPAN_DEFAULT (10 * USEC_PER_SEC)
 #define REPORT_INTERVAL_DEFAULT (500 * USEC_PER_MSEC)
@@ -164,6 +167,21 @@
 	return true;
 }
 
+/// Gives the spread of projected memory that is kept free: more of it when
+/// stalls weigh more, less when service through zone changes does.
+///
+/// @param options  the bundle's weights
+/// @return standard deviations
+static double
+spread_of(const struct router_options *options)
+{
+	double both = options->stall_weight + options->zone_weight;
+
+	if (both <= 0)
+		return SPREAD_EVEN;
+	return SPREAD_EVEN * 2 * options->stall_weight / both;
+}
+
 /// Makes a router.
 ///
 /// @param options  copied; `random` stays the caller's
@@ -179,6 +197,7 @@
 		router->options.ageing_span = AGEING_SPAN_DEFAULT;
 	if (router->options.report_interval == 0)
 		router->options.report_interval = REPORT_INTERVAL_DEFAULT;
+	router->spread = spread_of(options);
 	router_set_entries(router, options->n_entries);
 	router->requests = handle_table_new();
 	router->upstreams = handle_table_new();
@@ -302,13 +321,8 @@
 	service = found->service;
 	if (end == ROUTER_END_FAILED && found->upstream != NULL)
 		router_upstream_silent(router, now, found->upstream->handle);
-	if (end == ROUTER_END_DONE && service->kind == UPSTREAM_ENGINE) {
-		double cost = (double)found->options.prompt_tokens + tokens;
-
+	if (end == ROUTER_END_DONE && service->kind == UPSTREAM_ENGINE)
 		estimate_add(found->series, tokens);
-		fairqueue_charge(service->queue, found->options.organisation,
-		    cost - found->charged);
-	}
 	if (end == ROUTER_END_DONE || end == ROUTER_END_CANCELLED) {
 		router_release(router, found);
 	} else {
--- a/src/godwitvale/core/router_place.c
+++ b/src/godwitvale/core/router_place.c
@@ -223,6 +223,26 @@
 	}
 }
 
+/// Learns what a request that is just sent will hold. The variance kept with
+/// it is the mean of the square, as the number of such requests is Poisson.
+///
+/// @param service  its service
+/// @param request  the request
+static void
+learn_newcomer(struct service *service, const struct request *request)
+{
+	struct memory_profile *mean = &service->newcomer;
+
+	for (int i = 0; i < ROUTER_HORIZONS; i++) {
+		double memory = request->memory.at[i];
+		double square = memory * memory + request->memory.variance[i];
+
+		mean->at[i] += (memory - mean->at[i]) * NEWCOMER_SHARE;
+		mean->variance[i] +=
+		    (square - mean->variance[i]) * NEWCOMER_SHARE;
+	}
+}
+
 /// Enters a request on an upstream and puts its SEND into the outbox.
 ///
 /// @param router    the router
@@ -245,14 +265,10 @@
 	request->so_far = 0;
 	request->link.data = request;
 	g_queue_push_tail_link(&upstream->own, &request->link);
-	for (int i = 0; i < ROUTER_HORIZONS; i++) {
-		double memory = request->memory.at[i];
-
-		upstream->own_memory.at[i] += memory;
-		service->newcomer.at[i] +=
-		    (memory - service->newcomer.at[i]) * NEWCOMER_SHARE;
-	}
+	router_add_profile(&upstream->own_memory, &request->memory, 1);
+	learn_newcomer(service, request);
 	service->sends += 1;
+	upstream->sent_since++;
 	if (router->options.prefix_weight > 0) {
 		for (unsigned i = 0; i < request->options.n_prefix; i++)
 			prefix_assume(router->prefix, router->now,
@@ -276,8 +292,7 @@
 	router_give_slot_back(router, request);
 	request->upstream = NULL;
 	g_queue_unlink(&upstream->own, &request->link);
-	for (int i = 0; i < ROUTER_HORIZONS; i++)
-		upstream->own_memory.at[i] -= request->memory.at[i];
+	router_add_profile(&upstream->own_memory, &request->memory, -1);
 	router_reindex(router, upstream);
 }
 
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -11,8 +11,18 @@
 
 /// The mean of the running requests moves by this share at each survey.
 #define SURVEY_SHARE 0.3
-/// The mean of what is sent moves by this share at each send.
-#define NEWCOMER_SHARE 0.05
+/// The same for the rate of sends over a longer time.
+#define SLOW_SHARE 0.02
+
+/// A start is judged by the reports of this window and the last one, so that
+/// the drift between two clocks does not add up.
+#define START_WINDOW (30 * USEC_PER_SEC)
+/// No report is taken to be older than this when it is asked for.
+#define SAMPLE_AGE_MAX (3 * USEC_PER_SEC)
+/// Plain calls of one instance, as a multiple of its even share.
+#define CALL_SHARES 2
+/// What a reported plain call of another instance counts.
+#define STALE_CALL_SHARE 0.1
 
 /// Gives the share of requests like this one that run on at a horizon.
 ///
@@ -43,7 +53,26 @@
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		uint32_t ahead = router_horizons[i];
 
-		memory->at[i] = (now + ahead) * runs_on(request, ahead);
+		double whole = now + ahead;
+		double on = runs_on(request, ahead);
+
+		memory->at[i] = whole * on;
+		memory->variance[i] = whole * whole * on * (1 - on);
+	}
+}
+
+/// Adds one profile to another.
+///
+/// @param sum     changed
+/// @param memory  added
+/// @param sign    1, or -1 to take it away
+void
+router_add_profile(struct memory_profile *sum,
+    const struct memory_profile *memory, double sign)
+{
+	for (int i = 0; i < ROUTER_HORIZONS; i++) {
+		sum->at[i] += sign * memory->at[i];
+		sum->variance[i] += sign * memory->variance[i];
 	}
 }
 
@@ -53,20 +82,21 @@
 void
 router_update_own(struct upstream *upstream)
 {
-	struct memory_profile sum = {{0}};
+	struct memory_profile sum = {{0}, {0}};
 
 	for (GList *link = upstream->own.head; link; link = link->next) {
 		struct request *request = link->data;
 
 		router_profile_request(request, &request->memory);
-		for (int i = 0; i < ROUTER_HORIZONS; i++)
-			sum.at[i] += request->memory.at[i];
+		router_add_profile(&sum, &request->memory, 1);
 	}
 	upstream->own_memory = sum;
 }
 
 /// Gives the number of requests that other instances are thought to have sent
-/// since the last report was asked for.
+/// since the last report was taken. While there is a backlog they all see the
+/// same room, so each assumes a random turn among them: a report's room is
+/// used about once, not once by each.
 ///
 /// @param router    the router
 /// @param upstream  the upstream
@@ -75,14 +105,19 @@
 newcomers(const struct router *router, const struct upstream *upstream)
 {
 	const struct service *service = upstream->service;
+	unsigned others = router->options.n_entries - 1;
 	double lag;
-	double rate;
+	double sent;
 
 	if (!upstream->reported || service->considered->len == 0)
 		return 0;
-	lag = (double)(router->now - upstream->report.asked_at) / USEC_PER_SEC;
-	rate = service->send_rate / service->considered->len;
-	return rate * (router->options.n_entries - 1) * MAX(lag, 0);
+	lag = (double)(router->now - upstream->sampled_at) / USEC_PER_SEC;
+	sent = service->send_rate / service->considered->len;
+	sent *= others * MAX(lag, 0);
+	if (router->now < service->backlogged_until)
+		sent =
+		    MAX(sent, upstream->turn + upstream->sent_since * others);
+	return sent;
 }
 
 /// Projects an engine's memory use.
@@ -101,18 +136,26 @@
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		double use = upstream->own_memory.at[i];
+		double variance = upstream->own_memory.variance[i];
 
 		use += upstream->others_tokens * service->keep.at[i];
 		use += upstream->others * service->growth.at[i];
 		use += unseen * service->newcomer.at[i];
-		if (extra != NULL)
+		variance += upstream->others * service->keep.variance[i];
+		variance += unseen * service->newcomer.variance[i];
+		if (extra != NULL) {
 			use += extra->memory.at[i];
+			variance += extra->memory.variance[i];
+		}
+		use += router->spread * sqrt(MAX(variance, 0));
 		highest = MAX(highest, use);
 	}
 	return highest / (double)upstream->options.memory_tokens;
 }
 
 /// Gives the requests on an upstream as a share of what it runs at a time.
+/// Plain calls end sooner than reports come, so what is reported of others'
+/// calls only tells upstreams with as many of our own apart.
 ///
 /// @param router    the router
 /// @param upstream  the upstream
@@ -122,9 +165,12 @@
 count_pressure(const struct router *router, const struct upstream *upstream,
     unsigned extra)
 {
-	double count = upstream->others + newcomers(router, upstream);
+	double count = upstream->own.length + extra;
 
-	count += g_queue_get_length((GQueue *)&upstream->own) + extra;
+	if (upstream->options.kind == UPSTREAM_ENGINE)
+		count += upstream->others + newcomers(router, upstream);
+	else
+		count += upstream->others * STALE_CALL_SHARE;
 	return count / upstream->options.max_running;
 }
 
@@ -145,6 +191,21 @@
 	return MAX(count, engine_pressure(router, upstream, extra));
 }
 
+/// Gives the number of plain calls that this instance may have running.
+///
+/// @param router    the router
+/// @param upstream  a plain service
+/// @return calls, 1 or more
+static unsigned
+call_limit(const struct router *router, const struct upstream *upstream)
+{
+	unsigned n_entries = router->options.n_entries;
+	unsigned limit = upstream->options.max_running;
+	unsigned share = (CALL_SHARES * limit + n_entries - 1) / n_entries;
+
+	return MIN(share, limit);
+}
+
 /// Says whether a request may go to an upstream by its memory and count.
 ///
 /// @param router    the router
@@ -158,10 +219,10 @@
 	double reserve = router->options.memory_reserve;
 	bool idle;
 
+	if (upstream->options.kind != UPSTREAM_ENGINE)
+		return upstream->own.length < call_limit(router, upstream);
 	if (count_pressure(router, upstream, 1) > 1)
 		return false;
-	if (upstream->options.kind != UPSTREAM_ENGINE)
-		return true;
 	idle = upstream->own.length == 0 && upstream->others < 1;
 	if (idle)
 		return request->memory.at[0] <=
@@ -169,6 +230,42 @@
 	return engine_pressure(router, upstream, request) <= 1 - reserve;
 }
 
+/// Forgets when an upstream started, as after a restart.
+///
+/// @param upstream  the upstream
+void
+router_forget_start(struct upstream *upstream)
+{
+	upstream->start_seen[0] = USEC_NEVER;
+	upstream->start_seen[1] = USEC_NEVER;
+}
+
+/// Dates a report: it was taken `uptime` after the start, and that start was
+/// no later than any report of it says.
+///
+/// @param router    the router
+/// @param upstream  the upstream
+/// @param report    a report that has just come
+/// @return when its figures were true, at the latest
+static usec_t
+date_report(const struct router *router, struct upstream *upstream,
+    const struct router_report *report)
+{
+	usec_t start = router->now - report->uptime;
+	usec_t sampled_at;
+
+	if (router->now >= upstream->window_end) {
+		upstream->window_end = router->now + START_WINDOW;
+		upstream->start_seen[1] = upstream->start_seen[0];
+		upstream->start_seen[0] = USEC_NEVER;
+	}
+	upstream->start_seen[0] = MIN(upstream->start_seen[0], start);
+	start = MIN(upstream->start_seen[0], upstream->start_seen[1]);
+	sampled_at = start + report->uptime;
+	sampled_at = MAX(sampled_at, report->asked_at - SAMPLE_AGE_MAX);
+	return MIN(sampled_at, report->asked_at);
+}
+
 /// Takes a load report's figures into an upstream's record.
 ///
 /// @param router    the router
@@ -180,12 +277,21 @@
 {
 	double own = 0;
 	double own_tokens = 0;
+	usec_t sampled_at = date_report(router, upstream, report);
 
+	if (sampled_at != upstream->sampled_at)
+		upstream->turn =
+		    (unsigned)g_rand_int_range(router->options.random, 0,
+			(gint32)router->options.n_entries);
+	upstream->sampled_at = sampled_at;
+	upstream->sent_since = 0;
 	for (GList *link = upstream->own.head; link; link = link->next) {
 		struct request *request = link->data;
 
-		if (request->sent_at >= report->asked_at)
+		if (request->sent_at >= sampled_at) {
+			upstream->sent_since++;
 			continue;
+		}
 		own += 1;
 		own_tokens += request->options.prompt_tokens + request->so_far;
 	}
@@ -198,7 +304,6 @@
 	if (upstream->others == 0)
 		upstream->others_tokens = 0;
 	router_update_own(upstream);
-	(void)router;
 }
 
 /// Moves a mean towards a value.
@@ -224,8 +329,8 @@
 	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
 	double n = 0;
 	double tokens = 0;
-	struct memory_profile kept = {{0}};
-	struct memory_profile grown = {{0}};
+	struct memory_profile kept = {{0}, {0}};
+	struct memory_profile grown = {{0}, {0}};
 
 	for (guint i = 0; i < service->all->len; i++) {
 		struct upstream *upstream = service->all->pdata[i];
@@ -242,15 +347,20 @@
 				double on = request->memory.at[h] / whole;
 
 				kept.at[h] += now * on;
+				kept.variance[h] += request->memory.variance[h];
 				grown.at[h] += router_horizons[h] * on;
 			}
 		}
 	}
-	if (span > 0)
+	if (span > 0) {
 		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
+		blend(&service->slow_rate, service->sends / span, SLOW_SHARE);
+	}
 	service->sends = 0;
 	for (int h = 0; h < ROUTER_HORIZONS && tokens > 0; h++) {
 		blend(&service->keep.at[h], kept.at[h] / tokens, SURVEY_SHARE);
+		blend(&service->keep.variance[h], kept.variance[h] / n,
+		    SURVEY_SHARE);
 		blend(&service->growth.at[h], grown.at[h] / n, SURVEY_SHARE);
 	}
 }
--- a/src/godwitvale/core/router_queue.c
+++ b/src/godwitvale/core/router_queue.c
@@ -8,6 +8,8 @@
 #define DEADLINES_LOOKED_AT 16
 /// Starts are counted over about twice this backlogged time, in seconds.
 #define BACKLOG_TIME_MAX 15.0
+/// A backlog is taken to last this long after it was seen.
+#define BACKLOG_MEMORY USEC_PER_SEC
 /// Backlogged time before the start rate is trusted, in seconds.
 #define BACKLOG_TIME_MIN 2.0
 /// A request is refused when this share of its expected wait is too long.
@@ -43,13 +45,14 @@
 static usec_t
 expected_wait(const struct service *service, uint32_t id)
 {
-	double ahead;
+	double rate;
 	double wait;
 
 	if (service->backlog_time < BACKLOG_TIME_MIN)
 		return 0;
-	ahead = fairqueue_ahead(service->queue, id);
-	wait = ahead * service->backlog_time / MAX(service->starts, 0.5);
+	rate = MAX(service->starts, 0.5) / service->backlog_time;
+	rate = MAX(rate, service->slow_rate);
+	wait = fairqueue_ahead(service->queue, id) / rate;
 	return (usec_t)(MIN(wait, 86400.0) * USEC_PER_SEC);
 }
 
@@ -201,8 +204,10 @@
 		fairqueue_start(service->queue, request->handle);
 		router_place_request(router, request, upstream);
 	}
-	if (fairqueue_length(service->queue) > 0)
-		router_ask_slots(router, service);
+	if (fairqueue_length(service->queue) == 0)
+		return;
+	service->backlogged_until = router->now + BACKLOG_MEMORY;
+	router_ask_slots(router, service);
 }
 
 /// Sends what can go now, of every service.
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -58,6 +58,23 @@
 	return false;
 }
 
+/// Says whether any upstream of a service reports. While one does, those that
+/// don't are left alone: the reports tell when they are back.
+///
+/// @param service  the service
+/// @return whether one reports
+static bool
+any_reports(const struct service *service)
+{
+	for (guint i = 0; i < service->considered->len; i++) {
+		const struct upstream *upstream = service->considered->pdata[i];
+
+		if (upstream->warmup.known)
+			return true;
+	}
+	return false;
+}
+
 /// Asks for slots of cold upstreams for the requests that wait.
 ///
 /// @param router   the router
@@ -69,6 +86,7 @@
 	unsigned wanted = fairqueue_length(service->queue);
 	struct request *head =
 	    handle_table_get(router->requests, fairqueue_peek(service->queue));
+	bool reported = any_reports(service);
 	guint start;
 
 	if (!router->options.use_slots || considered->len == 0 || !head)
@@ -82,7 +100,8 @@
 
 		if (service->n_asked >= wanted)
 			return;
-		if (!warmup_is_cold(&upstream->warmup, router->now) ||
+		if ((reported && !upstream->warmup.known) ||
+		    !warmup_is_cold(&upstream->warmup, router->now) ||
 		    !router_fits(router, upstream, head) ||
 		    !find_slot(router, upstream, &slot))
 			continue;
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -17,9 +17,10 @@
 #define ROUTER_HORIZONS 6
 extern const uint32_t router_horizons[ROUTER_HORIZONS];
 
-/// Expected memory at each horizon, in tokens.
+/// Expected memory at each horizon, in tokens, and its variance.
 struct memory_profile {
 	double at[ROUTER_HORIZONS];
+	double variance[ROUTER_HORIZONS];
 };
 
 enum slot_state {
@@ -49,11 +50,13 @@
 	struct memory_profile growth;   /// tokens added, by any request
 	struct memory_profile newcomer; /// memory of a request just sent
 	double send_rate;               /// own sends a second
+	double slow_rate;               /// the same over a longer time
 	double sends;                   /// since the rate was worked out
 
-	usec_t marked_at;    /// backlog is accounted for until then
-	double backlog_time; /// seconds with a backlog, decaying
-	double starts;       /// starts in that time, decaying
+	usec_t backlogged_until; /// others are taken to have a backlog too
+	usec_t marked_at;        /// backlog is accounted for until then
+	double backlog_time;     /// seconds with a backlog, decaying
+	double starts;           /// starts in that time, decaying
 };
 
 struct upstream {
@@ -68,6 +71,12 @@
 	bool was_cold;     /// told to the embedder
 	bool reported;
 	struct router_report report;
+	usec_t sampled_at;    /// when the report was true, at the latest
+	usec_t start_seen[2]; /// earliest start by the reports, this window's
+			      /// and the last one's
+	usec_t window_end;
+	unsigned turn;       /// instances thought to send here before us
+	unsigned sent_since; /// own sends since sampled_at
 	usec_t trusted_from; /// reports asked for before this are ignored
 	double others;       /// requests of other instances in the report
 	double others_tokens;
@@ -124,6 +133,7 @@
 	GSequence *delayed; /// struct request by not_before
 	GQueue outbox;      /// struct router_action
 	usec_t tick_at;
+	double spread;    /// standard deviations kept free above the mean
 	usec_t survey_at; /// next survey of the running requests
 	usec_t surveyed_at;
 };
@@ -131,6 +141,8 @@
 /* router_pressure.c */
 void router_profile_request(
     const struct request *request, struct memory_profile *memory);
+void router_add_profile(struct memory_profile *sum,
+    const struct memory_profile *memory, double sign);
 double router_pressure(const struct router *router,
     const struct upstream *upstream, const struct request *extra);
 bool router_fits(const struct router *router, const struct upstream *upstream,
@@ -138,6 +150,7 @@
 void router_update_own(struct upstream *upstream);
 void router_take_report(struct router *router, struct upstream *upstream,
     const struct router_report *report);
+void router_forget_start(struct upstream *upstream);
 void router_survey(struct router *router, struct service *service);
 
 /* router_place.c */
--- a/src/godwitvale/core/router_upstream.c
+++ b/src/godwitvale/core/router_upstream.c
@@ -91,6 +91,7 @@
 	upstream->in_service = true;
 	upstream->was_cold = true;
 	upstream->slots = g_new0(struct slot, options->max_running);
+	router_forget_start(upstream);
 	warmup_init(&upstream->warmup, &warmup);
 	g_hash_table_add(router->all_upstreams, upstream);
 	g_ptr_array_add(upstream->service->all, upstream);
@@ -171,6 +172,7 @@
 	}
 	if (warmup_report(&found->warmup, now, &start)) {
 		found->n_starts++;
+		router_forget_start(found);
 		prefix_forget(router->prefix, upstream);
 	}
 	router_take_report(router, found, report);
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -122,6 +122,16 @@
 	drain(f);
 }
 
+/// Lets the router learn that outputs are short.
+static void
+learn_short(struct fixture *f)
+{
+	for (int i = 0; i < 100; i++)
+		router_finish(f->router, f->now, submit(f, ENGINE, 10),
+		    ROUTER_END_DONE, 20);
+	drain(f);
+}
+
 static void
 sends_at_once_and_releases_the_handle(void **state)
 {
@@ -163,6 +173,7 @@
 	router_upstream full = add(f, UPSTREAM_ENGINE, true);
 	router_upstream empty = add(f, UPSTREAM_ENGINE, true);
 
+	learn_short(f);
 	report(f, full, 1, WARM, 9800, 4);
 	for (int i = 0; i < 3; i++) {
 		submit(f, ENGINE, 500);
@@ -220,6 +231,7 @@
 	router_upstream first = add(f, UPSTREAM_ENGINE, true);
 	router_upstream second;
 
+	learn_short(f);
 	router_submit(f->router, f->now, &options);
 	router_set_in_service(f->router, f->now, first, false);
 	drain(f);
@@ -368,6 +380,7 @@
 	f->router = router_new(&options);
 	for (int i = 0; i < 10; i++)
 		add(f, UPSTREAM_ENGINE, true);
+	learn_short(f);
 	for (int i = 0; i < 6; i++) {
 		submit(f, ENGINE, 10);
 		g_hash_table_add(seen,
