The whole path: entry instances before engines and plain services

Cause: voters of a fresh fleet of three never became ready and so nothing was admitted; a message field of the quorum part, `lapsed`, was not carried by the XDR form. Two instances had hidden it. Ruled out: lost datagrams (received counts matched), the membership list. Bundles whose services repeat calls for longer than voters remember are refused.

--- a/bench/plot.c
+++ b/bench/plot.c
@@ -34,7 +34,8 @@
 {
 	double value = row_median(row, measure);
 	double height = PLOT_HEIGHT * value / most;
-	double left = x + PLOT_LEFT + at * 12.0 + (at / 3) * 10.0;
+	unsigned group = at / 3;
+	double left = x + PLOT_LEFT + at * 12.0 + group * 10.0;
 
 	fprintf(file,
 	    "<rect x='%.1f' y='%.1f' width='11' height='%.1f' fill='%s'>"
--- a/src/godwitvale/peer/peer_codec.c
+++ b/src/godwitvale/peer/peer_codec.c
@@ -136,6 +136,7 @@
 	wire->round = message->round;
 	wire->ready_revision = message->ready_revision;
 	wire->floor_revision = message->floor_revision;
+	wire->lapsed = message->lapsed;
 	wire->page = message->page;
 	wire->n_pages = message->n_pages;
 	wire->ready = message->ready;
@@ -184,6 +185,7 @@
 	message->round = wire->round;
 	message->ready_revision = wire->ready_revision;
 	message->floor_revision = wire->floor_revision;
+	message->lapsed = wire->lapsed;
 	message->page = wire->page;
 	message->n_pages = wire->n_pages;
 	message->ready = wire->ready;
--- a/src/godwitvale/peer/peer_wire.x
+++ b/src/godwitvale/peer/peer_wire.x
@@ -36,6 +36,7 @@
 	unsigned int round;
 	unsigned hyper ready_revision;
 	unsigned hyper floor_revision;
+	bool lapsed;
 	unsigned int page;
 	unsigned int n_pages;
 	bool ready;
--- a/src/godwitvale/peer/peer_wire_xdr.c
+++ b/src/godwitvale/peer/peer_wire_xdr.c
@@ -76,8 +76,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->floor_revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->lapsed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->page))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->n_pages))
@@ -86,6 +88,7 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_BOOL(buf, objp->lapsed);
 		IXDR_PUT_U_LONG(buf, objp->page);
 		IXDR_PUT_U_LONG(buf, objp->n_pages);
 		IXDR_PUT_BOOL(buf, objp->ready);
@@ -128,8 +131,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->floor_revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->lapsed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->page))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->n_pages))
@@ -138,6 +143,7 @@
 				 return FALSE;
 
 		} else {
+		objp->lapsed = IXDR_GET_BOOL(buf);
 		objp->page = IXDR_GET_U_LONG(buf);
 		objp->n_pages = IXDR_GET_U_LONG(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
@@ -181,6 +187,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->floor_revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lapsed))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->page))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->n_pages))
--- a/src/godwitvale/peer/peer_wire_xdr.h
+++ b/src/godwitvale/peer/peer_wire_xdr.h
@@ -51,6 +51,7 @@
 	u_int round;
 	u_quad_t ready_revision;
 	u_quad_t floor_revision;
+	bool_t lapsed;
 	u_int page;
 	u_int n_pages;
 	bool_t ready;
--- a/src/godwitvale/serve/filters.c
+++ b/src/godwitvale/serve/filters.c
@@ -103,7 +103,7 @@
 	const char *class_name =
 	    soup_message_headers_get_one(headers, "X-Class");
 	const struct bundle_organisation *organisation;
-	const struct bundle_class *class_;
+	const struct bundle_class *workload;
 	usec_t patience = DEFAULT_PATIENCE;
 
 	if (token == NULL || !g_str_has_prefix(token, "Bearer "))
@@ -113,14 +113,14 @@
 		return false;
 	request->organisation = g_quark_from_string(organisation->name);
 	request->weight = organisation->weight;
-	class_ =
+	workload =
 	    class_name == NULL ? NULL : bundle_find_class(bundle, class_name);
-	if (class_ == NULL)
-		class_ = bundle_find_class(bundle, "default");
-	if (class_ != NULL) {
-		request->priority = class_->priority;
-		request->class_id = g_quark_from_string(class_->name);
-		patience = class_->patience;
+	if (workload == NULL)
+		workload = bundle_find_class(bundle, "default");
+	if (workload != NULL) {
+		request->priority = workload->priority;
+		request->class_id = g_quark_from_string(workload->name);
+		patience = workload->patience;
 	}
 	request->start_deadline = g_get_monotonic_time() + patience;
 	return true;
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -132,6 +132,31 @@
 	rollout_fetch_from(instance, member->id);
 }
 
+/// Checks that the voters remember calls for as long as callers repeat them.
+///
+/// @param instance  the instance
+/// @param bundle    the bundle
+/// @param error     set where a service's window is longer
+/// @return false where one is
+static bool
+check_windows(const struct instance *instance, const struct bundle *bundle,
+    GError **error)
+{
+	for (guint i = 0; i < bundle->services->len; i++) {
+		const struct bundle_service *service =
+		    g_ptr_array_index(bundle->services, i);
+
+		if (service->resend_window <= instance->settings->resend_window)
+			continue;
+		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
+		    "service %s: resend_window_ms exceeds the setting "
+		    "timing.resend_window_ms",
+		    service->name);
+		return false;
+	}
+	return true;
+}
+
 /// Offers a signed bundle from any source; it is taken when it is genuine,
 /// whole and newer.
 ///
@@ -148,6 +173,8 @@
 	struct bundle *bundle =
 	    bundle_verify(text, len, instance->settings->bundle_key, &error);
 
+	if (bundle != NULL && !check_windows(instance, bundle, &error))
+		g_clear_pointer(&bundle, bundle_free);
 	if (bundle == NULL) {
 		metrics_add(METRIC_BUNDLE_REJECTED, 1);
 		log_event(LOG_LEVEL_WARN, "bundle_rejected",
