--- a/bench/measure.h
+++ b/bench/measure.h
@@ -22,14 +22,12 @@
 	MEASURE_LOOKUP_P99,   /// until the answer, ms
 	MEASURE_SMALL_SERVED, /// % of small organisations' generations
 	MEASURE_LARGE_SERVED, /// % of large organisations' generations
-	MEASURE_DRAFTS_LOST,  /// started or admitted, then neither done nor
-			      /// running at the end
+	MEASURE_DRAFTS_LOST,  /// taken in, neither done nor running at the end
 	MEASURE_OVER_LIMIT,   /// arrivals beyond a cold upstream's limit
 	MEASURE_COLLAPSES,
 	MEASURE_LOST,        /// requests without any answer at the end
 	MEASURE_REFUSE_WAIT, /// p99 of the wait before a refusal, s
-	MEASURE_RECOVERY,    /// s from the end of the event until 95 % of
-			     /// what is asked is served again
+	MEASURE_RECOVERY, /// s from the event's end until 95 % is served again
 	N_MEASURES,
 };
 
