Bundle windows of idempotent services; the bundle's policy reaches the router

Cause: the check of windows that landed last refused the demo's own bundle, because an idempotent service has a default window too; the demo was not part of the tests, so nothing showed it. Second, the bundle's policy weights were read and checked, but never handed to the router; third, prompts were hashed by characters where engines hash blocks of words, so no prefix ever matched.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,7 @@
 # instances, a zone taken out, and one instance leaving with a stream under
 # way. Ends with "demo: ok", or fails.
 BINDIR=${BUILD:-build}
-FIRST_PORT=19500
+FIRST_PORT=${FIRST_PORT:-19500}
 cd "$(dirname "$0")/.." || exit 1
 . test/functional/lib.sh || exit 1
 . scripts/fleet.sh || exit 1
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -2,7 +2,7 @@
 # Starts a small fleet of stand-ins and instances for a person to try, and
 # keeps it until it is interrupted.
 BINDIR=${BUILD:-build}
-FIRST_PORT=19600
+FIRST_PORT=${FIRST_PORT:-19600}
 cd "$(dirname "$0")/.." || exit 1
 . test/functional/lib.sh || exit 1
 . scripts/fleet.sh || exit 1
--- a/src/godwitvale/core/budget.c
+++ b/src/godwitvale/core/budget.c
@@ -57,6 +57,16 @@
 	g_free(budget);
 }
 
+/// Changes what first tries earn from now on.
+///
+/// @param budget  budgets
+/// @param ratio   retries earned by each first try
+void
+budget_set_ratio(struct budget *budget, double ratio)
+{
+	budget->ratio = ratio;
+}
+
 /// Credits an organisation for a first try.
 ///
 /// @param budget        budgets
--- a/src/godwitvale/core/budget.h
+++ b/src/godwitvale/core/budget.h
@@ -9,6 +9,7 @@
 
 struct budget *budget_new(double ratio, uint32_t burst);
 void budget_free(struct budget *budget);
+void budget_set_ratio(struct budget *budget, double ratio);
 void budget_first_try(struct budget *budget, uint32_t organisation);
 bool budget_take(struct budget *budget, uint32_t organisation);
 
--- a/src/godwitvale/core/fairqueue.c
+++ b/src/godwitvale/core/fairqueue.c
@@ -200,6 +200,16 @@
 	return queue;
 }
 
+/// Changes what waiting is worth, for entries that come from now on.
+///
+/// @param queue        the queue
+/// @param ageing_span  waiting this long is worth one priority
+void
+fairqueue_set_ageing(struct fairqueue *queue, usec_t ageing_span)
+{
+	queue->options.ageing_span = ageing_span;
+}
+
 /// Frees the queue and what waits in it.
 ///
 /// @param queue  the queue or NULL
--- a/src/godwitvale/core/fairqueue.h
+++ b/src/godwitvale/core/fairqueue.h
@@ -30,6 +30,7 @@
 
 struct fairqueue *fairqueue_new(const struct fairqueue_options *options);
 void fairqueue_free(struct fairqueue *queue);
+void fairqueue_set_ageing(struct fairqueue *queue, usec_t ageing_span);
 void fairqueue_push(struct fairqueue *queue, const struct fairqueue_item *item);
 uint32_t fairqueue_peek(const struct fairqueue *queue);
 void fairqueue_start(struct fairqueue *queue, uint32_t id);
--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -246,6 +246,38 @@
 	router->options.n_entries = MAX(n_entries, 1);
 }
 
+/// Puts a bundle's weights in force. Requests that wait keep the place that
+/// they have.
+///
+/// @param router   the router
+/// @param weights  copied
+void
+router_set_weights(struct router *router, const struct router_weights *weights)
+{
+	struct router_options *options = &router->options;
+	GHashTableIter iter;
+	gpointer value;
+
+	options->queue_limit = weights->queue_limit;
+	if (weights->ageing_span > 0)
+		options->ageing_span = weights->ageing_span;
+	options->memory_reserve = weights->memory_reserve;
+	options->stall_weight = weights->stall_weight;
+	options->zone_weight = weights->zone_weight;
+	options->prefix_weight = weights->prefix_weight;
+	options->retry_ratio = weights->retry_ratio;
+	options->subset = weights->subset;
+	router->spread = spread_of(options);
+	budget_set_ratio(router->budget, weights->retry_ratio);
+	g_hash_table_iter_init(&iter, router->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service *service = value;
+
+		fairqueue_set_ageing(service->queue, options->ageing_span);
+		router_consider(router, service);
+	}
+}
+
 /// Submits a request. What becomes of it follows as actions, possibly before
 /// this returns: SEND now or later, or REFUSE, after which the handle is
 /// stale.
--- a/src/godwitvale/core/router_defs.h
+++ b/src/godwitvale/core/router_defs.h
@@ -104,6 +104,18 @@
 	ROUTER_POLICY_LEAST_OUTSTANDING, /// baseline: fewest of our own
 };
 
+/// What a bundle says of the routing policy.
+struct router_weights {
+	uint32_t queue_limit;  /// waiting requests an organisation
+	usec_t ageing_span;    /// waiting this long is worth one priority
+	double memory_reserve; /// share of an engine's memory kept free
+	double stall_weight;
+	double zone_weight;
+	double prefix_weight;
+	double retry_ratio; /// retries allowed for each first try
+	unsigned subset;    /// upstreams considered a service; 0: all
+};
+
 /// How a router is built. Weights come from the bundle.
 struct router_options {
 	enum router_policy policy;
--- a/src/godwitvale/serve/parse.c
+++ b/src/godwitvale/serve/parse.c
@@ -9,8 +9,10 @@
 
 /// Characters that one token stands for, on average, in an estimate.
 #define CHARS_PER_TOKEN 4
-/// Characters of a prompt that one prefix block covers.
-#define PREFIX_BLOCK_CHARS 256
+/// Words of a prompt that one prefix block covers.
+#define PREFIX_BLOCK_WORDS 16
+/// What parts the words of a prompt.
+#define WORD_BREAKS " \t\r\n"
 /// Deepest nesting of a caller's JSON.
 #define JSON_DEPTH_MAX 32
 
@@ -42,6 +44,37 @@
 	return value;
 }
 
+/// Hashes the prompt's leading blocks, as engines name them.
+///
+/// @param request  its prefix is filled in
+/// @param prompt   the prompt's text
+static void
+hash_blocks(struct request *request, const char *prompt)
+{
+	uint64_t words[PREFIX_BLOCK_WORDS];
+	unsigned n_words = 0;
+	uint64_t last = 0;
+
+	while (request->n_prefix < ROUTER_PREFIX_BLOCKS_MAX) {
+		size_t len;
+		char *word;
+
+		prompt += strspn(prompt, WORD_BREAKS);
+		len = strcspn(prompt, WORD_BREAKS);
+		if (len == 0)
+			return;
+		word = g_strndup(prompt, len);
+		words[n_words++] = hash_name(word);
+		g_free(word);
+		prompt += len;
+		if (n_words < PREFIX_BLOCK_WORDS)
+			continue;
+		last = hash_pair(last, hash_bytes(words, sizeof(words), 0));
+		request->prefix[request->n_prefix++] = last;
+		n_words = 0;
+	}
+}
+
 /// Describes a prompt by its estimated tokens and chained block hashes.
 ///
 /// @param request  filled in
@@ -49,16 +82,8 @@
 static void
 describe_prompt(struct request *request, const GString *prompt)
 {
-	uint64_t hash = hash_name(request->target);
-	size_t at = 0;
-
 	request->prompt_tokens = (uint32_t)(prompt->len / CHARS_PER_TOKEN) + 1;
-	while (prompt->len - at >= PREFIX_BLOCK_CHARS &&
-	    request->n_prefix < ROUTER_PREFIX_BLOCKS_MAX) {
-		hash = hash_bytes(prompt->str + at, PREFIX_BLOCK_CHARS, hash);
-		request->prefix[request->n_prefix++] = hash;
-		at += PREFIX_BLOCK_CHARS;
-	}
+	hash_blocks(request, prompt->str);
 }
 
 /// Appends the contents of chat messages to a prompt.
@@ -82,6 +107,8 @@
 		if (!json_object_object_get_ex(message, "content", &content) ||
 		    !json_object_is_type(content, json_type_string))
 			return false;
+		if (i > 0)
+			g_string_append_c(prompt, ' ');
 		g_string_append_len(prompt, json_object_get_string(content),
 		    json_object_get_string_len(content));
 	}
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -64,6 +64,27 @@
 	return false;
 }
 
+/// Hands the bundle's policy to the router.
+///
+/// @param instance  the instance
+/// @param policy    the policy
+static void
+apply_policy(struct instance *instance, const struct bundle_policy *policy)
+{
+	struct router_weights weights = {
+	    .queue_limit = policy->queue_limit,
+	    .ageing_span = policy->ageing_span,
+	    .memory_reserve = policy->memory_reserve,
+	    .stall_weight = policy->stall_weight,
+	    .zone_weight = policy->zone_weight,
+	    .prefix_weight = policy->prefix_weight,
+	    .retry_ratio = policy->retry_ratio,
+	    .subset = policy->subset,
+	};
+
+	router_set_weights(instance->router, &weights);
+}
+
 /// Puts a bundle in force.
 ///
 /// @param instance  the instance
@@ -80,6 +101,7 @@
 	instance->bundle = bundle;
 	g_clear_pointer(&instance->bundle_text, g_bytes_unref);
 	instance->bundle_text = g_bytes_new(text, len);
+	apply_policy(instance, &bundle->policy);
 	upstream_table_apply(instance->upstreams, bundle);
 	audit_add(instance->audit, AUDIT_BUNDLE, "bundle", bundle->signed_by,
 	    bundle->version, "in force");
@@ -146,7 +168,8 @@
 		const struct bundle_service *service =
 		    g_ptr_array_index(bundle->services, i);
 
-		if (service->resend_window <= instance->settings->resend_window)
+		if (service->idempotent ||
+		    service->resend_window <= instance->settings->resend_window)
 			continue;
 		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
 		    "service %s: resend_window_ms exceeds the setting "
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -37,11 +37,7 @@
 #define IDLE_CONNECTION_SECONDS 30
 /// A leaving instance stays this long for its peers, requests or not.
 #define LEAVE_LINGER (500 * USEC_PER_MSEC)
-/// Policy defaults until a bundle is in force.
-#define QUEUE_LIMIT 256
-#define AGEING_SPAN (10 * USEC_PER_SEC)
-#define MEMORY_RESERVE 0.1
-#define RETRY_RATIO 0.1
+/// Retries that an organisation may save up.
 #define RETRY_BURST 10
 #define RESEND_INTERVAL (100 * USEC_PER_MSEC)
 /// The register of the accepted version is read this often.
@@ -135,7 +131,7 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Makes the router with the defaults that hold until a bundle is in force.
+/// Makes the router; its weights come with the first bundle.
 ///
 /// @param instance  the instance
 static void
@@ -146,14 +142,7 @@
 	    .random = instance->random,
 	    .n_entries = 1,
 	    .self = hash_name(instance->settings->instance),
-	    .queue_limit = QUEUE_LIMIT,
-	    .ageing_span = AGEING_SPAN,
 	    .report_interval = instance->settings->report_interval,
-	    .memory_reserve = MEMORY_RESERVE,
-	    .stall_weight = 1.0,
-	    .zone_weight = 1.0,
-	    .prefix_weight = 1.0,
-	    .retry_ratio = RETRY_RATIO,
 	    .retry_burst = RETRY_BURST,
 	    .use_slots = true,
 	};
--- a/src/godwitvale/upstream/upstream.c
+++ b/src/godwitvale/upstream/upstream.c
@@ -5,7 +5,7 @@
 
 #include <json-c/json.h>
 
-#include "godwitvale/ops/log.h"
+#include "godwitvale/platform/ask.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/parse.h"
 
@@ -22,9 +22,6 @@
 	struct instance *instance;
 	router_upstream handle;
 	usec_t asked_at;
-	SoupMessage *message;
-	GCancellable *cancellable;
-	guint timeout_source;
 };
 
 /// Releases an upstream.
@@ -37,6 +34,7 @@
 
 	g_free(upstream->name);
 	g_free(upstream->base);
+	g_free(upstream->address.ip);
 	g_free(upstream->zone);
 	g_free(upstream->model);
 	g_free(upstream);
@@ -62,19 +60,6 @@
 	return NULL;
 }
 
-/// Formats an upstream's base URI.
-///
-/// @param options  the upstream's part of the bundle
-/// @return the URI; the caller frees it
-static char *
-make_base(const struct bundle_upstream *options)
-{
-	bool wide = strchr(options->ip, ':') != NULL;
-
-	return g_strdup_printf("http://%s%s%s:%u", wide ? "[" : "", options->ip,
-	    wide ? "]" : "", options->port);
-}
-
 /// Enters an upstream.
 ///
 /// @param table    the table
@@ -98,6 +83,8 @@
 
 	upstream->name = g_strdup(options->name);
 	upstream->base = base;
+	upstream->address.ip = g_strdup(options->ip);
+	upstream->address.port = options->port;
 	upstream->zone = g_strdup(options->zone);
 	upstream->serves = routed.service;
 	upstream->engine = options->engine;
@@ -135,33 +122,6 @@
 	    in_service ? "in service" : "out of service");
 }
 
-/// Releases a question.
-///
-/// @param question  answered or given up
-static void
-question_free(struct question *question)
-{
-	if (question->timeout_source != 0)
-		g_source_remove(question->timeout_source);
-	g_object_unref(question->message);
-	g_object_unref(question->cancellable);
-	g_free(question);
-}
-
-/// Gives a question up at its deadline.
-///
-/// @param data  the question
-/// @return G_SOURCE_REMOVE
-static gboolean
-on_question_timeout(gpointer data)
-{
-	struct question *question = data;
-
-	question->timeout_source = 0;
-	g_cancellable_cancel(question->cancellable);
-	return G_SOURCE_REMOVE;
-}
-
 /// Reads a number out of a report.
 ///
 /// @param root  the report
@@ -177,6 +137,44 @@
 	return json_object_get_uint64(value);
 }
 
+/// Parses an answer's body.
+///
+/// @param body  the answer
+/// @return its JSON value, or NULL
+static struct json_object *
+parse_bytes(GBytes *body)
+{
+	gsize len = 0;
+	const char *text = g_bytes_get_data(body, &len);
+
+	return parse_json(text, len, NULL);
+}
+
+/// Hands cache events to the router.
+///
+/// @param instance  the instance
+/// @param upstream  the engine
+/// @param events    a JSON array
+static void
+take_cache_events(struct instance *instance, const struct upstream *upstream,
+    struct json_object *events)
+{
+	usec_t now = g_get_monotonic_time();
+	size_t n = json_object_array_length(events);
+
+	for (size_t i = 0; i < n; i++) {
+		struct json_object *event =
+		    json_object_array_get_idx(events, i);
+		struct json_object *op = NULL;
+
+		if (!json_object_object_get_ex(event, "op", &op))
+			continue;
+		router_cache_event(instance->router, now, upstream->handle,
+		    report_number(event, "seq"), report_number(event, "block"),
+		    strcmp(json_object_get_string(op), "stored") == 0);
+	}
+}
+
 /// Takes a load report.
 ///
 /// @param question  what was asked
@@ -209,30 +207,23 @@
 
 /// Takes the answer to a question for a load report.
 ///
-/// @param source  the session
-/// @param result  the answer
-/// @param data    the question
+/// @param status  HTTP status, 0 on failure
+/// @param body    the report, or NULL
+/// @param data    the question; released
 static void
-on_report(GObject *source, GAsyncResult *result, gpointer data)
+on_report(unsigned status, GBytes *body, gpointer data)
 {
 	struct question *question = data;
 	struct instance *instance = question->instance;
 	struct upstream *upstream =
 	    upstream_find(instance->upstreams, question->handle);
-	GBytes *body = soup_session_send_and_read_finish(
-	    SOUP_SESSION(source), result, NULL);
 	struct json_object *root = NULL;
-	gsize len = 0;
-	const char *text;
 
 	if (upstream == NULL)
 		goto out;
 	upstream->report_pending = false;
-	if (body != NULL &&
-	    soup_message_get_status(question->message) == SOUP_STATUS_OK) {
-		text = g_bytes_get_data(body, &len);
-		root = parse_json(text, len, NULL);
-	}
+	if (status == SOUP_STATUS_OK)
+		root = parse_bytes(body);
 	if (json_object_is_type(root, json_type_object))
 		take_report(question, upstream, root);
 	else
@@ -241,11 +232,36 @@
 	drive_instance(instance);
 out:
 	json_object_put(root);
-	g_clear_pointer(&body, g_bytes_unref);
-	question_free(question);
+	g_free(question);
+}
+
+/// Takes an engine's cache events.
+///
+/// @param status  HTTP status, 0 on failure
+/// @param body    the events, or NULL
+/// @param data    the question; released
+static void
+on_cache_events(unsigned status, GBytes *body, gpointer data)
+{
+	struct question *question = data;
+	struct upstream *upstream =
+	    upstream_find(question->instance->upstreams, question->handle);
+	struct json_object *root = NULL;
+	struct json_object *events = NULL;
+
+	if (upstream != NULL && status == SOUP_STATUS_OK)
+		root = parse_bytes(body);
+	if (json_object_is_type(root, json_type_object) &&
+	    json_object_object_get_ex(root, "events", &events) &&
+	    json_object_is_type(events, json_type_array)) {
+		take_cache_events(question->instance, upstream, events);
+		upstream->cache_sequence = report_number(root, "next");
+	}
+	json_object_put(root);
+	g_free(question);
 }
 
-/// Asks one upstream for a load report.
+/// Asks one upstream for its load, and an engine for its cache events.
 ///
 /// @param table     the table
 /// @param upstream  the upstream
@@ -253,21 +269,20 @@
 static void
 ask_report(struct upstream_table *table, struct upstream *upstream, usec_t now)
 {
-	struct question *question = g_new0(struct question, 1);
-	char *uri = g_strconcat(upstream->base, "/load", NULL);
-
-	question->instance = table->instance;
-	question->handle = upstream->handle;
-	question->asked_at = now;
-	question->message = soup_message_new("GET", uri);
-	question->cancellable = g_cancellable_new();
-	question->timeout_source = g_timeout_add(
-	    REPORT_TIMEOUT / USEC_PER_MSEC, on_question_timeout, question);
+	struct instance *instance = table->instance;
+	struct question question = {instance, upstream->handle, now};
+	char *path;
+
 	upstream->report_pending = true;
-	soup_session_send_and_read_async(table->instance->session,
-	    question->message, G_PRIORITY_DEFAULT, question->cancellable,
-	    on_report, question);
-	g_free(uri);
+	ask_get(instance, &upstream->address, "/load", REPORT_TIMEOUT,
+	    on_report, g_memdup2(&question, sizeof(question)));
+	if (!upstream->engine || instance->bundle->policy.prefix_weight <= 0)
+		return;
+	path = g_strdup_printf(
+	    "/cache-events?after=%" G_GUINT64_FORMAT, upstream->cache_sequence);
+	ask_get(instance, &upstream->address, path, REPORT_TIMEOUT,
+	    on_cache_events, g_memdup2(&question, sizeof(question)));
+	g_free(path);
 }
 
 /// Makes an empty table.
@@ -306,7 +321,8 @@
 	for (guint i = 0; i < bundle->upstreams->len; i++) {
 		const struct bundle_upstream *options =
 		    g_ptr_array_index(bundle->upstreams, i);
-		char *base = make_base(options);
+		struct settings_address address = {options->ip, options->port};
+		char *base = ask_uri(&address, "");
 		struct upstream *upstream =
 		    find_named(table, options->name, base);
 
--- a/src/godwitvale/upstream/upstream.h
+++ b/src/godwitvale/upstream/upstream.h
@@ -8,6 +8,7 @@
 struct upstream {
 	router_upstream handle; /// the router's handle of it
 	char *name;
+	struct settings_address address;
 	char *base; /// "http://IP:PORT"
 	char *zone;
 	GQuark serves;
