--- a/src/godwitvale/upstream/upstream.c
+++ b/src/godwitvale/upstream/upstream.c
@@ -249,14 +249,16 @@
 	struct json_object *root = NULL;
 	struct json_object *events = NULL;
 
-	if (upstream != NULL && status == SOUP_STATUS_OK)
-		root = parse_bytes(body);
+	if (upstream == NULL || status != SOUP_STATUS_OK)
+		goto out;
+	root = parse_bytes(body);
 	if (json_object_is_type(root, json_type_object) &&
 	    json_object_object_get_ex(root, "events", &events) &&
 	    json_object_is_type(events, json_type_array)) {
 		take_cache_events(question->instance, upstream, events);
 		upstream->cache_sequence = report_number(root, "next");
 	}
+out:
 	json_object_put(root);
 	g_free(question);
 }
