Quorum: close two holes found by random schedules

A voter took blank members that had started a moment ago as proof that no grant is left; and a SEAL that named a newer active view made voters forget the views between although they did not know the named one, so that nothing led past the gap. Where memory is to be kept the list now always has three voters, and restarts come only while all are ready; the check itself is unchanged. Change: a census counts a blank member only once its former lives' promises have lapsed; configurations are forgotten only for one that is known.

--- a/src/godwitvale/core/quorum_cover.c
+++ b/src/godwitvale/core/quorum_cover.c
@@ -95,8 +95,8 @@
 ///
 /// @param shard  the shard
 /// @param id     the member
-/// @return true where it answered under this view, and with its state where
-///     it has one
+/// @return true where it answered under this view, with its state where it
+///     has one, else that all it may ever have promised has lapsed
 static bool
 is_counted(const struct quorum_shard *shard, node_id id)
 {
@@ -111,7 +111,9 @@
 	if (probe == NULL || !probe->complete ||
 	    probe->revision != shard->config.revision)
 		return false;
-	return probe->ready_revision == 0 || (state != NULL && state->complete);
+	if (probe->ready_revision == 0)
+		return probe->lapsed;
+	return state != NULL && state->complete;
 }
 
 /// Tells whether so many of all instances answered that no configuration
--- a/src/godwitvale/core/quorum_learn.c
+++ b/src/godwitvale/core/quorum_learn.c
@@ -106,7 +106,7 @@
 	}
 	shard->ready_revision = shard->config.revision;
 	shard->active = shard->config;
-	quorum_prune_later(shard, shard->ready_revision + 1);
+	quorum_prune_later(shard, shard->ready_revision);
 	quorum_learn_stop(shard);
 	return true;
 }
--- a/src/godwitvale/core/quorum_seal.c
+++ b/src/godwitvale/core/quorum_seal.c
@@ -16,20 +16,26 @@
 	    now >= quorum->options.started_at + quorum->lost_span;
 }
 
-/// Forgets configurations that a newer active one makes needless.
+/// Forgets configurations that a newer active one makes needless. That one
+/// must be known here, as it is what leads others past the forgotten ones.
 ///
 /// @param shard     the shard
-/// @param revision  of a configuration known to have been active
+/// @param revision  of a configuration that was active
 void
 quorum_prune_later(struct quorum_shard *shard, uint64_t revision)
 {
+	bool known = revision <= shard->ready_revision;
 	unsigned n = 0;
 
-	for (unsigned i = 0; i < shard->n_later; i++) {
-		if (shard->later[i].revision >= revision)
+	for (unsigned i = 0; i < shard->n_later; i++)
+		known |= shard->later[i].revision == revision;
+	for (unsigned i = 0; known && i < shard->n_later; i++) {
+		if (shard->later[i].revision >= revision &&
+		    shard->later[i].revision > shard->ready_revision)
 			shard->later[n++] = shard->later[i];
 	}
-	shard->n_later = n;
+	if (known)
+		shard->n_later = n;
 }
 
 /// Notes that a configuration asks for the state, and so may become active.
--- a/test/unit/quorum_random_test.c
+++ b/test/unit/quorum_random_test.c
@@ -7,8 +7,7 @@
 /// What a random schedule does beside losing and delaying messages.
 struct chaos {
 	struct net *net;
-	bool memory_kept; /// so few restarts that numbers can't be lost
-	usec_t restart_at;
+	bool memory_kept; /// restarts only while all voters remember
 	usec_t started_at[KEYS_MAX];
 	uint64_t next_version;
 	uint64_t floor; /// of the read that is out
@@ -23,10 +22,14 @@
 	return (unsigned)g_rand_int_range(net->random, 0, (gint32)net->n_nodes);
 }
 
+/// Changes the list. Where memory is to be kept there are always three
+/// members to vote, as one alone may forget by restarting.
 static void
-disturb_list(struct net *net)
+disturb_list(struct chaos *chaos)
 {
+	struct net *net = chaos->net;
 	struct node *node = &net->nodes[random_node(net)];
+	unsigned n_voting = 0;
 
 	switch (g_rand_int_range(net->random, 0, 4)) {
 	case 0:
@@ -46,6 +49,13 @@
 		}
 		break;
 	}
+	for (unsigned i = 0; i < net->n_nodes; i++)
+		n_voting += net->nodes[i].listed && !net->nodes[i].leaving;
+	for (unsigned i = 0; chaos->memory_kept && n_voting < 3; i++) {
+		n_voting += !net->nodes[i].listed || net->nodes[i].leaving;
+		net->nodes[i].listed = true;
+		net->nodes[i].leaving = false;
+	}
 	publish(net);
 }
 
@@ -68,14 +78,13 @@
 		    net->now + g_rand_int_range(net->random, 0, 1000000);
 		break;
 	case 3:
-		if (chaos->memory_kept && net->now < chaos->restart_at)
+		if (chaos->memory_kept && !all_ready(net))
 			break;
-		chaos->restart_at = net->now + 4000 * MSEC;
 		start_node(net, index);
 		break;
 	case 4:
 	case 5:
-		disturb_list(net);
+		disturb_list(chaos);
 		break;
 	default:
 		break;
--- a/test/unit/quorum_test.c
+++ b/test/unit/quorum_test.c
@@ -279,6 +279,40 @@
 	net_free(net);
 }
 
+static void
+overtaken_views_are_forgotten_only_for_known_ones(void **state)
+{
+	struct net *net = net_new(17, 9, 0);
+	unsigned key = add_key(net, QUORUM_ONCE);
+
+	(void)state;
+	list_only(net, 0, 3);
+	net_run(net, WARM);
+	list_only(net, 3, 3);
+	run_for(net, 1500 * MSEC);
+	net->finishes = false;
+	claim(net, 3, key);
+	run_for(net, 50 * MSEC);
+	assert_int_equal(net->seen[key].runs, 1);
+	list_only(net, 6, 3);
+	run_for(net, 1500 * MSEC);
+	/* Nodes 0 and 1 hear of the third view's end, not of its voters. */
+	net->nodes[0].cut_from_list = net->nodes[1].cut_from_list = true;
+	list_only(net, 0, 2);
+	net->nodes[6].listed = true;
+	publish(net);
+	run_for(net, 600 * MSEC);
+	net->nodes[6].group = 1;
+	stop_node(net, 2);
+	net->nodes[0].cut_from_list = net->nodes[1].cut_from_list = false;
+	run_for(net, 1500 * MSEC);
+	claim(net, 0, key);
+	run_for(net, CLAIM_TIMEOUT * 2);
+	assert_int_equal(net->seen[key].runs, 1);
+	assert_int_equal(net->seen[key].reason, QUORUM_REASON_HELD);
+	net_free(net);
+}
+
 static void
 lost_majority_is_waited_out(void **state)
 {
@@ -298,6 +332,33 @@
 	net_free(net);
 }
 
+static void
+young_blank_members_do_not_count_in_a_census(void **state)
+{
+	struct net *net = net_new(16, 10, 0);
+	unsigned keys[8];
+
+	(void)state;
+	list_only(net, 0, 5);
+	net_run(net, WARM);
+	net->finishes = false;
+	for (unsigned i = 0; i < G_N_ELEMENTS(keys); i++) {
+		keys[i] = add_key(net, QUORUM_ONCE);
+		claim(net, 0, keys[i]);
+	}
+	run_for(net, 50 * MSEC);
+	for (unsigned i = 0; i < 5; i++)
+		start_node(net, i);
+	list_only(net, 0, 10);
+	run_for(net, 2000 * MSEC);
+	for (unsigned i = 0; i < G_N_ELEMENTS(keys); i++) {
+		claim(net, 7, keys[i]);
+		run_for(net, CLAIM_TIMEOUT * 3 / 2);
+		assert_int_equal(net->seen[keys[i]].runs, 1);
+	}
+	net_free(net);
+}
+
 static void
 silent_listed_majority_is_not_waited_out(void **state)
 {
@@ -478,7 +539,9 @@
 	    cmocka_unit_test(one_restarted_voter_learns_from_the_others),
 	    cmocka_unit_test(disjoint_views_do_not_double),
 	    cmocka_unit_test(skipped_views_are_followed),
+	    cmocka_unit_test(overtaken_views_are_forgotten_only_for_known_ones),
 	    cmocka_unit_test(lost_majority_is_waited_out),
+	    cmocka_unit_test(young_blank_members_do_not_count_in_a_census),
 	    cmocka_unit_test(silent_listed_majority_is_not_waited_out),
 	    cmocka_unit_test(lease_moves_with_a_higher_fence),
 	    cmocka_unit_test(version_is_the_highest_or_isolated),
