Quorum: the census is worked out only where it counts; view change test

Cause: every answer to a learner walked the whole member list although the wait for lost memory is rarely considered; and nothing checked how long a view change keeps voters from voting. Change: the census runs last; view_change_is_short bounds the pause.

--- a/src/godwitvale/core/quorum_cover.c
+++ b/src/godwitvale/core/quorum_cover.c
@@ -141,6 +141,20 @@
 	return missing < quorum_majority(&shard->config);
 }
 
+/// Tells whether time stands in for a majority of a configuration.
+///
+/// @param shard   the shard
+/// @param now     current time
+/// @param config  the configuration
+/// @return true where all that it may have granted has lapsed or was heard
+static bool
+is_waited_out(
+    struct quorum_shard *shard, usec_t now, const struct quorum_config *config)
+{
+	return is_lapsed_config(shard, now, config) &&
+	    is_census_done(shard, now);
+}
+
 /// Tells which revision is the newest that anybody was ready in.
 ///
 /// @param shard  the shard
@@ -193,16 +207,15 @@
 	const struct quorum_learner *learner = &shard->learner;
 	uint64_t revision = shard->config.revision;
 	uint64_t newest = quorum_newest_active(shard);
-	bool census, never_voted;
+	bool never_voted;
 
 	if (are_peers_ready(shard))
 		return true;
 	if (learner->overflow)
 		return false;
-	census = is_census_done(shard, now);
 	never_voted = revision > shard->quorum->floor_revision;
 	if ((!never_voted || newest == 0) &&
-	    !(census && is_lapsed_config(shard, now, &shard->config)))
+	    !is_waited_out(shard, now, &shard->config))
 		return false;
 	for (unsigned i = 0; i < learner->n_configs; i++) {
 		const struct quorum_config *config = &learner->configs[i];
@@ -210,7 +223,7 @@
 		if (config->revision < newest || config->revision >= revision)
 			continue;
 		if (!is_covered(shard, now, config) &&
-		    !(census && is_lapsed_config(shard, now, config)))
+		    !is_waited_out(shard, now, config))
 			return false;
 	}
 	return true;
--- a/test/unit/quorum_test.c
+++ b/test/unit/quorum_test.c
@@ -499,6 +499,39 @@
 	return (double)(net->n_messages - before) / 10;
 }
 
+static void
+view_change_is_short(void **state)
+{
+	static const unsigned sizes[] = {9, 30};
+
+	(void)state;
+	print_message(
+	    "one leaves: instances  ms not all ready  messages each\n");
+	for (unsigned i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct net *net = net_new(18, sizes[i], 0);
+		unsigned n_unready = 0;
+		uint64_t before;
+
+		net->n_shards = 64;
+		for (unsigned j = 0; j < sizes[i]; j++)
+			start_node(net, j);
+		net_run(net, WARM * 2);
+		assert_true(all_ready(net));
+		stop_node(net, sizes[i] - 1);
+		before = net->n_messages;
+		list_only(net, 0, sizes[i] - 1);
+		for (unsigned j = 0; j < 2000; j++) {
+			run_for(net, MSEC);
+			n_unready += !all_ready(net);
+		}
+		assert_true(all_ready(net));
+		print_message("%21u %16u %14.1f\n", sizes[i], n_unready,
+		    (double)(net->n_messages - before) / sizes[i]);
+		assert_true(n_unready < 1000);
+		net_free(net);
+	}
+}
+
 static void
 claim_costs_are_flat_in_fleet_size(void **state)
 {
@@ -546,6 +579,7 @@
 	    cmocka_unit_test(lease_moves_with_a_higher_fence),
 	    cmocka_unit_test(version_is_the_highest_or_isolated),
 	    cmocka_unit_test(leaving_voters_hand_over),
+	    cmocka_unit_test(view_change_is_short),
 	    cmocka_unit_test(claim_costs_are_flat_in_fleet_size),
 	};
 
