Router: others' requests modelled from what is submitted, room by waiting time

Traced: such an instance had 7 long generations left of its own, took all others to be as long (growth 4.7k tokens instead of 0.2k at the far horizon), saw a pressure of 1.7 everywhere, sent nothing and learnt nothing. The same loop ran through the start rate (refusing kept it low), through the prior (half of all outputs beyond 10k tokens), and through the mix of classes (refused diagrams no longer counted). Ruled out: turns only while there is a backlog of our own (instances without one took the room); turns alone (no change in the imbalance). Change: others are a steady stream of the lengths learnt and of the classes submitted; the prior is log-logistic around 300 tokens; the start rate fades; a request that has waited may use more of the fixed reserve, so room goes to the longest wait across instances; turns follow an order that all instances work out alike from the report and their index (router_set_index).

--- a/bench/plot.c
+++ b/bench/plot.c
@@ -8,6 +8,8 @@
 #define PLOT_WIDTH 340
 #define PLOT_HEIGHT 130
 #define POLICIES_MAX 6
+/// Bars are set apart after so many.
+#define N_GROUPED 3
 
 static const enum measure_id panels[] = {MEASURE_STALL, MEASURE_PREEMPTIONS,
     MEASURE_GAP_P99, MEASURE_SERVED, MEASURE_GOODPUT};
@@ -34,7 +36,8 @@
 {
 	double value = row_median(row, measure);
 	double height = PLOT_HEIGHT * value / most;
-	double left = x + PLOT_LEFT + at * 12.0 + (at / 3) * 10.0;
+	unsigned group = at / N_GROUPED;
+	double left = x + PLOT_LEFT + at * 12.0 + group * 10.0;
 
 	fprintf(file,
 	    "<rect x='%.1f' y='%.1f' width='11' height='%.1f' fill='%s'>"
--- a/bench/run.c
+++ b/bench/run.c
@@ -370,6 +370,7 @@
 	at->random = g_rand_new_with_seed(g_rand_int(run->random));
 	options.random = at->random;
 	at->router = router_new(&options);
+	router_set_index(at->router, number);
 	at->zone = number % fleet->n_zones;
 	at->records = g_hash_table_new(NULL, NULL);
 	at->upstreams = g_hash_table_new(NULL, NULL);
--- a/src/godwitvale/core/estimate.c
+++ b/src/godwitvale/core/estimate.c
@@ -1,6 +1,8 @@
 /* Decaying log-spaced histograms of output length, with shared priors. */
 #include "godwitvale/core/estimate.h"
 
+#include <math.h>
+
 #include <glib.h>
 
 /// Buckets for each doubling of the length, and in all (up to 2^17 tokens).
@@ -10,6 +12,9 @@
 #define WEIGHT_MAX 512.0
 /// Samples of a series that outweigh half of its prior.
 #define PRIOR_WEIGHT 12.0
+/// Lengths are taken to be log-logistic before any is known.
+#define FIRST_MEDIAN 300.0
+#define FIRST_SHAPE 1.2
 /// Weight of the built-in prior under the widest series.
 #define ROOT_WEIGHT 4.0
 /// A series' shape is worked out anew after this share of new samples.
@@ -104,6 +109,20 @@
 	return CLAMP(part, 0, 1);
 }
 
+/// Gives the share of lengths in a bucket or above before any is known. Short
+/// of the truth it costs a few preemptions until more is learnt; beyond it
+/// nothing would be sent, and nothing learnt.
+///
+/// @param bucket  the bucket
+/// @return share, 0 to 1
+static double
+first_tail(int bucket)
+{
+	double ratio = bucket_edge(bucket) / FIRST_MEDIAN;
+
+	return 1 / (1 + pow(ratio, FIRST_SHAPE));
+}
+
 /// Works out the share of lengths above each bucket's edge.
 ///
 /// @param series  to be refreshed; its prior must be fresh
@@ -116,8 +135,8 @@
 
 	series->tail[N_BUCKETS] = 0;
 	for (int i = N_BUCKETS - 1; i >= 0; i--) {
-		double prior = series->prior ? series->prior->tail[i]
-					     : 1.0 - (double)i / N_BUCKETS;
+		double prior =
+		    series->prior ? series->prior->tail[i] : first_tail(i);
 
 		above += series->count[i];
 		series->tail[i] = (above + prior_weight * prior) / all;
@@ -195,23 +214,24 @@
 	g_free(estimate);
 }
 
-/// Finds the series of a key; a new one starts from that of its service and
-/// class over all organisations.
+/// Finds the series of a key; a new one starts from that of its class over
+/// all organisations, and this from that of all classes of the service.
 ///
 /// @param estimate  the table
-/// @param key       organisation (not 0), service and class
+/// @param key       organisation and class may be ESTIMATE_ALL
 /// @return the series, owned by the table and valid as long as it is
 struct estimate_series *
 estimate_series_of(struct estimate *estimate, const struct estimate_key *key)
 {
-	struct estimate_key wide = *key;
-	struct estimate_series *prior;
-
-	wide.organisation = 0;
-	prior = find_or_make(estimate, &wide, &estimate->root);
-	if (key->organisation == 0)
-		return prior;
-	return find_or_make(estimate, key, prior);
+	struct estimate_key wide = {.organisation = ESTIMATE_ALL,
+	    .service = key->service,
+	    .class_id = ESTIMATE_ALL};
+	struct estimate_series *series =
+	    find_or_make(estimate, &wide, &estimate->root);
+
+	wide.class_id = key->class_id;
+	series = find_or_make(estimate, &wide, series);
+	return find_or_make(estimate, key, series);
 }
 
 /// Takes the length of a finished output.
--- a/src/godwitvale/core/estimate.h
+++ b/src/godwitvale/core/estimate.h
@@ -8,6 +8,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/// Stands for all organisations, or for all classes, in a key.
+#define ESTIMATE_ALL UINT32_MAX
+
 /// Whose output lengths are estimated.
 struct estimate_key {
 	uint32_t organisation;
--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -86,6 +86,8 @@
 	request->counted_from = router->now;
 	request->service = g_hash_table_lookup(
 	    router->services, GUINT_TO_POINTER(options->service));
+	if (request->service != NULL)
+		router_note_class(router, request->service, options->class_id);
 	request->series = estimate_series_of(router->estimate, &key);
 	request->handle = handle_table_add(router->requests, request);
 	g_hash_table_add(router->all_requests, request);
@@ -246,6 +248,20 @@
 	router->options.n_entries = MAX(n_entries, 1);
 }
 
+/// Sets this instance's place in the list of those that send to the same
+/// upstreams, as sorted alike by all. With it the instances take turns at the
+/// room that a report shows; without it, or while their lists differ, turns
+/// are random and may coincide.
+///
+/// @param router  the router
+/// @param index   0 to the number of entries less 1
+void
+router_set_index(struct router *router, unsigned index)
+{
+	router->has_index = true;
+	router->index = index;
+}
+
 /// Submits a request. What becomes of it follows as actions, possibly before
 /// this returns: SEND now or later, or REFUSE, after which the handle is
 /// stale.
--- a/src/godwitvale/core/router.h
+++ b/src/godwitvale/core/router.h
@@ -12,6 +12,7 @@
 struct router *router_new(const struct router_options *options);
 void router_free(struct router *router);
 void router_set_entries(struct router *router, unsigned n_entries);
+void router_set_index(struct router *router, unsigned index);
 
 router_upstream router_add_upstream(struct router *router, usec_t now,
     const struct router_upstream_options *options);
--- a/src/godwitvale/core/router_place.c
+++ b/src/godwitvale/core/router_place.c
@@ -232,7 +232,10 @@
 learn_newcomer(struct service *service, const struct request *request)
 {
 	struct memory_profile *mean = &service->newcomer;
+	double prompt = request->options.prompt_tokens;
 
+	service->mean_prompt +=
+	    (prompt - service->mean_prompt) * NEWCOMER_SHARE;
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		double memory = request->memory.at[i];
 		double square = memory * memory + request->memory.variance[i];
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -6,14 +6,11 @@
 
 #include <math.h>
 
+#include "godwitvale/core/hash.h"
+
 const uint32_t router_horizons[ROUTER_HORIZONS] = {
     0, 64, 256, 1024, 4096, 16384};
 
-/// The mean of the running requests moves by this share at each survey.
-#define SURVEY_SHARE 0.3
-/// The same for the rate of sends over a longer time.
-#define SLOW_SHARE 0.02
-
 /// A start is judged by the reports of this window and the last one, so that
 /// the drift between two clocks does not add up.
 #define START_WINDOW (30 * USEC_PER_SEC)
@@ -21,6 +18,14 @@
 #define SAMPLE_AGE_MAX (3 * USEC_PER_SEC)
 /// Plain calls of one instance, as a multiple of its even share.
 #define CALL_SHARES 2
+/// From the first to the second pressure, turns are taken more and more.
+#define CONTENTION_FROM 0.6
+#define CONTENTION_TO 0.9
+/// Multiples of the fixed reserve for a request that has just come, and for
+/// one that has waited this long.
+#define RESERVE_FRESH 1.6
+#define RESERVE_AGED 0.4
+#define AGED_SPAN (20.0 * USEC_PER_SEC)
 /// What a reported plain call of another instance counts.
 #define STALE_CALL_SHARE 0.1
 
@@ -94,9 +99,10 @@
 }
 
 /// Gives the number of requests that other instances are thought to have sent
-/// since the last report was taken. While there is a backlog they all see the
-/// same room, so each assumes a random turn among them: a report's room is
-/// used about once, not once by each.
+/// since the last report was taken. Where there is little room they all see
+/// the same one, so they take turns: a report's room is used about once, not
+/// once by each. This must not hang on a backlog of our own: an instance with
+/// a backlog would leave the room to those without.
 ///
 /// @param router    the router
 /// @param upstream  the upstream
@@ -106,6 +112,7 @@
 {
 	const struct service *service = upstream->service;
 	unsigned others = router->options.n_entries - 1;
+	double before_us = upstream->turn + upstream->sent_since * others;
 	double lag;
 	double sent;
 
@@ -114,24 +121,21 @@
 	lag = (double)(router->now - upstream->sampled_at) / USEC_PER_SEC;
 	sent = service->send_rate / service->considered->len;
 	sent *= others * MAX(lag, 0);
-	if (router->now < service->backlogged_until)
-		sent =
-		    MAX(sent, upstream->turn + upstream->sent_since * others);
-	return sent;
+	return MAX(sent, before_us * upstream->contention);
 }
 
 /// Projects an engine's memory use.
 ///
 /// @param router    the router
 /// @param upstream  an engine
+/// @param unseen    requests of others since the report
 /// @param extra     a request to be added, or NULL
 /// @return the highest expected use as a share of the memory
 static double
 engine_pressure(const struct router *router, const struct upstream *upstream,
-    const struct request *extra)
+    double unseen, const struct request *extra)
 {
 	const struct service *service = upstream->service;
-	double unseen = newcomers(router, upstream);
 	double highest = 0;
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
@@ -185,10 +189,30 @@
     const struct request *extra)
 {
 	double count = count_pressure(router, upstream, extra != NULL);
+	double unseen;
 
 	if (upstream->options.kind != UPSTREAM_ENGINE)
 		return count;
-	return MAX(count, engine_pressure(router, upstream, extra));
+	unseen = newcomers(router, upstream);
+	return MAX(count, engine_pressure(router, upstream, unseen, extra));
+}
+
+/// Gives the share of memory that a request must leave free. One that has
+/// waited may use more of it: so the room goes to the instance whose requests
+/// have waited longest, although the instances don't know of each other's
+/// queues, and a long one is not passed for ever by short ones.
+///
+/// @param router   the router
+/// @param request  the request
+/// @return the share
+static double
+reserve_for(const struct router *router, const struct request *request)
+{
+	double age = (double)(router->now - request->since) / AGED_SPAN;
+	double factor =
+	    RESERVE_FRESH - (RESERVE_FRESH - RESERVE_AGED) * CLAMP(age, 0, 1);
+
+	return router->options.memory_reserve * factor;
 }
 
 /// Gives the number of plain calls that this instance may have running.
@@ -216,7 +240,8 @@
 router_fits(const struct router *router, const struct upstream *upstream,
     const struct request *request)
 {
-	double reserve = router->options.memory_reserve;
+	double reserve = reserve_for(router, request);
+	double unseen;
 	bool idle;
 
 	if (upstream->options.kind != UPSTREAM_ENGINE)
@@ -227,7 +252,9 @@
 	if (idle)
 		return request->memory.at[0] <=
 		    (double)upstream->options.memory_tokens;
-	return engine_pressure(router, upstream, request) <= 1 - reserve;
+	unseen = newcomers(router, upstream);
+	return engine_pressure(router, upstream, unseen, request) <=
+	    1 - reserve;
 }
 
 /// Forgets when an upstream started, as after a restart.
@@ -266,6 +293,25 @@
 	return MIN(sampled_at, report->asked_at);
 }
 
+/// Gives the number of instances that go before us at the room that a report
+/// shows. All who have the same report work out the same order.
+///
+/// @param router  the router
+/// @param report  the report
+/// @return 0 to the number of entries less 1
+static unsigned
+turn_of(const struct router *router, const struct router_report *report)
+{
+	unsigned n = router->options.n_entries;
+	uint64_t first =
+	    hash_pair(report->start_epoch, (uint64_t)report->uptime);
+
+	if (!router->has_index)
+		return (unsigned)g_rand_int_range(
+		    router->options.random, 0, (gint32)n);
+	return (unsigned)((router->index + first) % n);
+}
+
 /// Takes a load report's figures into an upstream's record.
 ///
 /// @param router    the router
@@ -280,9 +326,7 @@
 	usec_t sampled_at = date_report(router, upstream, report);
 
 	if (sampled_at != upstream->sampled_at)
-		upstream->turn =
-		    (unsigned)g_rand_int_range(router->options.random, 0,
-			(gint32)router->options.n_entries);
+		upstream->turn = turn_of(router, report);
 	upstream->sampled_at = sampled_at;
 	upstream->sent_since = 0;
 	for (GList *link = upstream->own.head; link; link = link->next) {
@@ -304,63 +348,10 @@
 	if (upstream->others == 0)
 		upstream->others_tokens = 0;
 	router_update_own(upstream);
-}
-
-/// Moves a mean towards a value.
-///
-/// @param mean   changed in place
-/// @param value  newest value
-/// @param share  how far
-static void
-blend(double *mean, double value, double share)
-{
-	*mean += (value - *mean) * share;
-}
-
-/// Learns from our own running requests how those of other instances, which
-/// are drawn from the same mix, will grow and end.
-///
-/// @param router   the router
-/// @param service  the service
-void
-router_survey(struct router *router, struct service *service)
-{
-	double span =
-	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
-	double n = 0;
-	double tokens = 0;
-	struct memory_profile kept = {{0}, {0}};
-	struct memory_profile grown = {{0}, {0}};
-
-	for (guint i = 0; i < service->all->len; i++) {
-		struct upstream *upstream = service->all->pdata[i];
-
-		for (GList *link = upstream->own.head; link;
-		     link = link->next) {
-			struct request *request = link->data;
-			double now = request->memory.at[0];
-
-			n += 1;
-			tokens += now;
-			for (int h = 0; h < ROUTER_HORIZONS; h++) {
-				double whole = now + router_horizons[h];
-				double on = request->memory.at[h] / whole;
-
-				kept.at[h] += now * on;
-				kept.variance[h] += request->memory.variance[h];
-				grown.at[h] += router_horizons[h] * on;
-			}
-		}
-	}
-	if (span > 0) {
-		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
-		blend(&service->slow_rate, service->sends / span, SLOW_SHARE);
-	}
-	service->sends = 0;
-	for (int h = 0; h < ROUTER_HORIZONS && tokens > 0; h++) {
-		blend(&service->keep.at[h], kept.at[h] / tokens, SURVEY_SHARE);
-		blend(&service->keep.variance[h], kept.variance[h] / n,
-		    SURVEY_SHARE);
-		blend(&service->growth.at[h], grown.at[h] / n, SURVEY_SHARE);
-	}
+	if (upstream->options.kind == UPSTREAM_ENGINE)
+		upstream->contention =
+		    CLAMP((engine_pressure(router, upstream, 0, NULL) -
+			      CONTENTION_FROM) /
+			    (CONTENTION_TO - CONTENTION_FROM),
+			0, 1);
 }
--- a/src/godwitvale/core/router_queue.c
+++ b/src/godwitvale/core/router_queue.c
@@ -6,10 +6,9 @@
 
 /// Requests with the earliest deadlines that are looked at in one step.
 #define DEADLINES_LOOKED_AT 16
-/// Starts are counted over about twice this backlogged time, in seconds.
-#define BACKLOG_TIME_MAX 15.0
-/// A backlog is taken to last this long after it was seen.
-#define BACKLOG_MEMORY USEC_PER_SEC
+/// Starts are counted at this grain, and forgotten over this time.
+#define MARK_SPAN (10 * USEC_PER_MSEC)
+#define FADE_SPAN (20.0 * USEC_PER_SEC)
 /// Backlogged time before the start rate is trusted, in seconds.
 #define BACKLOG_TIME_MIN 2.0
 /// A request is refused when this share of its expected wait is too long.
@@ -18,7 +17,9 @@
 #define COME_BACK_MIN USEC_PER_SEC
 #define COME_BACK_MAX (60 * USEC_PER_SEC)
 
-/// Accounts for the time since the last step in which requests waited.
+/// Accounts for the time since the last step. What was counted fades with
+/// time, so that a router that refuses much finds out again how fast requests
+/// start.
 ///
 /// @param router   the router
 /// @param service  the service
@@ -27,14 +28,13 @@
 {
 	usec_t span = router->now - service->marked_at;
 
-	service->marked_at = router->now;
-	if (fairqueue_length(service->queue) == 0 || span <= 0)
+	if (span < MARK_SPAN)
 		return;
-	service->backlog_time += (double)span / USEC_PER_SEC;
-	if (service->backlog_time > 2 * BACKLOG_TIME_MAX) {
-		service->backlog_time /= 2;
-		service->starts /= 2;
-	}
+	service->marked_at = router->now;
+	if (fairqueue_length(service->queue) > 0)
+		service->backlog_time += (double)span / USEC_PER_SEC;
+	service->backlog_time *= 1 - MIN((double)span / FADE_SPAN, 1);
+	service->starts *= 1 - MIN((double)span / FADE_SPAN, 1);
 }
 
 /// Estimates how long a request will wait.
@@ -206,7 +206,6 @@
 	}
 	if (fairqueue_length(service->queue) == 0)
 		return;
-	service->backlogged_until = router->now + BACKLOG_MEMORY;
 	router_ask_slots(router, service);
 }
 
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -17,6 +17,9 @@
 #define ROUTER_HORIZONS 6
 extern const uint32_t router_horizons[ROUTER_HORIZONS];
 
+/// Classes of a service that are told apart when the mix is worked out.
+#define ROUTER_CLASSES_MAX 16
+
 /// Expected memory at each horizon, in tokens, and its variance.
 struct memory_profile {
 	double at[ROUTER_HORIZONS];
@@ -35,6 +38,13 @@
 	usec_t not_before; /// don't ask again before this
 };
 
+/// How much of a service's requests a class makes, and its lengths.
+struct class_share {
+	uint32_t class_id;
+	struct estimate_series *series;
+	double submitted; /// decaying count
+};
+
 struct service {
 	uint32_t id;
 	enum upstream_kind kind;
@@ -46,6 +56,10 @@
 	unsigned n_asked;       /// slots asked for
 	uint64_t max_memory;    /// largest engine's, in tokens
 
+	struct class_share classes[ROUTER_CLASSES_MAX];
+	unsigned n_classes;
+	struct estimate_series *series; /// of all classes, before any is known
+	double mean_prompt;             /// of those sent, in tokens
 	struct memory_profile keep;     /// share of tokens kept, of any request
 	struct memory_profile growth;   /// tokens added, by any request
 	struct memory_profile newcomer; /// memory of a request just sent
@@ -53,10 +67,9 @@
 	double slow_rate;               /// the same over a longer time
 	double sends;                   /// since the rate was worked out
 
-	usec_t backlogged_until; /// others are taken to have a backlog too
-	usec_t marked_at;        /// backlog is accounted for until then
-	double backlog_time;     /// seconds with a backlog, decaying
-	double starts;           /// starts in that time, decaying
+	usec_t marked_at;    /// backlog is accounted for until then
+	double backlog_time; /// seconds with a backlog, decaying
+	double starts;       /// starts in that time, decaying
 };
 
 struct upstream {
@@ -76,6 +89,7 @@
 			      /// and the last one's
 	usec_t window_end;
 	unsigned turn;       /// instances thought to send here before us
+	double contention;   /// how much turns count, 0 to 1
 	unsigned sent_since; /// own sends since sampled_at
 	usec_t trusted_from; /// reports asked for before this are ignored
 	double others;       /// requests of other instances in the report
@@ -121,6 +135,8 @@
 
 struct router {
 	struct router_options options;
+	bool has_index;
+	unsigned index; /// place among the instances
 	usec_t now;
 	struct handle_table *requests;
 	struct handle_table *upstreams;
@@ -151,6 +167,10 @@
 void router_take_report(struct router *router, struct upstream *upstream,
     const struct router_report *report);
 void router_forget_start(struct upstream *upstream);
+
+/* router_survey.c */
+void router_note_class(
+    struct router *router, struct service *service, uint32_t class_id);
 void router_survey(struct router *router, struct service *service);
 
 /* router_place.c */
--- a/src/godwitvale/core/router_upstream.c
+++ b/src/godwitvale/core/router_upstream.c
@@ -9,9 +9,8 @@
 #define ENGINE_SLACK 4096.0
 /// The same for services, in calls.
 #define SERVICE_SLACK 4.0
-/// Where the router has learnt nothing yet, half of the requests run on after
-/// this many tokens.
-#define FIRST_HALF_LIFE 512.0
+/// Mean length of prompts that the router starts from, in tokens.
+#define FIRST_PROMPT 512.0
 
 /// Makes the record of a service.
 ///
@@ -23,6 +22,9 @@
 service_new(struct router *router, uint32_t id, enum upstream_kind kind)
 {
 	struct service *service = g_new0(struct service, 1);
+	struct estimate_key all = {.organisation = ESTIMATE_ALL,
+	    .service = id,
+	    .class_id = ESTIMATE_ALL};
 	struct fairqueue_options options = {
 	    .ageing_span = router->options.ageing_span,
 	    .slack = kind == UPSTREAM_ENGINE ? ENGINE_SLACK : SERVICE_SLACK};
@@ -34,13 +36,9 @@
 	service->considered = g_ptr_array_new();
 	service->by_pressure = g_sequence_new(NULL);
 	service->marked_at = router->now;
-	for (int i = 0; i < ROUTER_HORIZONS; i++) {
-		double ahead = router_horizons[i];
-
-		service->keep.at[i] =
-		    FIRST_HALF_LIFE / (FIRST_HALF_LIFE + ahead);
-		service->growth.at[i] = ahead * service->keep.at[i];
-	}
+	service->mean_prompt = FIRST_PROMPT;
+	service->series = estimate_series_of(router->estimate, &all);
+	router_survey(router, service);
 	return service;
 }
 
