Bench: cache events draw from a stream of their own; a row with prefix affinity

Cause: lost cache events drew from the arrivals' random stream, so a run with prefix affinity saw other requests than one without. Change: a second stream. memory+prefix is the policy with prefix_weight 1.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -21,6 +21,7 @@
     {"round-robin", ROUTER_POLICY_ROUND_ROBIN, 0},
     {"least-outstanding", ROUTER_POLICY_LEAST_OUTSTANDING, 0},
     {"memory", ROUTER_POLICY_MEMORY, 0},
+    {"memory+prefix", ROUTER_POLICY_MEMORY, 1},
 };
 static const double loads[] = {0.5, 0.8, 0.95, 1.2};
 
--- a/bench/run.c
+++ b/bench/run.c
@@ -223,7 +223,7 @@
 
 		if (event->at > run->now - CACHE_LAG)
 			return;
-		if (g_rand_double(run->random) < CACHE_LOST)
+		if (g_rand_double(run->noise) < CACHE_LOST)
 			continue;
 		router_cache_event(at->router, run->now, at->handles[upstream],
 		    i + 1, event->block, event->stored);
@@ -452,6 +452,7 @@
 	spans_free(run->gaps);
 	events_free(run->events);
 	g_rand_free(run->random);
+	g_rand_free(run->noise);
 }
 
 /* Runs once and fills in the measures. */
@@ -460,6 +461,7 @@
 {
 	struct run run = {.options = *options,
 	    .random = g_rand_new_with_seed(options->seed),
+	    .noise = g_rand_new_with_seed(options->seed + 1000),
 	    .events = events_new(),
 	    .now = 1,
 	    .gaps = spans_new(),
--- a/bench/run_state.h
+++ b/bench/run_state.h
@@ -65,7 +65,8 @@
 struct run {
 	struct engine_listener listener; /// first: the engines hand it back
 	struct run_options options;
-	GRand *random;
+	GRand *random; /// arrivals: the same for every policy
+	GRand *noise;  /// what gets lost
 	struct events *events;
 	usec_t now;
 	unsigned n_fakes;
--- a/src/godwitvale/core/router_survey.c
+++ b/src/godwitvale/core/router_survey.c
@@ -81,8 +81,7 @@
 	sums->tokens += width * alive * now;
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		uint32_t ahead = router_horizons[i];
-		double then =
-		    mix_survival(service, age + ahead);
+		double then = mix_survival(service, age + ahead);
 		double whole = now + ahead;
 
 		sums->kept.at[i] += width * then * now;
@@ -130,7 +129,8 @@
 void
 router_survey(struct router *router, struct service *service)
 {
-	double span = (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
+	double span =
+	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
 	struct population sums = {0};
 	uint32_t age = 0;
 
