--- a/src/godwitvale/core/router.h
+++ b/src/godwitvale/core/router.h
@@ -14,6 +14,7 @@
 void router_set_entries(struct router *router, unsigned n_entries);
 void router_set_weights(
     struct router *router, const struct router_weights *weights);
+void router_set_index(struct router *router, unsigned index);
 
 router_upstream router_add_upstream(struct router *router, usec_t now,
     const struct router_upstream_options *options);
