Warm-up: a report's freshness counts from when it was asked for

Cause: an instance that was paused took a load report that had waited in its socket for a heartbeat of now, and for the silence span sent a cold engine as many requests as it bears when warm. Ruled out: a slot lease that lapsed (3 s; the overload came 0.3 s after the instance woke). Change: the silence deadline is the question's time plus the span. Conclusion: a late answer proves nothing later than its question.

--- a/src/godwitvale/core/router_upstream.c
+++ b/src/godwitvale/core/router_upstream.c
@@ -156,7 +156,8 @@
     const struct router_report *report)
 {
 	struct upstream *found = handle_table_get(router->upstreams, upstream);
-	struct warmup_report start = {.start_epoch = report->start_epoch,
+	struct warmup_report start = {.asked_at = report->asked_at,
+	    .start_epoch = report->start_epoch,
 	    .uptime = report->uptime,
 	    .running = report->running + report->waiting};
 
--- a/src/godwitvale/core/warmup.c
+++ b/src/godwitvale/core/warmup.c
@@ -45,7 +45,7 @@
 	warmup->epoch = report->start_epoch;
 	warmup->last_uptime = MAX(report->uptime, 1);
 	warmup->known = true;
-	warmup->silent_after = now + warmup->options.silence_span;
+	warmup->silent_after = report->asked_at + warmup->options.silence_span;
 	return restarted || jumped;
 }
 
--- a/src/godwitvale/core/warmup.h
+++ b/src/godwitvale/core/warmup.h
@@ -20,6 +20,7 @@
 
 /// What a report says on the upstream's start.
 struct warmup_report {
+	usec_t asked_at; /// when it was asked for, on our clock
 	uint64_t start_epoch;
 	usec_t uptime;
 	uint32_t running;
--- a/test/unit/warmup_test.c
+++ b/test/unit/warmup_test.c
@@ -19,7 +19,8 @@
 report(struct warmup *warmup, usec_t now, uint64_t epoch, usec_t uptime,
     uint32_t running, uint32_t expected)
 {
-	struct warmup_report said = {.start_epoch = epoch,
+	struct warmup_report said = {.asked_at = now,
+	    .start_epoch = epoch,
 	    .uptime = uptime,
 	    .running = running,
 	    .expected_running = expected};
@@ -77,10 +78,27 @@
 	assert_int_equal(warmup_limit(&warmup, now), 4);
 }
 
+/// A report that waited while the process was paused says nothing of now.
+static void
+late_report_counts_from_its_question(void **state)
+{
+	struct warmup warmup;
+	struct warmup_report said = {.asked_at = 10 * USEC_PER_SEC,
+	    .start_epoch = 7,
+	    .uptime = 99 * USEC_PER_SEC};
+
+	(void)state;
+	warmup_init(&warmup, &slow_start);
+	warmup_report(&warmup, 14 * USEC_PER_SEC, &said);
+	assert_false(warmup_is_cold(&warmup, 15 * USEC_PER_SEC));
+	assert_true(warmup_is_cold(&warmup, 15 * USEC_PER_SEC + 1));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(late_report_counts_from_its_question),
 	    cmocka_unit_test(ramps_by_reported_uptime),
 	    cmocka_unit_test(new_epoch_or_shorter_uptime_is_a_restart),
 	    cmocka_unit_test(silence_and_jumps_count_as_cold),
