Authority: the peers' word ends where a peer has read the register

Cause: an instance just started goes by the bundle versions that a majority of the listed instances names until it has read the register once. The register's voters can be on the other side of a partition and have accepted a newer bundle there; the old members stop, the one just started does not. Change: authority_note_peer_read(): a heard peer has read the register in its present life, so the fleet has not just started.

--- a/src/godwitvale/core/authority.c
+++ b/src/godwitvale/core/authority.c
@@ -78,15 +78,25 @@
 	authority->reading = false;
 }
 
+/// Takes the news that a peer has read the register in its present life. The
+/// fleet has not just started then: only the register counts from now on.
+///
+/// @param authority  the part
+void
+authority_note_peer_read(struct authority *authority)
+{
+	authority->peer_read = true;
+}
+
 /// Takes what the listed instances say. It counts only until the register
-/// could be read once: in a fleet that has just started, no majority of
-/// voters is ready yet.
+/// could be read once, by this instance or a peer that it heard: in a fleet
+/// that has just started, no majority of voters is ready yet.
 ///
 /// @param authority  the part
 /// @param now        current time
 /// @param listed     instances on the membership list
 /// @param answered   of them, those that answered within the freshness span,
-///                   this one included
+///                   this one included where it is listed itself
 /// @param highest    the highest version that one of them named
 void
 authority_take_peers(struct authority *authority, usec_t now, unsigned listed,
@@ -94,8 +104,8 @@
 {
 	usec_t until = now + authority->options.freshness / 2;
 
-	if (authority->register_seen || authority->version == 0 ||
-	    listed == 0 || answered <= listed / 2 ||
+	if (authority->register_seen || authority->peer_read ||
+	    authority->version == 0 || listed == 0 || answered <= listed / 2 ||
 	    highest > authority->version)
 		return;
 	authority->valid_until = MAX(authority->valid_until, until);
--- a/src/godwitvale/core/authority.h
+++ b/src/godwitvale/core/authority.h
@@ -36,6 +36,7 @@
 	usec_t asked_at; /// of the read that is open
 	bool reading;
 	bool register_seen; /// a majority has answered once in this life
+	bool peer_read;     /// the same of a peer that was heard
 	usec_t valid_until; /// new work may be taken before this
 };
 
@@ -46,6 +47,7 @@
 enum authority_step authority_take_read(
     struct authority *authority, uint64_t version);
 void authority_take_isolation(struct authority *authority);
+void authority_note_peer_read(struct authority *authority);
 void authority_take_peers(struct authority *authority, usec_t now,
     unsigned listed, unsigned answered, uint64_t highest);
 bool authority_may_admit(const struct authority *authority, usec_t now);
--- a/test/unit/authority_test.c
+++ b/test/unit/authority_test.c
@@ -65,6 +65,24 @@
 	assert_false(authority_may_admit(&authority, 9 * USEC_PER_SEC + 1));
 }
 
+/// A minority that the register's voters have left must not go by the word
+/// of its own members: they may all have the old bundle.
+static void
+takes_no_peers_word_once_a_peer_has_read_the_register(void **state)
+{
+	struct authority authority;
+
+	(void)state;
+	authority_init(&authority, &options);
+	authority_offer(&authority, 4);
+	authority_note_peer_read(&authority);
+	authority_take_peers(&authority, 100, 9, 9, 4);
+	assert_false(authority_may_admit(&authority, 101));
+	authority_tick(&authority, 200);
+	authority_take_read(&authority, 4);
+	assert_true(authority_may_admit(&authority, 201));
+}
+
 int
 main(void)
 {
@@ -73,6 +91,8 @@
 	    cmocka_unit_test(stops_at_a_newer_version_and_never_reverts),
 	    cmocka_unit_test(
 		takes_the_peers_word_only_before_the_register_was_read),
+	    cmocka_unit_test(
+		takes_no_peers_word_once_a_peer_has_read_the_register),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
