Rollout: an idempotent service needs no re-send window

Cause: check_windows() held every service's resend_window_ms against timing.resend_window_ms, also that of idempotent services, which keep no record of their calls and so take the bundle's default of 60 s. A fleet with a shorter setting refused its first bundle.

Ruled out: ports taken by another run (other ports gave the same).

Change: only services that are not idempotent are checked.

Before: scripts/demo.sh failed, 'still waiting for bundle 1 at e1' (2 of 2 runs). After: 'demo: ok' (1 of 1).

--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -146,7 +146,8 @@
 		const struct bundle_service *service =
 		    g_ptr_array_index(bundle->services, i);
 
-		if (service->resend_window <= instance->settings->resend_window)
+		if (service->idempotent ||
+		    service->resend_window <= instance->settings->resend_window)
 			continue;
 		g_set_error(error, BUNDLE_ERROR, BUNDLE_ERROR_INCONSISTENT,
 		    "service %s: resend_window_ms exceeds the setting "
