Heartbeats say whether their sender has read the register

Cause: the authority part takes the peers' word only while no peer has read the register; the daemon did not tell. An instance that is not listed counted itself among those that answered.

--- a/src/godwitvale/peer/peer_wire.x
+++ b/src/godwitvale/peer/peer_wire.x
@@ -51,6 +51,7 @@
 	unsigned hyper echo;
 	unsigned hyper bundle_version;
 	unsigned hyper list_revision;
+	bool register_read;
 };
 
 enum wire_type {
--- a/src/godwitvale/peer/peer_wire_xdr.c
+++ b/src/godwitvale/peer/peer_wire_xdr.c
@@ -219,6 +219,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->list_revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->register_read))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/godwitvale/peer/peer_wire_xdr.h
+++ b/src/godwitvale/peer/peer_wire_xdr.h
@@ -72,6 +72,7 @@
 	u_quad_t echo;
 	u_quad_t bundle_version;
 	u_quad_t list_revision;
+	bool_t register_read;
 };
 typedef struct wire_hello wire_hello;
 
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -248,8 +248,10 @@
 	uint64_t highest = 0;
 	unsigned listed = member_list_all(instance->members)->len;
 	unsigned answered =
-	    peer_answered_since(instance->peer, since, &highest) + 1;
+	    peer_answered_since(instance->peer, since, &highest);
 
+	answered += member_list_find(
+			instance->members, peer_self(instance->peer)) != NULL;
 	authority_take_peers(
 	    &instance->authority, now, listed, answered, highest);
 	if (authority_tick(&instance->authority, now) == AUTHORITY_READ)
