--- a/test/unit/quorum_net.h
+++ b/test/unit/quorum_net.h
@@ -88,6 +88,7 @@
 	unsigned n_shards;
 	bool act_late;       /// acts come some time after the grant
 	bool finishes;       /// acts report their outcome
+	bool some_fail;      /// acts may end unrun, or never report
 	uint64_t n_messages; /// sent over the network
 	uint64_t n_by_type[QUORUM_HANDOVER + 1];
 	struct quorum_key keys[KEYS_MAX];
@@ -411,10 +412,16 @@
 		quorum_release(node->quorum, now, event->ticket);
 		return;
 	}
+	if (net->some_fail && g_rand_int_range(net->random, 0, 4) == 0) {
+		quorum_finish(
+		    node->quorum, now, event->ticket, VERDICT_NOT_RUN);
+		return;
+	}
 	seen->runs++;
 	if (seen->runs > 1)
 		violate(net, "doubled", event->key);
-	if (net->finishes)
+	if (net->finishes &&
+	    (!net->some_fail || g_rand_int_range(net->random, 0, 2) == 0))
 		quorum_finish(node->quorum, now, event->ticket, VERDICT_RAN);
 }
 
--- a/test/unit/quorum_random_test.c
+++ b/test/unit/quorum_random_test.c
@@ -86,6 +86,13 @@
 	case 5:
 		disturb_list(chaos);
 		break;
+	case 6:
+		if (chaos->memory_kept)
+			break;
+		quorum_leave(net->nodes[index].quorum,
+		    local_time(&net->nodes[index], net->now));
+		take_actions(net, index);
+		break;
 	default:
 		break;
 	}
@@ -147,10 +154,12 @@
 {
 	struct net *net = net_new(seed, 3 + seed % 8, naive);
 	struct chaos chaos = {.net = net, .memory_kept = seed % 2 == 0};
+	gint32 calm = 1 + (gint32)(seed / 2 % 4);
 	unsigned violations;
 
 	chaos.version_key = add_key(net, QUORUM_VERSION);
 	net->act_late = seed % 3 != 0;
+	net->some_fail = true;
 	net->check_fence = chaos.memory_kept;
 	net_run(net, WARM);
 	net->loss = seed % 5 * 0.03;
@@ -160,7 +169,7 @@
 		run_for(net, g_rand_int_range(net->random, 0, 200000));
 		use_keys(&chaos);
 		use_versions(&chaos);
-		if (g_rand_int_range(net->random, 0, 3) == 0)
+		if (g_rand_int_range(net->random, 0, calm) == 0)
 			disturb(&chaos);
 	}
 	run_for(net, 2000 * MSEC);
