--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -69,8 +69,8 @@
 	    "$1" "$3" "$2" "$4"
 	printf '"engine":%s,"checks_fence":true,"memory_tokens":%s,' \
 	    "$engine" "$memory"
-	printf '"max_running":16,"cold_limit":%s,"warm_span_ms":%s,' \
-	    "${COLD_LIMIT:-2}" "${WARM_SPAN_MS:-1000}"
+	printf '"max_running":%s,"cold_limit":%s,"warm_span_ms":%s,' \
+	    "${MAX_RUNNING:-16}" "${COLD_LIMIT:-2}" "${WARM_SPAN_MS:-1000}"
 	printf '"state":"%s"}' "$(state "$1" "$upstreams_out")"
 }
 
