Callers of whole answers that go away are noticed; streams under failure

Cause: libsoup does not read from a connection whose answer is awaited, so a caller of a whole (not streamed) answer that closed its connection was noticed only when the answer was written; its generation ran on to the end.

Change: caller/hangup.c looks at the socket of each generation that awaits a whole answer twice a second; one that is closed is cancelled at its engine. test/functional/streams.sh: cut, repeated, silent, killed engines, callers that leave, each kind of HTTP.

--- a/src/godwitvale/serve/refusal.c
+++ b/src/godwitvale/serve/refusal.c
@@ -55,6 +55,9 @@
 	METRIC_REFUSED_RETRIES},
     [REFUSAL_SERVICE_FAILED] = {"service-failed",
 	"the service gave no whole answer", 502, true, METRIC_REFUSED_RETRIES},
+    [REFUSAL_CALLER_GONE] = {"caller-gone",
+	"the connection was closed before the answer was there", 408, false,
+	METRIC_REFUSED_DEADLINE},
 };
 
 /// Tells what a refusal says.
--- a/src/godwitvale/serve/request_defs.h
+++ b/src/godwitvale/serve/request_defs.h
@@ -45,7 +45,8 @@
 	bool stream; /// the caller asked for a stream
 	bool chat;
 	bool headers_sent;
-	bool answered; /// the final answer was given
+	bool answered;     /// the final answer was given
+	usec_t hangup_due; /// when the caller's connection is looked at next
 	uint32_t prompt_tokens;
 	uint32_t max_tokens;
 	unsigned n_prefix;
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -6,6 +6,7 @@
 #include <sodium.h>
 
 #include "godwitvale/caller/caller.h"
+#include "godwitvale/caller/hangup.h"
 #include "godwitvale/caller/listener.h"
 #include "godwitvale/core/hash.h"
 #include "godwitvale/ops/cmd.h"
@@ -60,6 +61,7 @@
 
 		if (request == NULL)
 			continue;
+		hangup_tick(request, now);
 		if (request->join_holder != 0)
 			join_tick(request, now);
 		else if (request->kind == REQUEST_GENERATION)
