--- a/src/godwitvale/caller/listener.c
+++ b/src/godwitvale/caller/listener.c
@@ -5,12 +5,18 @@
 #include "godwitvale/caller/listener.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <unistd.h>
 
+/// Connections that may wait to be accepted.
+#define LISTEN_BACKLOG 1024
+
 struct listener {
 	SoupServer *server;
 	GSocket *socket;   /// the listening socket
 	int quiet_pipe[2]; /// stands in for the socket once stopped
+	guint stop_source; /// accepts what waits, before the stop
+	unsigned stop_rounds;
 	bool stopped;
 };
 
@@ -27,6 +33,8 @@
 	GSocket *socket = g_socket_new(g_socket_address_get_family(target),
 	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
 
+	if (socket != NULL)
+		g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
 	if (socket != NULL &&
 	    (!g_socket_bind(socket, target, TRUE, error) ||
 		!g_socket_listen(socket, error)))
@@ -69,21 +77,44 @@
 	return listener->server;
 }
 
-/// Stops accepting connections; requests under way go on. libsoup can only
-/// stop listening together with closing all connections, so a pipe on which
-/// nothing ever arrives takes the place of the listening socket.
+/// Takes the listening socket away once no connection waits on it: closing
+/// it would reset them. libsoup can only stop listening together with closing
+/// all connections, so a pipe on which nothing ever arrives takes its place.
+///
+/// @param data  the listener
+/// @return G_SOURCE_REMOVE when done
+static gboolean
+on_stop(gpointer data)
+{
+	struct listener *listener = data;
+	struct pollfd waiting = {
+	    .fd = g_socket_get_fd(listener->socket),
+	    .events = POLLIN,
+	};
+
+	if (poll(&waiting, 1, 0) > 0 &&
+	    listener->stop_rounds++ < LISTEN_BACKLOG)
+		return G_SOURCE_CONTINUE;
+	listener->stop_source = 0;
+	if (pipe(listener->quiet_pipe) != 0)
+		return G_SOURCE_REMOVE;
+	while (dup2(listener->quiet_pipe[0], waiting.fd) < 0 && errno == EINTR)
+		continue;
+	return G_SOURCE_REMOVE;
+}
+
+/// Stops accepting connections, but for those that wait already; requests
+/// under way go on.
 ///
 /// @param listener  the listener
 void
 listener_stop(struct listener *listener)
 {
-	if (listener->stopped || pipe(listener->quiet_pipe) != 0)
+	if (listener->stopped)
 		return;
 	listener->stopped = true;
-	while (dup2(listener->quiet_pipe[0],
-		   g_socket_get_fd(listener->socket)) < 0 &&
-	    errno == EINTR)
-		continue;
+	listener->stop_source =
+	    g_idle_add_full(G_PRIORITY_DEFAULT, on_stop, listener, NULL);
 }
 
 /// Releases a listener and closes its connections.
@@ -94,6 +125,8 @@
 {
 	if (listener == NULL)
 		return;
+	if (listener->stop_source != 0)
+		g_source_remove(listener->stop_source);
 	soup_server_disconnect(listener->server);
 	g_object_unref(listener->server);
 	g_clear_object(&listener->socket);
