--- a/src/godwitvale/caller/caller.c
+++ b/src/godwitvale/caller/caller.c
@@ -93,11 +93,14 @@
 	(void)path;
 	(void)query;
 	metrics_add(METRIC_REQUESTS, 1);
+	if (g_object_get_data(G_OBJECT(message), TOO_LARGE_KEY) != NULL) {
+		request_refuse(request, REFUSAL_BODY_TOO_LARGE, retry_at, NULL);
+		drive_instance(instance);
+		return;
+	}
 	request->body = soup_message_body_flatten(
 	    soup_server_message_get_request_body(message));
-	if (g_object_get_data(G_OBJECT(message), TOO_LARGE_KEY) != NULL)
-		request_refuse(request, REFUSAL_BODY_TOO_LARGE, retry_at, NULL);
-	else if (request_count(instance) > instance->settings->max_requests)
+	if (request_count(instance) > instance->settings->max_requests)
 		refuse_unread(request, path, retry_at);
 	else
 		request_advance(request);
--- a/src/godwitvale/peer/peer.c
+++ b/src/godwitvale/peer/peer.c
@@ -51,6 +51,7 @@
 	uint64_t sequence;
 	GHashTable *contacts; /// node_id -> struct contact
 	usec_t heartbeat_due;
+	bool called; /// the datagram that is being read was a call of ours
 };
 
 /// RPC hands a call to a function without context: the one open socket.
@@ -369,12 +370,11 @@
 	if (open_peer == NULL || request->rq_proc != PEER_MESSAGE)
 		return;
 	memset(&envelope, 0, sizeof(envelope));
-	if (!svc_getargs(
+	if (svc_getargs(
 		transport, (xdrproc_t)xdr_wire_envelope, (char *)&envelope)) {
-		metrics_add(METRIC_PEER_DROPPED_GARBAGE, 1);
-		return;
+		open_peer->called = true;
+		take_envelope(open_peer, &envelope);
 	}
-	take_envelope(open_peer, &envelope);
 	svc_freeargs(
 	    transport, (xdrproc_t)xdr_wire_envelope, (char *)&envelope);
 }
@@ -391,7 +391,10 @@
 	struct peer *peer = data;
 
 	(void)condition;
+	peer->called = false;
 	svc_getreq_common(fd);
+	if (!peer->called)
+		metrics_add(METRIC_PEER_DROPPED_GARBAGE, 1);
 	drive_instance(peer->instance);
 	return G_SOURCE_CONTINUE;
 }
@@ -412,7 +415,8 @@
 
 	if (!g_socket_address_to_native(from, &native, sizeof(native), error))
 		goto out;
-	fd = socket(native.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	fd = socket(
+	    native.ss_family, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	if (fd >= 0 &&
 	    bind(fd, (struct sockaddr *)&native, (socklen_t)len) == 0)
 		goto out;
