Model orders in the daemon: the lease, the sends, placement, word to peers

Cause: the plan needs a lease among the instances, a way to the engines and the weight store, and a way to keep generations off engines that load. Ruled out: claiming the lease only when a bundle asks for it (every instance would claim at once); every instance as claimant (votes grow with the fleet: five by rank of their names do it); reading the whole weights as a probe. Change: the lease on "model-orders"; the check in the step that writes the order's first byte, on a connection of its own; probes of one byte; the holder's open orders served to peers, so that all keep an engine that loads out of placement and the next holder does not repeat them. Hooks of nine lines in serve.

--- a/src/godwitvale/serve/drive.c
+++ b/src/godwitvale/serve/drive.c
@@ -13,6 +13,7 @@
 #include "godwitvale/serve/request.h"
 #include "godwitvale/serve/slots.h"
 #include "godwitvale/upstream/join.h"
+#include "godwitvale/upstream/model_orders.h"
 #include "godwitvale/upstream/upstream.h"
 
 /// Sends a request that the router has placed.
@@ -124,7 +125,8 @@
 {
 	struct request *request;
 
-	if (slots_take_result(instance, action))
+	if (slots_take_result(instance, action) ||
+	    model_orders_take_result(instance->model_orders, action))
 		return;
 	request = request_find_ticket(instance, action->ticket);
 	if (request == NULL)
--- a/src/godwitvale/serve/instance_defs.h
+++ b/src/godwitvale/serve/instance_defs.h
@@ -15,6 +15,7 @@
 struct config_watch;
 struct listener;
 struct member_list;
+struct model_orders;
 struct peer;
 struct request;
 struct upstream_table;
@@ -35,6 +36,7 @@
 	struct config_watch *config;
 	struct member_list *members;
 	struct upstream_table *upstreams;
+	struct model_orders *model_orders;
 	GPtrArray *requests;  /// table of struct request, by handle
 	SoupSession *session; /// towards upstreams and the platform
 	struct listener *caller_listener;
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -22,6 +22,7 @@
 #include "godwitvale/upstream/call.h"
 #include "godwitvale/upstream/generation.h"
 #include "godwitvale/upstream/join.h"
+#include "godwitvale/upstream/model_orders.h"
 #include "godwitvale/upstream/upstream.h"
 
 /// The parts are looked at this often.
@@ -107,6 +108,7 @@
 		tick_requests(instance, now);
 		drive_instance(instance);
 	}
+	model_orders_tick(instance->model_orders, now);
 	tick_leaving(instance, now);
 	return G_SOURCE_CONTINUE;
 }
@@ -248,6 +250,7 @@
 	peer_close(instance->peer);
 	config_watch_free(instance->config);
 	member_list_free(instance->members);
+	model_orders_free(instance->model_orders);
 	upstream_table_free(instance->upstreams);
 	quorum_free(instance->quorum);
 	router_free(instance->router);
@@ -278,6 +281,7 @@
 		return CMD_INTERNAL;
 	open_parts(&instance);
 	if (open_addresses(&instance)) {
+		instance.model_orders = model_orders_new(&instance);
 		guint tick = g_timeout_add(
 		    TICK_INTERVAL / USEC_PER_MSEC, on_tick, &instance);
 		guint term = g_unix_signal_add(SIGTERM, on_signal, &instance);
--- /dev/null
+++ b/src/godwitvale/upstream/model_send.c
@@ -0,0 +1,315 @@
+/*
+ * Model orders to engines, and probes of the weight store. An order leaves
+ * only if, in the step that writes its first byte, the lease is still held.
+ */
+#include "godwitvale/upstream/model_send.h"
+
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "godwitvale/ops/log.h"
+#include "godwitvale/platform/ask.h"
+#include "godwitvale/upstream/upstream.h"
+
+/// An exchange that takes longer is given up.
+#define EXCHANGE_TIMEOUT (5 * USEC_PER_SEC)
+/// Where a limited store does not say when to come back, and at most.
+#define RETRY_AFTER_DEFAULT 1
+#define RETRY_AFTER_MAX 3600
+#define STATUS_TOO_MANY_REQUESTS 429
+
+/// One exchange with an engine or the weight store.
+struct exchange {
+	struct model_orders *orders;
+	struct model_order order; /// its names are not used
+	char *target;             /// "NAME/VERSION"
+	bool left;                /// a byte of it may have gone out
+	SoupMessage *message;
+	GCancellable *cancellable;
+	guint timeout_source;
+};
+
+/// Gives an exchange up at its deadline.
+///
+/// @param data  the exchange
+/// @return G_SOURCE_REMOVE
+static gboolean
+on_timeout(gpointer data)
+{
+	struct exchange *exchange = data;
+
+	exchange->timeout_source = 0;
+	g_cancellable_cancel(exchange->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+/// Starts the record of an exchange.
+///
+/// @param orders   the model orders
+/// @param order    what it is for
+/// @param message  taken over
+/// @return the record
+static struct exchange *
+exchange_new(struct model_orders *orders, const struct model_order *order,
+    SoupMessage *message)
+{
+	struct exchange *exchange = g_new0(struct exchange, 1);
+
+	exchange->orders = orders;
+	exchange->order = *order;
+	exchange->target = g_strconcat(order->model, "/", order->version, NULL);
+	exchange->message = message;
+	exchange->cancellable = g_cancellable_new();
+	exchange->timeout_source = g_timeout_add(
+	    EXCHANGE_TIMEOUT / USEC_PER_MSEC, on_timeout, exchange);
+	return exchange;
+}
+
+/// Releases an exchange.
+///
+/// @param exchange  answered or given up
+static void
+exchange_free(struct exchange *exchange)
+{
+	if (exchange->timeout_source != 0)
+		g_source_remove(exchange->timeout_source);
+	g_object_unref(exchange->message);
+	g_object_unref(exchange->cancellable);
+	g_free(exchange->target);
+	g_free(exchange);
+}
+
+/// Checks, in the step that sends, that the order may still leave.
+///
+/// @param message  the exchange's message
+/// @param data     the exchange
+static void
+on_starting(SoupMessage *message, gpointer data)
+{
+	struct exchange *exchange = data;
+	struct model_orders *orders = exchange->orders;
+	struct instance *instance = orders->instance;
+	const struct model_order *order = &exchange->order;
+	const struct upstream *upstream =
+	    upstream_find(instance->upstreams, order->engine);
+	usec_t now = g_get_monotonic_time();
+
+	(void)message;
+	if (upstream == NULL || instance->draining ||
+	    !quorum_may_act(instance->quorum, now, orders->ticket) ||
+	    !authority_may_admit(&instance->authority, now) ||
+	    !model_plan_may_leave(orders->plan, now, order)) {
+		log_event(LOG_LEVEL_INFO, "model_order_held_back",
+		    "target=%s fence=%" G_GUINT64_FORMAT, exchange->target,
+		    order->fence);
+		g_cancellable_cancel(exchange->cancellable);
+		return;
+	}
+	exchange->left = true;
+	orders->n_sent++;
+	audit_add(instance->audit, AUDIT_MODEL_ORDER, upstream->name,
+	    instance->bundle->signed_by, order->bundle_version,
+	    "load-model %s fence=%" G_GUINT64_FORMAT, exchange->target,
+	    order->fence);
+	log_event(LOG_LEVEL_INFO, "model_order_sent",
+	    "upstream=%s target=%s fence=%" G_GUINT64_FORMAT, upstream->name,
+	    exchange->target, order->fence);
+}
+
+/// Judges how an order ended.
+///
+/// @param exchange  the exchange
+/// @param answered  whether a whole answer came
+/// @return how it ended
+static enum model_order_end
+judge(const struct exchange *exchange, bool answered)
+{
+	unsigned status = soup_message_get_status(exchange->message);
+
+	if (!exchange->left)
+		return MODEL_ORDER_NOT_SENT;
+	if (!answered)
+		return MODEL_ORDER_UNKNOWN;
+	if (SOUP_STATUS_IS_SUCCESSFUL(status))
+		return MODEL_ORDER_ACCEPTED;
+	if (status == SOUP_STATUS_CONFLICT)
+		return MODEL_ORDER_OLD_FENCE;
+	if (SOUP_STATUS_IS_CLIENT_ERROR(status) ||
+	    status == SOUP_STATUS_SERVICE_UNAVAILABLE)
+		return MODEL_ORDER_REFUSED;
+	return MODEL_ORDER_UNKNOWN;
+}
+
+/// Notes that an engine refused an order for its old fence.
+///
+/// @param exchange  the exchange
+static void
+note_old_fence(const struct exchange *exchange)
+{
+	struct model_orders *orders = exchange->orders;
+	struct instance *instance = orders->instance;
+	const struct upstream *upstream =
+	    upstream_find(instance->upstreams, exchange->order.engine);
+
+	orders->n_stale++;
+	orders->old_fence = true;
+	audit_add(instance->audit, AUDIT_MODEL_ORDER,
+	    upstream == NULL ? exchange->target : upstream->name,
+	    instance->settings->instance, exchange->order.bundle_version,
+	    "load-model %s fence=%" G_GUINT64_FORMAT
+	    " refused: old fence, %" G_GUINT64_FORMAT " so far",
+	    exchange->target, exchange->order.fence, orders->n_stale);
+	log_event(LOG_LEVEL_WARN, "model_order_old_fence",
+	    "target=%s fence=%" G_GUINT64_FORMAT " count=%" G_GUINT64_FORMAT,
+	    exchange->target, exchange->order.fence, orders->n_stale);
+}
+
+/// Takes an engine's answer to an order.
+///
+/// @param source  the session
+/// @param result  the answer
+/// @param data    the exchange
+static void
+on_order_answer(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct exchange *exchange = data;
+	GBytes *body = soup_session_send_and_read_finish(
+	    SOUP_SESSION(source), result, NULL);
+	enum model_order_end end = judge(exchange, body != NULL);
+
+	if (end == MODEL_ORDER_OLD_FENCE)
+		note_old_fence(exchange);
+	else if (end != MODEL_ORDER_ACCEPTED)
+		log_event(LOG_LEVEL_WARN, "model_order_failed",
+		    "target=%s status=%u left=%d", exchange->target,
+		    soup_message_get_status(exchange->message), exchange->left);
+	model_plan_ended(exchange->orders->plan, g_get_monotonic_time(),
+	    &exchange->order, end);
+	g_clear_pointer(&body, g_bytes_unref);
+	exchange_free(exchange);
+}
+
+/// Reads when the store may be asked again.
+///
+/// @param message  its answer
+/// @return span
+static usec_t
+retry_after(SoupMessage *message)
+{
+	const char *text = soup_message_headers_get_one(
+	    soup_message_get_response_headers(message), "Retry-After");
+	guint64 seconds = RETRY_AFTER_DEFAULT;
+
+	if (text != NULL)
+		g_ascii_string_to_unsigned(
+		    text, 10, 0, RETRY_AFTER_MAX, &seconds, NULL);
+	return (usec_t)MAX(seconds, 1) * USEC_PER_SEC;
+}
+
+/// Takes the head of the store's answer; the weights are not read.
+///
+/// @param source  the session
+/// @param result  the answer
+/// @param data    the exchange
+static void
+on_probe_answer(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct exchange *exchange = data;
+	GInputStream *stream =
+	    soup_session_send_finish(SOUP_SESSION(source), result, NULL);
+	unsigned status =
+	    stream == NULL ? 0 : soup_message_get_status(exchange->message);
+	enum model_probe_end end = MODEL_PROBE_FAILED;
+	usec_t now = g_get_monotonic_time();
+
+	if (SOUP_STATUS_IS_SUCCESSFUL(status))
+		end = MODEL_PROBE_SERVED;
+	else if (status == STATUS_TOO_MANY_REQUESTS)
+		end = MODEL_PROBE_LIMITED;
+	log_event(end == MODEL_PROBE_FAILED ? LOG_LEVEL_WARN : LOG_LEVEL_DEBUG,
+	    "weights_probed", "target=%s status=%u", exchange->target, status);
+	model_plan_probed(exchange->orders->plan, now, end,
+	    now + retry_after(exchange->message));
+	g_clear_object(&stream);
+	exchange_free(exchange);
+}
+
+/// Sends an order. The plan is told how it ended.
+///
+/// @param orders  the model orders
+/// @param order   as the plan decided
+void
+model_send_order(struct model_orders *orders, const struct model_order *order)
+{
+	struct instance *instance = orders->instance;
+	const struct upstream *upstream =
+	    upstream_find(instance->upstreams, order->engine);
+	struct json_object *root;
+	struct exchange *exchange;
+	SoupMessage *message;
+	GBytes *body;
+	const char *text;
+	char *uri;
+
+	if (upstream == NULL) {
+		model_plan_ended(orders->plan, g_get_monotonic_time(), order,
+		    MODEL_ORDER_NOT_SENT);
+		return;
+	}
+	root = json_object_new_object();
+	json_object_object_add(
+	    root, "fence", json_object_new_uint64(order->fence));
+	json_object_object_add(
+	    root, "action", json_object_new_string("load-model"));
+	json_object_object_add(
+	    root, "name", json_object_new_string(order->model));
+	json_object_object_add(
+	    root, "version", json_object_new_string(order->version));
+	text = json_object_to_json_string(root);
+	body = g_bytes_new(text, strlen(text));
+	uri = g_strconcat(upstream->base, "/orders", NULL);
+	message = soup_message_new("POST", uri);
+	soup_message_set_request_body_from_bytes(
+	    message, "application/json", body);
+	// On a connection of its own the session never sends it twice.
+	soup_message_add_flags(
+	    message, SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION);
+	exchange = exchange_new(orders, order, message);
+	g_signal_connect(
+	    message, "starting", G_CALLBACK(on_starting), exchange);
+	soup_session_send_and_read_async(instance->session, message,
+	    G_PRIORITY_DEFAULT, exchange->cancellable, on_order_answer,
+	    exchange);
+	g_bytes_unref(body);
+	g_free(uri);
+	json_object_put(root);
+}
+
+/// Asks the weight store for one byte of an order's weights. The plan is told
+/// how that ended.
+///
+/// @param orders  the model orders
+/// @param order   as the plan decided
+void
+model_send_probe(struct model_orders *orders, const struct model_order *order)
+{
+	const struct settings_address *store =
+	    &orders->instance->settings->weights;
+	char *model = g_uri_escape_string(order->model, NULL, FALSE);
+	char *version = g_uri_escape_string(order->version, NULL, FALSE);
+	char *path = g_strconcat("/weights/", model, "/", version, NULL);
+	char *uri = ask_uri(store, path);
+	SoupMessage *message = soup_message_new("GET", uri);
+	struct exchange *exchange = exchange_new(orders, order, message);
+
+	soup_message_headers_set_range(
+	    soup_message_get_request_headers(message), 0, 0);
+	soup_session_send_async(orders->instance->session, message,
+	    G_PRIORITY_DEFAULT, exchange->cancellable, on_probe_answer,
+	    exchange);
+	g_free(uri);
+	g_free(path);
+	g_free(version);
+	g_free(model);
+}
