--- a/src/godwitvale/upstream/model_orders.c
+++ b/src/godwitvale/upstream/model_orders.c
@@ -93,12 +93,33 @@
 		g_array_append_val(engines, engine);
 	}
 	orders->bundle_version = bundle->version;
+	g_hash_table_remove_all(orders->unplaced);
 	model_plan_set_bundle(orders->plan, bundle->version,
 	    (const struct model_plan_engine *)(const void *)engines->data,
 	    engines->len);
 	g_array_unref(engines);
 }
 
+/// Puts an engine in or out of placement, on top of the operators' word.
+///
+/// @param orders    the model orders
+/// @param upstream  the engine
+/// @param now       current time
+static void
+place(struct model_orders *orders, const struct upstream *upstream, usec_t now)
+{
+	gpointer handle = GUINT_TO_POINTER(upstream->handle);
+	bool serves = model_plan_serves(orders->plan, now, upstream->handle);
+
+	router_set_in_service(orders->instance->router, now, upstream->handle,
+	    upstream->in_service && serves);
+	if (serves ? !g_hash_table_remove(orders->unplaced, handle)
+		   : !g_hash_table_add(orders->unplaced, handle))
+		return;
+	log_event(LOG_LEVEL_INFO, "model_placement", "upstream=%s placed=%s",
+	    upstream->name, serves ? "yes" : "no");
+}
+
 /// Takes the engines' reports into the plan, and puts engines in or out of
 /// placement.
 ///
@@ -124,9 +145,7 @@
 		if (upstream->reported_at != 0)
 			model_plan_report(
 			    orders->plan, upstream->handle, &report);
-		router_set_in_service(instance->router, now, upstream->handle,
-		    upstream->in_service &&
-			model_plan_serves(orders->plan, now, upstream->handle));
+		place(orders, upstream, now);
 	}
 }
 
@@ -337,6 +356,7 @@
 
 	orders->instance = instance;
 	orders->plan = model_plan_new(&options);
+	orders->unplaced = g_hash_table_new(NULL, NULL);
 	orders->key = quorum_key_make(QUORUM_LEASE, SCOPE, "", 0);
 	model_share_open(orders);
 	return orders;
@@ -350,6 +370,7 @@
 {
 	if (orders == NULL)
 		return;
+	g_hash_table_unref(orders->unplaced);
 	model_plan_free(orders->plan);
 	g_free(orders);
 }
--- a/src/godwitvale/upstream/model_orders_defs.h
+++ b/src/godwitvale/upstream/model_orders_defs.h
@@ -11,6 +11,7 @@
 	struct model_plan *plan;
 	uint64_t bundle_version; /// that the plan follows
 	struct quorum_key key;
+	GHashTable *unplaced; /// handles of engines kept out of placement
 	quorum_ticket ticket; /// of the claim or the lease; 0: none
 	uint64_t fence;       /// of the lease that is held; 0: none
 	usec_t claim_due;
--- /dev/null
+++ b/test/unit/model_send_test.c
@@ -0,0 +1,331 @@
+/* Tests of the step that sends a model order, over a real connection. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "godwitvale/core/hash.h"
+#include "godwitvale/ops/log.h"
+#include "godwitvale/upstream/model_orders.h"
+#include "godwitvale/upstream/model_send.h"
+#include "godwitvale/upstream/upstream.h"
+
+#define TERM (2 * USEC_PER_SEC)
+#define SETTLE (60 * USEC_PER_SEC)
+
+/// An instance of which only what an order needs is there, and an engine.
+struct fixture {
+	struct settings settings;
+	struct instance instance;
+	struct model_orders orders;
+	struct bundle bundle;
+	SoupServer *server;
+	unsigned n_received;
+	unsigned status;
+	struct bundle_upstream upstream;
+	struct model_order order;
+};
+
+static void
+on_order(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct fixture *fixture = data;
+
+	(void)server;
+	(void)path;
+	(void)query;
+	fixture->n_received++;
+	soup_server_message_set_status(message, fixture->status, NULL);
+}
+
+/// A fleet of one, so that the lease is granted by itself.
+static void
+win_lease(struct fixture *fixture)
+{
+	struct instance *instance = &fixture->instance;
+	node_id self = hash_name("e1");
+	struct view_member member = {.id = self};
+	struct view view = {.revision = 1, .members = &member, .n_members = 1};
+	struct quorum_claim_options options = {
+	    .lease_term = TERM, .fenced = true};
+	struct quorum_options quorum = {.self = self,
+	    .boot = 1,
+	    .random = instance->random,
+	    .claim_timeout = USEC_PER_SEC,
+	    .resend_window = TERM,
+	    .list_lag = USEC_PER_SEC,
+	    .list_freshness = 10 * USEC_PER_SEC,
+	    .resend_interval = USEC_PER_SEC};
+	struct quorum_action action = {0};
+	usec_t now = g_get_monotonic_time();
+
+	quorum.started_at = now - SETTLE;
+	instance->quorum = quorum_new(&quorum);
+	for (usec_t at = quorum.started_at; at <= now; at += USEC_PER_SEC) {
+		view.asked_at = at;
+		quorum_set_view(instance->quorum, at, &view);
+		quorum_tick(instance->quorum, at);
+	}
+	assert_true(quorum_ready(instance->quorum, now));
+	fixture->orders.ticket =
+	    quorum_claim(instance->quorum, now, &fixture->orders.key, &options);
+	while (action.type != QUORUM_ACTION_GRANTED)
+		assert_true(quorum_next_action(instance->quorum, &action));
+	fixture->orders.fence = action.number;
+	model_plan_granted(
+	    fixture->orders.plan, now, action.number, action.deadline);
+}
+
+static void
+open_engine(struct fixture *fixture)
+{
+	struct instance *instance = &fixture->instance;
+	GSList *uris;
+
+	fixture->server = soup_server_new(NULL, NULL);
+	soup_server_add_handler(
+	    fixture->server, "/orders", on_order, fixture, NULL);
+	assert_true(soup_server_listen_local(
+	    fixture->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+	uris = soup_server_get_uris(fixture->server);
+	fixture->upstream = (struct bundle_upstream){.name = "g1",
+	    .ip = "127.0.0.1",
+	    .port = (uint16_t)g_uri_get_port(uris->data),
+	    .zone = "z",
+	    .serves = "m",
+	    .engine = true,
+	    .memory_tokens = 1000,
+	    .max_running = 1,
+	    .cold_limit = 1};
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	fixture->bundle = (struct bundle){.version = 1,
+	    .signed_by = "operator",
+	    .zones = g_ptr_array_new(),
+	    .upstreams = g_ptr_array_new()};
+	g_ptr_array_add(fixture->bundle.upstreams, &fixture->upstream);
+	instance->bundle = &fixture->bundle;
+	instance->upstreams = upstream_table_new(instance);
+	upstream_table_apply(instance->upstreams, &fixture->bundle);
+}
+
+static void
+follow_bundle(struct fixture *fixture, uint64_t version)
+{
+	struct upstream *upstream =
+	    g_ptr_array_index(upstream_list(fixture->instance.upstreams), 0);
+	struct model_plan_engine engine = {.id = upstream->handle,
+	    .checks_fence = true,
+	    .in_service = true,
+	    .model = "m",
+	    .version = "2"};
+
+	model_plan_set_bundle(fixture->orders.plan, version, &engine, 1);
+}
+
+/// Decides an order for the engine.
+static void
+decide(struct fixture *fixture)
+{
+	struct upstream *upstream =
+	    g_ptr_array_index(upstream_list(fixture->instance.upstreams), 0);
+	usec_t now = g_get_monotonic_time();
+	struct model_plan_report report = {
+	    .asked_at = now, .start_epoch = 1, .loaded = "m/1"};
+	struct model_plan *plan = fixture->orders.plan;
+
+	follow_bundle(fixture, 1);
+	model_plan_report(plan, upstream->handle, &report);
+	assert_int_equal(
+	    model_plan_next(plan, now, &fixture->order), MODEL_PLAN_PROBE);
+	model_plan_probed(plan, now, MODEL_PROBE_SERVED, 0);
+	assert_int_equal(
+	    model_plan_next(plan, now, &fixture->order), MODEL_PLAN_ORDER);
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *fixture = g_new0(struct fixture, 1);
+	struct instance *instance = &fixture->instance;
+	struct model_plan_options plan = {.lease_term = TERM,
+	    .leave_span = TERM,
+	    .load_timeout = SETTLE,
+	    .permit_span = SETTLE,
+	    .report_age_max = SETTLE,
+	    .max_loading = 1,
+	    .floor_share = 1};
+	struct router_options router = {.n_entries = 1, .use_slots = true};
+
+	fixture->status = SOUP_STATUS_OK;
+	fixture->settings.instance = "e1";
+	instance->settings = &fixture->settings;
+	instance->random = g_rand_new_with_seed(1);
+	instance->audit = audit_new("e1", 16);
+	instance->session = soup_session_new();
+	router.random = instance->random;
+	router.report_interval = USEC_PER_SEC;
+	instance->router = router_new(&router);
+	instance->authority.version = 1;
+	instance->authority.valid_until = USEC_NEVER;
+	fixture->orders.instance = instance;
+	fixture->orders.plan = model_plan_new(&plan);
+	fixture->orders.key =
+	    quorum_key_make(QUORUM_LEASE, "model-orders", "", 0);
+	open_engine(fixture);
+	win_lease(fixture);
+	decide(fixture);
+	*state = fixture;
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *fixture = *state;
+	struct instance *instance = &fixture->instance;
+
+	soup_session_abort(instance->session);
+	while (g_main_context_iteration(NULL, FALSE))
+		continue;
+	upstream_table_free(instance->upstreams);
+	router_free(instance->router);
+	quorum_free(instance->quorum);
+	model_plan_free(fixture->orders.plan);
+	audit_free(instance->audit);
+	g_rand_free(instance->random);
+	g_object_unref(instance->session);
+	g_object_unref(fixture->server);
+	g_ptr_array_unref(fixture->bundle.zones);
+	g_ptr_array_unref(fixture->bundle.upstreams);
+	g_free(fixture);
+	return 0;
+}
+
+static bool
+is_open(const struct fixture *fixture)
+{
+	usec_t until = 0;
+
+	return model_plan_loading(fixture->orders.plan, g_get_monotonic_time(),
+		   fixture->order.engine, &until) != NULL;
+}
+
+static unsigned
+audited(const struct fixture *fixture)
+{
+	GString *text = audit_to_json(fixture->instance.audit);
+	char **parts = g_strsplit(text->str, "load-model m/2 fence=", -1);
+	unsigned n = g_strv_length(parts) - 1;
+
+	g_strfreev(parts);
+	g_string_free(text, TRUE);
+	return n;
+}
+
+/// Runs the loop until the engine has the order, or the order is closed.
+static void
+run_until_sent(struct fixture *fixture)
+{
+	while (fixture->n_received == 0 && is_open(fixture))
+		g_main_context_iteration(NULL, TRUE);
+	while (g_main_context_iteration(NULL, FALSE))
+		continue;
+}
+
+static void
+a_held_lease_sends_once(void **state)
+{
+	struct fixture *fixture = *state;
+
+	model_send_order(&fixture->orders, &fixture->order);
+	run_until_sent(fixture);
+	assert_int_equal(fixture->n_received, 1);
+	assert_int_equal(fixture->orders.n_sent, 1);
+	assert_int_equal(audited(fixture), 1);
+	assert_true(is_open(fixture));
+}
+
+/// The process sleeps past its lease between the decision and the send.
+static void
+a_pause_past_the_lease_sends_nothing(void **state)
+{
+	struct fixture *fixture = *state;
+
+	model_send_order(&fixture->orders, &fixture->order);
+	g_usleep((gulong)(TERM + USEC_PER_MSEC));
+	run_until_sent(fixture);
+	assert_int_equal(fixture->n_received, 0);
+	assert_int_equal(fixture->orders.n_sent, 0);
+	assert_int_equal(audited(fixture), 0);
+	assert_false(is_open(fixture));
+}
+
+/// Other reasons for which an order may not leave any more; each arises after
+/// the order was handed to the session.
+static void
+leaving_doubt_or_a_newer_bundle_sends_nothing(void **state)
+{
+	struct fixture *fixture = *state;
+	struct instance *instance = &fixture->instance;
+
+	for (int reason = 0; reason < 4; reason++) {
+		model_send_order(&fixture->orders, &fixture->order);
+		if (reason == 0)
+			instance->draining = true;
+		else if (reason == 1)
+			instance->authority.valid_until = 0;
+		else if (reason == 2)
+			quorum_release(instance->quorum, g_get_monotonic_time(),
+			    fixture->orders.ticket);
+		else
+			follow_bundle(fixture, 2);
+		run_until_sent(fixture);
+		assert_int_equal(fixture->n_received, 0);
+		assert_int_equal(fixture->orders.n_sent, 0);
+		instance->draining = false;
+		instance->authority.valid_until = USEC_NEVER;
+		if (reason == 2) {
+			quorum_free(instance->quorum);
+			win_lease(fixture);
+		}
+		if (reason < 3)
+			decide(fixture);
+	}
+}
+
+static void
+an_old_fence_is_counted_and_audited(void **state)
+{
+	struct fixture *fixture = *state;
+
+	fixture->status = SOUP_STATUS_CONFLICT;
+	model_send_order(&fixture->orders, &fixture->order);
+	while (is_open(fixture))
+		g_main_context_iteration(NULL, TRUE);
+	assert_int_equal(fixture->n_received, 1);
+	assert_int_equal(fixture->orders.n_stale, 1);
+	assert_true(fixture->orders.old_fence);
+	assert_int_equal(audited(fixture), 2);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		a_held_lease_sends_once, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_pause_past_the_lease_sends_nothing, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		leaving_doubt_or_a_newer_bundle_sends_nothing, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		an_old_fence_is_counted_and_audited, setup, teardown),
+	};
+
+	if (!log_open("model_send_test", LOG_LEVEL_ERROR))
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
