Model orders: test of a limited weight store

Cause: what a 429 with Retry-After does was tested in the plan only. Ruled out: a scripted run at a low rate, as whether it is limited hangs on the machine's speed. Change: a probe over a real connection: its path, its range of one byte, and no further probe before the time that the store named.

--- a/test/unit/model_send_test.c
+++ b/test/unit/model_send_test.c
@@ -23,6 +23,7 @@
 	struct bundle bundle;
 	SoupServer *server;
 	unsigned n_received;
+	char probed[64]; /// path and range of the last read of weights
 	unsigned status;
 	struct bundle_upstream upstream;
 	struct model_order order;
@@ -41,6 +42,24 @@
 	soup_server_message_set_status(message, fixture->status, NULL);
 }
 
+static void
+on_weights(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer data)
+{
+	struct fixture *fixture = data;
+	const char *range = soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(message), "Range");
+
+	(void)server;
+	(void)query;
+	g_snprintf(fixture->probed, sizeof(fixture->probed), "%s %s", path,
+	    range == NULL ? "whole" : range);
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(message), "Retry-After",
+	    "7");
+	soup_server_message_set_status(message, 429, NULL);
+}
+
 /// A fleet of one, so that the lease is granted by itself.
 static void
 win_lease(struct fixture *fixture)
@@ -88,6 +107,8 @@
 	fixture->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(
 	    fixture->server, "/orders", on_order, fixture, NULL);
+	soup_server_add_handler(
+	    fixture->server, "/weights", on_weights, fixture, NULL);
 	assert_true(soup_server_listen_local(
 	    fixture->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
 	uris = soup_server_get_uris(fixture->server);
@@ -311,6 +332,47 @@
 	assert_int_equal(audited(fixture), 2);
 }
 
+static void
+on_unqueued(SoupSession *session, SoupMessage *message, gpointer data)
+{
+	bool *unqueued = data;
+
+	(void)session;
+	(void)message;
+	*unqueued = true;
+}
+
+/// A limited store is left alone until the time that it names, and is asked
+/// for one byte only.
+static void
+a_limited_store_holds_orders_back(void **state)
+{
+	struct fixture *fixture = *state;
+	struct model_plan *plan = fixture->orders.plan;
+	struct model_order order;
+	bool unqueued = false;
+	usec_t now;
+
+	g_signal_connect(fixture->instance.session, "request-unqueued",
+	    G_CALLBACK(on_unqueued), &unqueued);
+	model_plan_ended(plan, g_get_monotonic_time(), &fixture->order,
+	    MODEL_ORDER_NOT_SENT);
+	now = g_get_monotonic_time();
+	assert_int_equal(model_plan_next(plan, now, &order), MODEL_PLAN_PROBE);
+	fixture->settings.weights.ip = "127.0.0.1";
+	fixture->settings.weights.port = fixture->upstream.port;
+	model_send_probe(&fixture->orders, &order);
+	while (!unqueued)
+		g_main_context_iteration(NULL, TRUE);
+	assert_string_equal(fixture->probed, "/weights/m/2 bytes=0-0");
+	model_plan_renewed(plan, now + SETTLE);
+	assert_int_equal(
+	    model_plan_next(plan, now + 7 * USEC_PER_SEC - 1, &order),
+	    MODEL_PLAN_NONE);
+	assert_int_equal(
+	    model_plan_next(plan, now + SETTLE / 2, &order), MODEL_PLAN_PROBE);
+}
+
 int
 main(void)
 {
@@ -323,6 +385,8 @@
 		leaving_doubt_or_a_newer_bundle_sends_nothing, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		an_old_fence_is_counted_and_audited, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_limited_store_holds_orders_back, setup, teardown),
 	};
 
 	if (!log_open("model_send_test", LOG_LEVEL_ERROR))
