Model orders: scripted run of a holder that leaves

Cause: leaving by signal was not run with a lease held. Ruled out: none. Change: the holder gets SIGTERM; it must release the lease, end well, and another must bring every engine to the next version.

--- a/test/functional/model_orders.sh
+++ b/test/functional/model_orders.sh
@@ -167,3 +167,16 @@
 rising
 all_loaded 5 || fail "an engine left version 5"
 echo "holder paused in a roll-out and woken: version 5, no older order taken"
+
+left=$holder
+kill -TERM "${pid_of[$left]}"
+wait "${pid_of[$left]}" || fail "$left did not leave cleanly"
+grep -q "model_lease_ended.*how=released fence=$fence" "$workdir/$left.log" ||
+    fail "$left kept the lease"
+wait_for "another holder" new_holder
+[ "$holder" != "$left" ] || fail "the instance that left holds the lease"
+roll_out 6
+wait_for "version 6 everywhere" all_loaded 6
+once_each 6
+rising
+echo "holder left: lease released, version 6 by another holder"
