Fair queue: waits by each organisation's own pace of starts

Cause: at load 1.2 drafts of large organisations waited 70 to 120 s and were then refused (median 90 s): the wait was judged by the pace of all and the fair share, which small organisations and diagrams overtake. Ruled out: a margin on the old estimate (it refuses small organisations too). Change: the pace of starts is kept for each organisation and for all, in fairqueue itself; fairqueue_wait() replaces fairqueue_ahead(), its test covers the pace, the fair share and the fading in place of the count. Conclusion: sooner, yet a draft can still wait for a refusal; its share of diagrams to come is not foreseen.

--- a/src/godwitvale/core/fairqueue.c
+++ b/src/godwitvale/core/fairqueue.c
@@ -9,7 +9,26 @@
 /// Organisations compared by priority where their costs are even.
 #define EVEN_ORGANISATIONS_MAX 8
 
+/// Starts are counted at this grain, and forgotten over this time.
+#define MARK_SPAN (10 * USEC_PER_MSEC)
+#define FADE_SPAN (20.0 * USEC_PER_SEC)
+/// Backlogged time before a rate of starts is trusted, in seconds.
+#define BUSY_MIN 2.0
+/// Starts that a rate is worked out from at least.
+#define STARTS_MIN 0.5
+/// No wait is expected to be longer than this, in seconds.
+#define WAIT_MAX 86400.0
+
+/// How fast requests start while others wait. Both sums fade with time, so
+/// that a queue which refuses much finds out again how fast requests start.
+struct pace {
+	double busy; /// seconds with a backlog
+	double starts;
+	usec_t marked_at;
+};
+
 struct organisation {
+	struct pace pace;
 	uint32_t id;
 	uint32_t weight;
 	double spent;           /// cost of its starts by weight
@@ -33,6 +52,7 @@
 	GSequence *deadlines;      /// struct entry by deadline
 	double spent_floor;        /// what an idle organisation comes back with
 	uint64_t waiting_weight;
+	struct pace pace; /// of all organisations together
 };
 
 /// Orders entries by key, then by id.
@@ -89,6 +109,52 @@
 	return a->id < b->id ? -1 : a->id > b->id;
 }
 
+/// Accounts for the time since the last step.
+///
+/// @param pace  changed
+/// @param now   current time
+/// @param busy  whether requests waited
+static void
+mark_pace(struct pace *pace, usec_t now, bool busy)
+{
+	usec_t span = now - pace->marked_at;
+	double left = 1 - MIN((double)span / FADE_SPAN, 1);
+
+	if (span < MARK_SPAN)
+		return;
+	pace->marked_at = now;
+	if (busy)
+		pace->busy += (double)span / USEC_PER_SEC;
+	pace->busy *= left;
+	pace->starts *= left;
+}
+
+/// Accounts for the time since the last step, of one organisation and of all.
+///
+/// @param queue         the queue
+/// @param organisation  the organisation
+/// @param now           current time
+static void
+mark_both(
+    struct fairqueue *queue, struct organisation *organisation, usec_t now)
+{
+	mark_pace(&queue->pace, now, g_hash_table_size(queue->entries) > 0);
+	mark_pace(&organisation->pace, now, organisation->backlog != NULL);
+}
+
+/// Says how long a number of starts takes.
+///
+/// @param pace    how fast requests start
+/// @param starts  how many
+/// @return seconds; 0 when the pace isn't known
+static double
+pace_span(const struct pace *pace, double starts)
+{
+	if (pace->busy < BUSY_MIN)
+		return 0;
+	return starts * pace->busy / MAX(pace->starts, STARTS_MIN);
+}
+
 /// Frees an organisation.
 ///
 /// @param data  struct organisation
@@ -191,6 +257,7 @@
 	struct fairqueue *queue = g_new0(struct fairqueue, 1);
 
 	queue->options = *options;
+	queue->pace.marked_at = options->now;
 	queue->entries =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	queue->organisations = g_hash_table_new_full(
@@ -218,15 +285,18 @@
 /// Enters a request.
 ///
 /// @param queue  the queue
+/// @param now    current time
 /// @param item   the request; its id must not be waiting already
 void
-fairqueue_push(struct fairqueue *queue, const struct fairqueue_item *item)
+fairqueue_push(
+    struct fairqueue *queue, usec_t now, const struct fairqueue_item *item)
 {
 	struct organisation *organisation =
 	    organisation_of(queue, item->organisation);
 	struct entry *entry = g_new0(struct entry, 1);
 
 	g_assert(item->id != 0 && item->weight != 0);
+	mark_both(queue, organisation, now);
 	if (organisation->backlog == NULL) {
 		organisation->weight = item->weight;
 		enter_backlog(queue, organisation);
@@ -274,9 +344,10 @@
 /// Takes a request out because it starts, and charges its organisation.
 ///
 /// @param queue  the queue
+/// @param now    current time
 /// @param id     a waiting request
 void
-fairqueue_start(struct fairqueue *queue, uint32_t id)
+fairqueue_start(struct fairqueue *queue, usec_t now, uint32_t id)
 {
 	struct entry *entry =
 	    g_hash_table_lookup(queue->entries, GUINT_TO_POINTER(id));
@@ -284,6 +355,12 @@
 	double cost;
 
 	g_assert(entry != NULL);
+	mark_both(queue, entry->organisation, now);
+	if (g_hash_table_size(queue->entries) > 1 || entry->item.since < now)
+		queue->pace.starts += 1;
+	if (g_sequence_get_length(entry->organisation->items) > 1 ||
+	    entry->item.since < now)
+		entry->organisation->pace.starts += 1;
 	raise_floor(queue);
 	organisation = entry->item.organisation;
 	cost = entry->item.cost;
@@ -294,16 +371,18 @@
 /// Takes a request out that will not start.
 ///
 /// @param queue  the queue
+/// @param now    current time
 /// @param id     a request
 /// @return false when it wasn't waiting
 bool
-fairqueue_remove(struct fairqueue *queue, uint32_t id)
+fairqueue_remove(struct fairqueue *queue, usec_t now, uint32_t id)
 {
 	struct entry *entry =
 	    g_hash_table_lookup(queue->entries, GUINT_TO_POINTER(id));
 
 	if (entry == NULL)
 		return false;
+	mark_both(queue, entry->organisation, now);
 	drop(queue, entry);
 	return true;
 }
@@ -348,23 +427,36 @@
 	return record == NULL ? 0 : g_sequence_get_length(record->items);
 }
 
-/// Estimates how many requests start before this one.
+/// Estimates how long a request will wait: by the pace at which its own
+/// organisation's requests start, or where that isn't known, by the pace of
+/// all and its fair share.
 ///
 /// @param queue  the queue
+/// @param now    current time
 /// @param id     a waiting request
-/// @return starts ahead of it, of all organisations
-double
-fairqueue_ahead(const struct fairqueue *queue, uint32_t id)
+/// @return span; 0 when no pace is known yet
+usec_t
+fairqueue_wait(struct fairqueue *queue, usec_t now, uint32_t id)
 {
 	struct entry *entry =
 	    g_hash_table_lookup(queue->entries, GUINT_TO_POINTER(id));
-	double own;
-	double share;
+	struct organisation *organisation;
+	double ahead;
+	double all;
+	double wait;
 
 	g_assert(entry != NULL);
-	own = g_sequence_iter_get_position(entry->place);
-	share = (double)queue->waiting_weight / entry->organisation->weight;
-	return MIN(own * share, fairqueue_length(queue) - 1);
+	organisation = entry->organisation;
+	mark_both(queue, organisation, now);
+	ahead = g_sequence_iter_get_position(entry->place);
+	wait = pace_span(&organisation->pace, ahead);
+	if (organisation->pace.busy < BUSY_MIN) {
+		all = ahead * (double)queue->waiting_weight /
+		    organisation->weight;
+		all = MIN(all, fairqueue_length(queue) - 1);
+		wait = pace_span(&queue->pace, all);
+	}
+	return (usec_t)(MIN(wait, WAIT_MAX) * USEC_PER_SEC);
 }
 
 /// Names the requests whose deadlines come first.
--- a/src/godwitvale/core/fairqueue.h
+++ b/src/godwitvale/core/fairqueue.h
@@ -22,6 +22,7 @@
 };
 
 struct fairqueue_options {
+	usec_t now;         /// at the start
 	usec_t ageing_span; /// waiting this long is worth one priority
 	double slack;       /// organisations this close in cost count as even
 };
@@ -30,16 +31,17 @@
 
 struct fairqueue *fairqueue_new(const struct fairqueue_options *options);
 void fairqueue_free(struct fairqueue *queue);
-void fairqueue_push(struct fairqueue *queue, const struct fairqueue_item *item);
+void fairqueue_push(
+    struct fairqueue *queue, usec_t now, const struct fairqueue_item *item);
 uint32_t fairqueue_peek(const struct fairqueue *queue);
-void fairqueue_start(struct fairqueue *queue, uint32_t id);
-bool fairqueue_remove(struct fairqueue *queue, uint32_t id);
+void fairqueue_start(struct fairqueue *queue, usec_t now, uint32_t id);
+bool fairqueue_remove(struct fairqueue *queue, usec_t now, uint32_t id);
 void fairqueue_charge(
     struct fairqueue *queue, uint32_t organisation, double cost);
 unsigned fairqueue_length(const struct fairqueue *queue);
 unsigned fairqueue_organisation_length(
     const struct fairqueue *queue, uint32_t organisation);
-double fairqueue_ahead(const struct fairqueue *queue, uint32_t id);
+usec_t fairqueue_wait(struct fairqueue *queue, usec_t now, uint32_t id);
 unsigned fairqueue_earliest(const struct fairqueue *queue, unsigned n,
     uint32_t ids[], usec_t deadlines[]);
 
--- a/src/godwitvale/core/router_queue.c
+++ b/src/godwitvale/core/router_queue.c
@@ -6,56 +6,12 @@
 
 /// Requests with the earliest deadlines that are looked at in one step.
 #define DEADLINES_LOOKED_AT 16
-/// Starts are counted at this grain, and forgotten over this time.
-#define MARK_SPAN (10 * USEC_PER_MSEC)
-#define FADE_SPAN (20.0 * USEC_PER_SEC)
-/// Backlogged time before the start rate is trusted, in seconds.
-#define BACKLOG_TIME_MIN 2.0
 /// A request is refused when this share of its expected wait is too long.
 #define WAIT_MARGIN 0.8
 /// A refused caller comes back no sooner than this, plus jitter.
 #define COME_BACK_MIN USEC_PER_SEC
 #define COME_BACK_MAX (60 * USEC_PER_SEC)
 
-/// Accounts for the time since the last step. What was counted fades with
-/// time, so that a router that refuses much finds out again how fast requests
-/// start.
-///
-/// @param router   the router
-/// @param service  the service
-static void
-mark_backlog(struct router *router, struct service *service)
-{
-	usec_t span = router->now - service->marked_at;
-
-	if (span < MARK_SPAN)
-		return;
-	service->marked_at = router->now;
-	if (fairqueue_length(service->queue) > 0)
-		service->backlog_time += (double)span / USEC_PER_SEC;
-	service->backlog_time *= 1 - MIN((double)span / FADE_SPAN, 1);
-	service->starts *= 1 - MIN((double)span / FADE_SPAN, 1);
-}
-
-/// Estimates how long a request will wait.
-///
-/// @param service  its service
-/// @param id       a waiting request
-/// @return span; 0 while the service's start rate isn't known
-static usec_t
-expected_wait(const struct service *service, uint32_t id)
-{
-	double rate;
-	double wait;
-
-	if (service->backlog_time < BACKLOG_TIME_MIN)
-		return 0;
-	rate = MAX(service->starts, 0.5) / service->backlog_time;
-	rate = MAX(rate, service->slow_rate);
-	wait = fairqueue_ahead(service->queue, id) / rate;
-	return (usec_t)(MIN(wait, 86400.0) * USEC_PER_SEC);
-}
-
 /// Orders delayed requests by their next try.
 ///
 /// @param left    struct request
@@ -93,7 +49,8 @@
 {
 	router_unplace_request(router, request);
 	if (request->state == REQUEST_QUEUED)
-		fairqueue_remove(request->service->queue, request->handle);
+		fairqueue_remove(
+		    request->service->queue, router->now, request->handle);
 	if (request->delayed != NULL)
 		g_sequence_remove(request->delayed);
 	handle_table_remove(router->requests, request->handle);
@@ -115,8 +72,9 @@
 	usec_t wait = COME_BACK_MIN;
 
 	if (request->state == REQUEST_QUEUED)
-		wait =
-		    MAX(wait, expected_wait(request->service, request->handle));
+		wait = MAX(wait,
+		    fairqueue_wait(
+			request->service->queue, router->now, request->handle));
 	wait = MIN(wait, COME_BACK_MAX);
 	wait += (usec_t)(wait * 0.25 * g_rand_double(router->options.random));
 	action.retry_at = router->now + wait;
@@ -140,13 +98,12 @@
 	    .deadline = options->start_deadline,
 	    .cost = 1};
 
-	mark_backlog(router, request->service);
 	if (request->service->kind == UPSTREAM_ENGINE)
 		item.cost =
 		    options->prompt_tokens + estimate_mean(request->series, 0);
 	request->charged = item.cost;
 	request->state = REQUEST_QUEUED;
-	fairqueue_push(request->service->queue, &item);
+	fairqueue_push(request->service->queue, router->now, &item);
 }
 
 /// Lets a request wait before its next try.
@@ -190,7 +147,6 @@
 void
 router_dispatch(struct router *router, struct service *service)
 {
-	mark_backlog(router, service);
 	while (fairqueue_length(service->queue) > 0) {
 		struct request *request = handle_table_get(
 		    router->requests, fairqueue_peek(service->queue));
@@ -198,10 +154,7 @@
 
 		if (upstream == NULL)
 			break;
-		if (fairqueue_length(service->queue) > 1 ||
-		    request->since < router->now)
-			service->starts += 1;
-		fairqueue_start(service->queue, request->handle);
+		fairqueue_start(service->queue, router->now, request->handle);
 		router_place_request(router, request, upstream);
 	}
 	if (fairqueue_length(service->queue) == 0)
@@ -235,7 +188,8 @@
 	usec_t wait;
 
 	if (deadline > router->now) {
-		wait = expected_wait(request->service, request->handle);
+		wait = fairqueue_wait(
+		    request->service->queue, router->now, request->handle);
 		if (deadline - router->now >= (usec_t)(wait * WAIT_MARGIN))
 			return false;
 	}
@@ -254,7 +208,6 @@
 	unsigned n =
 	    fairqueue_earliest(service->queue, DEADLINES_LOOKED_AT, ids, NULL);
 
-	mark_backlog(router, service);
 	for (unsigned i = 0; i < n; i++) {
 		struct request *request =
 		    handle_table_get(router->requests, ids[i]);
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -187,8 +187,7 @@
 	found->n_in_use++;
 	request->has_slot = true;
 	request->slot = slot;
-	found->service->starts += 1;
-	fairqueue_start(found->service->queue, request->handle);
+	fairqueue_start(found->service->queue, now, request->handle);
 	router_place_request(router, request, found);
 	router_dispatch(router, found->service);
 }
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -64,12 +64,7 @@
 	struct memory_profile growth;   /// tokens added, by any request
 	struct memory_profile newcomer; /// memory of a request just sent
 	double send_rate;               /// own sends a second
-	double slow_rate;               /// the same over a longer time
 	double sends;                   /// since the rate was worked out
-
-	usec_t marked_at;    /// backlog is accounted for until then
-	double backlog_time; /// seconds with a backlog, decaying
-	double starts;       /// starts in that time, decaying
 };
 
 struct upstream {
--- a/src/godwitvale/core/router_survey.c
+++ b/src/godwitvale/core/router_survey.c
@@ -10,8 +10,6 @@
 
 /// The rate of sends moves by this share at each survey.
 #define SURVEY_SHARE 0.3
-/// The same over a longer time.
-#define SLOW_SHARE 0.02
 /// What a submitted request counts after the next one.
 #define CLASS_FADE 0.998
 /// Ages are summed over in steps of this share, and at least of this many
@@ -136,7 +134,6 @@
 
 	if (span > 0) {
 		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
-		blend(&service->slow_rate, service->sends / span, SLOW_SHARE);
 	}
 	service->sends = 0;
 	if (service->kind != UPSTREAM_ENGINE)
--- a/src/godwitvale/core/router_upstream.c
+++ b/src/godwitvale/core/router_upstream.c
@@ -25,7 +25,7 @@
 	struct estimate_key all = {.organisation = ESTIMATE_ALL,
 	    .service = id,
 	    .class_id = ESTIMATE_ALL};
-	struct fairqueue_options options = {
+	struct fairqueue_options options = {.now = router->now,
 	    .ageing_span = router->options.ageing_span,
 	    .slack = kind == UPSTREAM_ENGINE ? ENGINE_SLACK : SERVICE_SLACK};
 
@@ -35,7 +35,6 @@
 	service->all = g_ptr_array_new();
 	service->considered = g_ptr_array_new();
 	service->by_pressure = g_sequence_new(NULL);
-	service->marked_at = router->now;
 	service->mean_prompt = FIRST_PROMPT;
 	service->series = estimate_series_of(router->estimate, &all);
 	router_survey(router, service);
--- a/test/unit/fairqueue_test.c
+++ b/test/unit/fairqueue_test.c
@@ -31,7 +31,7 @@
 	    .deadline = since + 60 * USEC_PER_SEC - id,
 	    .cost = 1};
 
-	fairqueue_push(queue, &item);
+	fairqueue_push(queue, since, &item);
 }
 
 static uint32_t
@@ -40,7 +40,7 @@
 	uint32_t id = fairqueue_peek(queue);
 
 	if (id != 0)
-		fairqueue_start(queue, id);
+		fairqueue_start(queue, 0, id);
 	return id;
 }
 
@@ -118,7 +118,7 @@
 }
 
 static void
-counts_ahead_and_orders_deadlines(void **state)
+counts_and_orders_deadlines(void **state)
 {
 	struct fairqueue *queue = queue_new();
 	uint32_t ids[2];
@@ -127,21 +127,45 @@
 	(void)state;
 	for (uint32_t i = 1; i <= 10; i++)
 		push(queue, i, 1, 0, i);
-	assert_int_equal((int)fairqueue_ahead(queue, 4), 3);
 	push(queue, 20, 2, 0, 0);
-	assert_int_equal((int)fairqueue_ahead(queue, 4), 9);
-	assert_int_equal((int)fairqueue_ahead(queue, 20), 0);
 	assert_int_equal(fairqueue_earliest(queue, 2, ids, deadlines), 2);
 	assert_int_equal(ids[0], 20);
 	assert_true(deadlines[0] <= deadlines[1]);
 	assert_int_equal(fairqueue_length(queue), 11);
 	assert_int_equal(fairqueue_organisation_length(queue, 1), 10);
-	assert_true(fairqueue_remove(queue, 20));
-	assert_false(fairqueue_remove(queue, 20));
+	assert_true(fairqueue_remove(queue, 0, 20));
+	assert_false(fairqueue_remove(queue, 0, 20));
 	assert_int_equal(fairqueue_organisation_length(queue, 2), 0);
 	fairqueue_free(queue);
 }
 
+static void
+expects_waits_by_the_pace_of_starts(void **state)
+{
+	struct fairqueue *queue = queue_new();
+	usec_t now = 0;
+
+	(void)state;
+	for (uint32_t i = 1; i <= 60; i++)
+		push(queue, i, 1, 0, i);
+	assert_int_equal(fairqueue_wait(queue, now, 60), 0);
+	for (uint32_t i = 1; i <= 20; i++) {
+		now += USEC_PER_SEC / 2;
+		fairqueue_start(queue, now, i);
+	}
+	assert_in_range(fairqueue_wait(queue, now, 60), 18 * USEC_PER_SEC,
+	    21 * USEC_PER_SEC);
+	assert_int_equal(fairqueue_wait(queue, now, 21), 0);
+	push(queue, 100, 1, 3, now);
+	assert_int_equal(fairqueue_wait(queue, now, 100), 0);
+	push(queue, 200, 2, 0, now);
+	push(queue, 201, 2, 0, now);
+	assert_in_range(fairqueue_wait(queue, now, 201), USEC_PER_SEC / 2,
+	    2 * USEC_PER_SEC);
+	assert_int_equal(fairqueue_wait(queue, now + 60 * USEC_PER_SEC, 60), 0);
+	fairqueue_free(queue);
+}
+
 int
 main(void)
 {
@@ -150,7 +174,8 @@
 	    cmocka_unit_test(ageing_keeps_low_priority_from_starving),
 	    cmocka_unit_test(shares_by_weight),
 	    cmocka_unit_test(idle_time_earns_no_credit),
-	    cmocka_unit_test(counts_ahead_and_orders_deadlines),
+	    cmocka_unit_test(expects_waits_by_the_pace_of_starts),
+	    cmocka_unit_test(counts_and_orders_deadlines),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
