Router: one look-up of a prompt's prefix, a picture of running requests every 2 s

Change: prefix_find() looks a prompt up once; the survey's picture lasts 2 s and baselines skip it; the built-in tail is worked out once; router_fits() gives the pressure too. Tests for failures met before: an instance with leftovers (fails with others judged by own ages), a silent upstream beside one that reports, turns at scarce room, an engine filled to max_running.

--- a/src/godwitvale/core/estimate.c
+++ b/src/godwitvale/core/estimate.c
@@ -21,7 +21,8 @@
 #define REFRESH_SHARE 0.02
 
 struct estimate_series {
-	struct estimate_series *prior; /// wider series; NULL at the root
+	struct estimate_series *prior; /// wider series; NULL at the built-in
+	double prior_weight;
 	double count[N_BUCKETS];
 	double total;
 	double fresh;               /// weight added since the last refresh
@@ -33,6 +34,7 @@
 struct estimate {
 	GHashTable *series; /// struct estimate_key -> struct estimate_series
 	struct estimate_series root;
+	struct estimate_series builtin; /// only its tail is used
 };
 
 /// Hashes a key for the table.
@@ -129,17 +131,15 @@
 static void
 refresh(struct estimate_series *series)
 {
-	double prior_weight = series->prior ? PRIOR_WEIGHT : ROOT_WEIGHT;
-	double all = series->total + prior_weight;
+	double weight = series->prior_weight;
+	double all = series->total + weight;
 	double above = 0;
 
 	series->tail[N_BUCKETS] = 0;
 	for (int i = N_BUCKETS - 1; i >= 0; i--) {
-		double prior =
-		    series->prior ? series->prior->tail[i] : first_tail(i);
-
 		above += series->count[i];
-		series->tail[i] = (above + prior_weight * prior) / all;
+		series->tail[i] =
+		    (above + weight * series->prior->tail[i]) / all;
 	}
 	series->beyond[N_BUCKETS] = 0;
 	for (int i = N_BUCKETS - 1; i >= 0; i--) {
@@ -182,6 +182,7 @@
 		return series;
 	series = g_new0(struct estimate_series, 1);
 	series->prior = prior;
+	series->prior_weight = PRIOR_WEIGHT;
 	refresh(series);
 	g_hash_table_insert(
 	    estimate->series, g_memdup2(key, sizeof(*key)), series);
@@ -198,6 +199,10 @@
 
 	estimate->series =
 	    g_hash_table_new_full(key_hash, key_equal, g_free, g_free);
+	for (int i = 0; i < N_BUCKETS; i++)
+		estimate->builtin.tail[i] = first_tail(i);
+	estimate->root.prior = &estimate->builtin;
+	estimate->root.prior_weight = ROOT_WEIGHT;
 	refresh(&estimate->root);
 	return estimate;
 }
@@ -243,8 +248,9 @@
 {
 	int bucket = bucket_of(tokens);
 
-	if (series->prior != NULL)
-		estimate_add(series->prior, tokens);
+	if (series->prior == NULL)
+		return;
+	estimate_add(series->prior, tokens);
 	if (series->total >= WEIGHT_MAX) {
 		for (int i = 0; i < N_BUCKETS; i++)
 			series->count[i] /= 2;
--- a/src/godwitvale/core/prefix.c
+++ b/src/godwitvale/core/prefix.c
@@ -22,7 +22,7 @@
 	bool stored;
 };
 
-struct block {
+struct prefix_block {
 	struct holder holders[PREFIX_HOLDERS_MAX];
 };
 
@@ -37,7 +37,7 @@
 /// the old one still holds is dropped unless it was used since.
 struct prefix {
 	uint32_t max_blocks;
-	GHashTable *young; /// block hash -> struct block
+	GHashTable *young; /// block hash -> struct prefix_block
 	GHashTable *old;
 	GHashTable *feeds; /// upstream -> struct feed
 };
@@ -58,10 +58,10 @@
 /// @param hash    the block
 /// @param make    make it where it isn't there
 /// @return the block or NULL
-static struct block *
+static struct prefix_block *
 find_block(struct prefix *prefix, uint64_t hash, bool make)
 {
-	struct block *block = g_hash_table_lookup(prefix->young, &hash);
+	struct prefix_block *block = g_hash_table_lookup(prefix->young, &hash);
 	gpointer key;
 	gpointer value;
 
@@ -78,7 +78,7 @@
 		prefix->old = prefix->young;
 		prefix->young = blocks_new();
 	}
-	block = g_new0(struct block, 1);
+	block = g_new0(struct prefix_block, 1);
 	g_hash_table_insert(
 	    prefix->young, g_memdup2(&hash, sizeof(hash)), block);
 	return block;
@@ -130,7 +130,7 @@
 /// @param upstream  the upstream
 /// @return a record; its upstream differs when it is to be replaced
 static struct holder *
-holder_of(struct block *block, uint32_t upstream)
+holder_of(struct prefix_block *block, uint32_t upstream)
 {
 	struct holder *oldest = &block->holders[0];
 
@@ -192,7 +192,7 @@
     uint64_t sequence, uint64_t block, bool stored)
 {
 	struct feed *feed = feed_of(prefix, upstream);
-	struct block *found;
+	struct prefix_block *found;
 	struct holder *holder;
 
 	if (sequence > feed->last_sequence + 1 && feed->last_sequence != 0) {
@@ -257,22 +257,44 @@
 	feed->last_sequence = 0;
 }
 
+/// Looks the blocks of a prompt up, to be matched with several upstreams.
+///
+/// @param prefix    the view
+/// @param blocks    chained block hashes of the prompt
+/// @param n_blocks  how many
+/// @param query     filled in
+void
+prefix_find(struct prefix *prefix, const uint64_t *blocks, unsigned n_blocks,
+    struct prefix_query *query)
+{
+	query->n_blocks = 0;
+	for (unsigned i = 0; i < MIN(n_blocks, PREFIX_BLOCKS_MAX); i++) {
+		query->blocks[i] = find_block(prefix, blocks[i], false);
+		if (query->blocks[i] == NULL)
+			return;
+		query->n_blocks++;
+	}
+}
+
 /// Names the upstreams that may hold a block.
 ///
 /// @param prefix     the view
 /// @param now        current time
-/// @param block      block hash
+/// @param query      a prompt's blocks
+/// @param block      which of them; an unknown one has no holders
 /// @param upstreams  filled in
 /// @return how many were filled in
 unsigned
-prefix_holders(struct prefix *prefix, usec_t now, uint64_t block,
+prefix_holders(struct prefix *prefix, usec_t now,
+    const struct prefix_query *query, unsigned block,
     uint32_t upstreams[PREFIX_HOLDERS_MAX])
 {
-	struct block *found = find_block(prefix, block, false);
 	unsigned n = 0;
 
-	for (int i = 0; found != NULL && i < PREFIX_HOLDERS_MAX; i++) {
-		const struct holder *holder = &found->holders[i];
+	if (block >= query->n_blocks)
+		return 0;
+	for (int i = 0; i < PREFIX_HOLDERS_MAX; i++) {
+		const struct holder *holder = &query->blocks[block]->holders[i];
 
 		if (holder->upstream != 0 &&
 		    trust(feed_of(prefix, holder->upstream), now, holder) > 0)
@@ -285,27 +307,25 @@
 ///
 /// @param prefix    the view
 /// @param now       current time
+/// @param query     the prompt's blocks
 /// @param upstream  the upstream
-/// @param blocks    chained block hashes of the prompt
-/// @param n_blocks  how many
 /// @return expected number of blocks
 double
-prefix_match(struct prefix *prefix, usec_t now, uint32_t upstream,
-    const uint64_t *blocks, unsigned n_blocks)
+prefix_match(struct prefix *prefix, usec_t now,
+    const struct prefix_query *query, uint32_t upstream)
 {
-	const struct feed *feed = feed_of(prefix, upstream);
+	const struct feed *feed = NULL;
 	double expected = 0;
 	double chain = 1;
 
-	for (unsigned i = 0; i < n_blocks && chain > 0; i++) {
-		struct block *found = find_block(prefix, blocks[i], false);
-		struct holder *holder;
+	for (unsigned i = 0; i < query->n_blocks && chain > 0; i++) {
+		const struct holder *holder =
+		    holder_of(query->blocks[i], upstream);
 
-		if (found == NULL)
-			break;
-		holder = holder_of(found, upstream);
 		if (holder->upstream != upstream)
 			break;
+		if (feed == NULL)
+			feed = feed_of(prefix, upstream);
 		chain = MIN(chain, trust(feed, now, holder));
 		expected += chain;
 	}
--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -180,6 +180,8 @@
 {
 	double both = options->stall_weight + options->zone_weight;
 
+	if (options->policy == ROUTER_POLICY_MEMORY_MEAN)
+		return 0;
 	if (both <= 0)
 		return SPREAD_EVEN;
 	return SPREAD_EVEN +
--- a/src/godwitvale/core/router_defs.h
+++ b/src/godwitvale/core/router_defs.h
@@ -102,6 +102,8 @@
 	ROUTER_POLICY_MEMORY = 0,        /// the product's policy
 	ROUTER_POLICY_ROUND_ROBIN,       /// baseline: next in turn, no queue
 	ROUTER_POLICY_LEAST_OUTSTANDING, /// baseline: fewest of our own
+	ROUTER_POLICY_MEMORY_MEAN, /// earlier: expected memory alone, without
+				   /// its spread, turns or waiting time
 };
 
 /// How a router is built. Weights come from the bundle.
--- a/src/godwitvale/core/router_place.c
+++ b/src/godwitvale/core/router_place.c
@@ -18,8 +18,10 @@
 /// The mean memory of what is sent moves by this share at each send.
 #define NEWCOMER_SHARE 0.05
 
-/// The best upstream found so far.
+/// What a request is chosen for, and the best upstream found so far.
 struct choice {
+	const struct request *request;
+	struct prefix_query prefix;
 	struct upstream *upstream;
 	double score;
 };
@@ -79,20 +81,21 @@
 ///
 /// @param router    the router
 /// @param upstream  the upstream
-/// @param request   the request
+/// @param choice    what it is for
 /// @return worth in units of pressure
 static double
 prefix_worth(struct router *router, const struct upstream *upstream,
-    const struct request *request)
+    const struct choice *choice)
 {
-	const struct router_request_options *options = &request->options;
+	const struct router_request_options *options =
+	    &choice->request->options;
 	double share;
 	double worth;
 
-	if (router->options.prefix_weight <= 0 || options->n_prefix == 0)
+	if (choice->prefix.n_blocks == 0)
 		return 0;
-	share = prefix_match(router->prefix, router->now, upstream->handle,
-		    options->prefix, options->n_prefix) /
+	share = prefix_match(router->prefix, router->now, &choice->prefix,
+		    upstream->handle) /
 	    options->n_prefix;
 	worth = router->options.prefix_weight * share * options->prompt_tokens /
 	    (double)upstream->options.memory_tokens;
@@ -102,53 +105,45 @@
 /// Weighs one upstream for a request.
 ///
 /// @param router    the router
-/// @param request   the request
 /// @param upstream  the upstream
-/// @param best      changed when this one is better
+/// @param choice    changed when this one is better
 static void
-weigh(struct router *router, const struct request *request,
-    struct upstream *upstream, struct choice *best)
+weigh(struct router *router, struct upstream *upstream, struct choice *choice)
 {
 	double score;
 
-	if (!upstream->considered || !upstream->in_service ||
-	    !bears_more(router, upstream) ||
-	    !router_fits(router, upstream, request))
+	if (!upstream->considered || !bears_more(router, upstream) ||
+	    !router_fits(router, upstream, choice->request, &score))
 		return;
-	score = router_pressure(router, upstream, request) -
-	    prefix_worth(router, upstream, request);
-	if (upstream->options.kind == UPSTREAM_ENGINE)
+	score -= prefix_worth(router, upstream, choice);
+	if (upstream->options.kind == UPSTREAM_ENGINE &&
+	    router->options.policy != ROUTER_POLICY_MEMORY_MEAN)
 		score += INTERRUPTED_WEIGHT *
 		    (upstream->others + upstream->own.length);
-	if (best->upstream != NULL && score >= best->score)
+	if (choice->upstream != NULL && score >= choice->score)
 		return;
-	best->upstream = upstream;
-	best->score = score;
+	choice->upstream = upstream;
+	choice->score = score;
 }
 
-/// Weighs the upstreams that hold the start of a request's prefix.
+/// Weighs the upstreams that hold a request's prefix about half way.
 ///
-/// @param router   the router
-/// @param request  the request
-/// @param best     changed when one is better
+/// @param router  the router
+/// @param choice  changed when one is better
 static void
-weigh_holders(
-    struct router *router, const struct request *request, struct choice *best)
+weigh_holders(struct router *router, struct choice *choice)
 {
 	uint32_t holders[PREFIX_HOLDERS_MAX];
-	unsigned n_prefix = request->options.n_prefix;
-	unsigned n;
+	unsigned n = prefix_holders(router->prefix, router->now,
+	    &choice->prefix, choice->prefix.n_blocks / 2, holders);
 
-	if (router->options.prefix_weight <= 0 || n_prefix == 0)
-		return;
-	n = prefix_holders(router->prefix, router->now,
-	    request->options.prefix[n_prefix / 2], holders);
 	for (unsigned i = 0; i < n; i++) {
 		struct upstream *upstream =
 		    handle_table_get(router->upstreams, holders[i]);
 
-		if (upstream != NULL && upstream->service == request->service)
-			weigh(router, request, upstream, best);
+		if (upstream != NULL &&
+		    upstream->service == choice->request->service)
+			weigh(router, upstream, choice);
 	}
 }
 
@@ -158,29 +153,32 @@
 /// @param request  the request
 /// @return the upstream, or NULL when none bears it now
 static struct upstream *
-choose_by_memory(struct router *router, struct request *request)
+choose_by_memory(struct router *router, const struct request *request)
 {
 	GPtrArray *considered = request->service->considered;
-	struct choice best = {NULL, 0};
+	struct choice choice = {.request = request};
 	GSequenceIter *iter;
 
+	if (router->options.prefix_weight > 0)
+		prefix_find(router->prefix, request->options.prefix,
+		    request->options.n_prefix, &choice.prefix);
 	for (int i = 0; i < RANDOM_CHOICES; i++) {
 		gint32 at = g_rand_int_range(
 		    router->options.random, 0, (gint32)considered->len);
 
-		weigh(router, request, considered->pdata[at], &best);
+		weigh(router, considered->pdata[at], &choice);
 	}
-	weigh_holders(router, request, &best);
-	if (best.upstream != NULL)
-		return best.upstream;
+	weigh_holders(router, &choice);
+	if (choice.upstream != NULL)
+		return choice.upstream;
 	iter = g_sequence_get_begin_iter(request->service->by_pressure);
 	for (int i = 0; i < ORDERED_CHOICES; i++) {
 		if (g_sequence_iter_is_end(iter))
 			break;
-		weigh(router, request, g_sequence_get(iter), &best);
+		weigh(router, g_sequence_get(iter), &choice);
 		iter = g_sequence_iter_next(iter);
 	}
-	return best.upstream;
+	return choice.upstream;
 }
 
 /// Chooses the upstream with the fewest requests of our own.
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -191,7 +191,8 @@
 	double count = count_pressure(router, upstream, extra != NULL);
 	double unseen;
 
-	if (upstream->options.kind != UPSTREAM_ENGINE)
+	if (upstream->options.kind != UPSTREAM_ENGINE ||
+	    !router_projects(router))
 		return count;
 	unseen = newcomers(router, upstream);
 	return MAX(count, engine_pressure(router, upstream, unseen, extra));
@@ -235,26 +236,26 @@
 /// @param router    the router
 /// @param upstream  the upstream
 /// @param request   the request, with its profile
+/// @param pressure  filled in: as router_pressure() with the request
 /// @return whether it fits
 bool
 router_fits(const struct router *router, const struct upstream *upstream,
-    const struct request *request)
+    const struct request *request, double *pressure)
 {
-	double reserve = reserve_for(router, request);
-	double unseen;
-	bool idle;
+	double memory;
 
+	*pressure = count_pressure(router, upstream, 1);
 	if (upstream->options.kind != UPSTREAM_ENGINE)
 		return upstream->own.length < call_limit(router, upstream);
-	if (count_pressure(router, upstream, 1) > 1)
+	if (*pressure > 1)
 		return false;
-	idle = upstream->own.length == 0 && upstream->others < 1;
-	if (idle)
+	memory = engine_pressure(
+	    router, upstream, newcomers(router, upstream), request);
+	*pressure = MAX(*pressure, memory);
+	if (upstream->own.length == 0 && upstream->others < 1)
 		return request->memory.at[0] <=
 		    (double)upstream->options.memory_tokens;
-	unseen = newcomers(router, upstream);
-	return engine_pressure(router, upstream, unseen, request) <=
-	    1 - reserve;
+	return memory <= 1 - reserve_for(router, request);
 }
 
 /// Forgets when an upstream started, as after a restart.
@@ -347,8 +348,11 @@
 	    MAX((double)report->used_tokens - own_tokens, 0);
 	if (upstream->others == 0)
 		upstream->others_tokens = 0;
+	if (!router_projects(router))
+		return;
 	router_update_own(upstream);
-	if (upstream->options.kind == UPSTREAM_ENGINE)
+	if (upstream->options.kind == UPSTREAM_ENGINE &&
+	    router->options.policy != ROUTER_POLICY_MEMORY_MEAN)
 		upstream->contention =
 		    CLAMP((engine_pressure(router, upstream, 0, NULL) -
 			      CONTENTION_FROM) /
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -87,6 +87,7 @@
 	struct request *head =
 	    handle_table_get(router->requests, fairqueue_peek(service->queue));
 	bool reported = any_reports(service);
+	double pressure;
 	guint start;
 
 	if (!router->options.use_slots || considered->len == 0 || !head)
@@ -102,7 +103,7 @@
 			return;
 		if ((reported && !upstream->warmup.known) ||
 		    !warmup_is_cold(&upstream->warmup, router->now) ||
-		    !router_fits(router, upstream, head) ||
+		    !router_fits(router, upstream, head, &pressure) ||
 		    !find_slot(router, upstream, &slot))
 			continue;
 		upstream->slots[slot].state = SLOT_ASKED;
@@ -164,6 +165,7 @@
 	struct upstream *found = handle_table_get(router->upstreams, upstream);
 	struct request *request;
 	bool usable;
+	double pressure;
 
 	router->now = now;
 	if (!end_question(found, slot, now + NO_ROOM_SPAN)) {
@@ -176,7 +178,7 @@
 	    slot < warmup_limit(&found->warmup, now);
 	if (usable) {
 		router_profile_request(request, &request->memory);
-		usable = router_fits(router, found, request);
+		usable = router_fits(router, found, request, &pressure);
 	}
 	if (!usable) {
 		push_slot(router, ROUTER_ACTION_SLOT_DONE, upstream, slot);
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -63,8 +63,9 @@
 	struct memory_profile keep;     /// share of tokens kept, of any request
 	struct memory_profile growth;   /// tokens added, by any request
 	struct memory_profile newcomer; /// memory of a request just sent
-	double send_rate;               /// own sends a second
-	double sends;                   /// since the rate was worked out
+	usec_t population_at; /// when to look at the running ones again
+	double send_rate;     /// own sends a second
+	double sends;         /// since the rate was worked out
 };
 
 struct upstream {
@@ -149,6 +150,17 @@
 	usec_t surveyed_at;
 };
 
+/// Says whether the policy projects memory at all; the baselines don't.
+///
+/// @param router  the router
+/// @return whether it does
+static inline bool
+router_projects(const struct router *router)
+{
+	return router->options.policy == ROUTER_POLICY_MEMORY ||
+	    router->options.policy == ROUTER_POLICY_MEMORY_MEAN;
+}
+
 /* router_pressure.c */
 void router_profile_request(
     const struct request *request, struct memory_profile *memory);
@@ -157,7 +169,7 @@
 double router_pressure(const struct router *router,
     const struct upstream *upstream, const struct request *extra);
 bool router_fits(const struct router *router, const struct upstream *upstream,
-    const struct request *request);
+    const struct request *request, double *pressure);
 void router_update_own(struct upstream *upstream);
 void router_take_report(struct router *router, struct upstream *upstream,
     const struct router_report *report);
--- a/src/godwitvale/core/router_survey.c
+++ b/src/godwitvale/core/router_survey.c
@@ -12,6 +12,8 @@
 #define SURVEY_SHARE 0.3
 /// What a submitted request counts after the next one.
 #define CLASS_FADE 0.998
+/// How long a picture of the running requests is used.
+#define POPULATION_SPAN (2 * USEC_PER_SEC)
 /// Ages are summed over in steps of this share, and at least of this many
 /// tokens, up to this age.
 #define AGE_STEP 0.2
@@ -119,25 +121,15 @@
 	service->classes[at].submitted += 1;
 }
 
-/// Works out anew how requests of a service grow and end, and how often this
-/// instance sends.
+/// Works out anew how the running requests of a service grow and end.
 ///
-/// @param router   the router
 /// @param service  the service
-void
-router_survey(struct router *router, struct service *service)
+static void
+survey_population(struct service *service)
 {
-	double span =
-	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
 	struct population sums = {0};
 	uint32_t age = 0;
 
-	if (span > 0) {
-		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
-	}
-	service->sends = 0;
-	if (service->kind != UPSTREAM_ENGINE)
-		return;
 	while (age < AGE_MAX) {
 		uint32_t step = MAX((uint32_t)(age * AGE_STEP), AGE_STEP_MIN);
 
@@ -153,3 +145,24 @@
 		service->growth.at[i] = sums.grown.at[i] / sums.requests;
 	}
 }
+
+/// Works out anew how requests of a service grow and end, and how often this
+/// instance sends.
+///
+/// @param router   the router
+/// @param service  the service
+void
+router_survey(struct router *router, struct service *service)
+{
+	double span =
+	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
+
+	if (span > 0)
+		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
+	service->sends = 0;
+	if (service->kind != UPSTREAM_ENGINE ||
+	    router->now < service->population_at || !router_projects(router))
+		return;
+	service->population_at = router->now + POPULATION_SPAN;
+	survey_population(service);
+}
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -398,6 +398,94 @@
 	g_hash_table_destroy(seen);
 }
 
+static void
+fills_up_to_max_running(void **state)
+{
+	struct fixture *f = *state;
+	unsigned sent = 0;
+
+	add(f, UPSTREAM_ENGINE, true);
+	learn_short(f);
+	for (int i = 0; i < 9; i++) {
+		submit(f, ENGINE, 10);
+		sent += f->count[ROUTER_ACTION_SEND];
+	}
+	assert_int_equal(sent, 8);
+}
+
+/* An instance that is left with long generations only must not take those of
+   other instances to be as long, or it would never send again. */
+static void
+does_not_judge_others_by_its_own_leftovers(void **state)
+{
+	struct fixture *f = *state;
+	router_upstream leftover = add(f, UPSTREAM_ENGINE, true);
+	router_upstream other = add(f, UPSTREAM_ENGINE, true);
+	router_request request;
+
+	learn_short(f);
+	request = submit(f, ENGINE, 10);
+	if (f->last[ROUTER_ACTION_SEND].upstream != leftover)
+		leftover = other;
+	router_progress(f->router, f->now, request, 3000);
+	for (int i = 0; i < 10; i++) {
+		tick(f, USEC_PER_SEC);
+		report(f, leftover, 1, WARM + f->now, 4000, 4);
+		report(f, other, 1, WARM + f->now, 4000, 4);
+	}
+	submit(f, ENGINE, 10);
+	assert_int_equal(f->count[ROUTER_ACTION_SEND], 1);
+}
+
+static void
+leaves_a_silent_upstream_alone_while_others_report(void **state)
+{
+	struct fixture *f = *state;
+	router_upstream silent = add(f, UPSTREAM_SERVICE, true);
+	router_upstream other = add(f, UPSTREAM_SERVICE, true);
+
+	router_upstream_silent(f->router, f->now, silent);
+	drain(f);
+	for (int i = 0; i < 20; i++) {
+		submit(f, ORDERS, 0);
+		assert_int_equal(f->count[ROUTER_ACTION_SLOT], 0);
+		if (f->count[ROUTER_ACTION_SEND] == 1)
+			assert_int_equal(
+			    f->last[ROUTER_ACTION_SEND].upstream, other);
+	}
+	router_upstream_silent(f->router, f->now, other);
+	drain(f);
+	tick(f, USEC_PER_SEC);
+	assert_true(f->count[ROUTER_ACTION_SLOT] > 0);
+}
+
+/* All instances see the same room in the same report; by their index they
+   agree on who may use it: here there is room for four of eight. */
+static void
+takes_turns_at_scarce_room(void **state)
+{
+	struct fixture *f = *state;
+	unsigned sent = 0;
+
+	for (unsigned index = 0; index < 8; index++) {
+		struct router_options options = {
+		    .random = f->random, .n_entries = 8};
+		router_upstream engine;
+
+		router_free(f->router);
+		f->router = router_new(&options);
+		router_set_index(f->router, index);
+		f->now = USEC_PER_SEC;
+		engine = add(f, UPSTREAM_ENGINE, true);
+		learn_short(f);
+		tick(f, 2 * USEC_PER_SEC);
+		report(f, engine, 1, WARM + 2 * USEC_PER_SEC, 4500, 4);
+		submit(f, ENGINE, 200);
+		sent += f->count[ROUTER_ACTION_SEND];
+	}
+	assert_int_equal(sent, 4);
+}
+
 #define ROUTER_TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int
@@ -413,6 +501,10 @@
 	    ROUTER_TEST(a_failure_makes_the_upstream_cold_until_a_newer_report),
 	    ROUTER_TEST(retries_by_verdict_and_budget),
 	    ROUTER_TEST(cancelling_a_waiting_request_drops_it),
+	    ROUTER_TEST(fills_up_to_max_running),
+	    ROUTER_TEST(does_not_judge_others_by_its_own_leftovers),
+	    ROUTER_TEST(leaves_a_silent_upstream_alone_while_others_report),
+	    ROUTER_TEST(takes_turns_at_scarce_room),
 	    ROUTER_TEST(a_subset_is_the_same_on_each_run_and_refills),
 	};
 
