--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -5,7 +5,7 @@
 #include "table.h"
 
 /// Runs at a time; each is independent of the others.
-#define THREADS_DEFAULT 3
+#define THREADS_DEFAULT 4
 #define SEEDS_DEFAULT 5
 /// Load under which the events happen.
 #define EVENT_LOAD 0.8
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -16,8 +16,10 @@
 #define START_WINDOW (30 * USEC_PER_SEC)
 /// No report is taken to be older than this when it is asked for.
 #define SAMPLE_AGE_MAX (3 * USEC_PER_SEC)
-/// Plain calls of one instance, as a multiple of its even share.
-#define CALL_SHARES 2
+/// Plain calls of one instance, as a multiple of its even share, at upstreams
+/// that were full and that had room.
+#define CALL_SHARES_FULL 2
+#define CALL_SHARES_FREE 4
 /// From the first to the second pressure, turns are taken more and more.
 #define CONTENTION_FROM 0.6
 #define CONTENTION_TO 0.9
@@ -216,7 +218,9 @@
 	return router->options.memory_reserve * factor;
 }
 
-/// Gives the number of plain calls that this instance may have running.
+/// Gives the number of plain calls that this instance may have running: twice
+/// its even share, and twice as many again while the last report shows that
+/// not all calls of the upstream are taken.
 ///
 /// @param router    the router
 /// @param upstream  a plain service
@@ -226,9 +230,11 @@
 {
 	unsigned senders = router_senders(router, upstream->service);
 	unsigned limit = upstream->options.max_running;
-	unsigned share = (CALL_SHARES * limit + senders - 1) / senders;
+	unsigned shares = CALL_SHARES_FULL;
 
-	return MIN(share, limit);
+	if (upstream->report.running + upstream->report.waiting < limit)
+		shares = CALL_SHARES_FREE;
+	return MIN((shares * limit + senders - 1) / senders, limit);
 }
 
 /// Says whether a request may go to an upstream by its memory and count.
