Router: the earlier rules don't look at waiting time; formatting

Cause: ROUTER_POLICY_MEMORY_MEAN says that it ignores waiting time, yet used the reserve by waiting time; measure.h did not settle under clang-format. Change: a factor of 1 there; a shorter comment.

--- a/bench/measure.h
+++ b/bench/measure.h
@@ -22,8 +22,7 @@
 	MEASURE_LOOKUP_P99,   /// until the answer, ms
 	MEASURE_SMALL_SERVED, /// % of small organisations' generations
 	MEASURE_LARGE_SERVED, /// % of large organisations' generations
-	MEASURE_DRAFTS_LOST,  /// started or admitted, then neither done nor
-			      /// running at the end
+	MEASURE_DRAFTS_LOST,  /// drafts answered with a failure
 	MEASURE_OVER_LIMIT,   /// arrivals beyond a cold upstream's limit
 	MEASURE_COLLAPSES,
 	MEASURE_LOST,        /// requests without any answer at the end
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -59,7 +59,6 @@
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		uint32_t ahead = router_horizons[i];
-
 		double whole = now + ahead;
 		double on = runs_on(request, ahead);
 
@@ -215,6 +214,8 @@
 	double factor =
 	    RESERVE_FRESH - (RESERVE_FRESH - RESERVE_AGED) * CLAMP(age, 0, 1);
 
+	if (router->options.policy == ROUTER_POLICY_MEMORY_MEAN)
+		factor = 1;
 	return router->options.memory_reserve * factor;
 }
 
