--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -16,8 +16,10 @@
 #define START_WINDOW (30 * USEC_PER_SEC)
 /// No report is taken to be older than this when it is asked for.
 #define SAMPLE_AGE_MAX (3 * USEC_PER_SEC)
-/// Plain calls of one instance, as a multiple of its even share.
-#define CALL_SHARES 2
+/// Plain calls of one instance, as a multiple of its even share, at upstreams
+/// that were full and that had room.
+#define CALL_SHARES_FULL 2
+#define CALL_SHARES_FREE 4
 /// From the first to the second pressure, turns are taken more and more.
 #define CONTENTION_FROM 0.6
 #define CONTENTION_TO 0.9
@@ -57,7 +59,6 @@
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		uint32_t ahead = router_horizons[i];
-
 		double whole = now + ahead;
 		double on = runs_on(request, ahead);
 
@@ -111,7 +112,7 @@
 newcomers(const struct router *router, const struct upstream *upstream)
 {
 	const struct service *service = upstream->service;
-	unsigned others = router->options.n_entries - 1;
+	unsigned others = router_senders(router, service) - 1;
 	double before_us = upstream->turn + upstream->sent_since * others;
 	double lag;
 	double sent;
@@ -191,7 +192,8 @@
 	double count = count_pressure(router, upstream, extra != NULL);
 	double unseen;
 
-	if (upstream->options.kind != UPSTREAM_ENGINE)
+	if (upstream->options.kind != UPSTREAM_ENGINE ||
+	    !router_projects(router))
 		return count;
 	unseen = newcomers(router, upstream);
 	return MAX(count, engine_pressure(router, upstream, unseen, extra));
@@ -212,10 +214,14 @@
 	double factor =
 	    RESERVE_FRESH - (RESERVE_FRESH - RESERVE_AGED) * CLAMP(age, 0, 1);
 
+	if (router->options.policy == ROUTER_POLICY_MEMORY_MEAN)
+		factor = 1;
 	return router->options.memory_reserve * factor;
 }
 
-/// Gives the number of plain calls that this instance may have running.
+/// Gives the number of plain calls that this instance may have running: twice
+/// its even share, and twice as many again while the last report shows that
+/// not all calls of the upstream are taken.
 ///
 /// @param router    the router
 /// @param upstream  a plain service
@@ -223,11 +229,13 @@
 static unsigned
 call_limit(const struct router *router, const struct upstream *upstream)
 {
-	unsigned n_entries = router->options.n_entries;
+	unsigned senders = router_senders(router, upstream->service);
 	unsigned limit = upstream->options.max_running;
-	unsigned share = (CALL_SHARES * limit + n_entries - 1) / n_entries;
+	unsigned shares = CALL_SHARES_FULL;
 
-	return MIN(share, limit);
+	if (upstream->report.running + upstream->report.waiting < limit)
+		shares = CALL_SHARES_FREE;
+	return MIN((shares * limit + senders - 1) / senders, limit);
 }
 
 /// Says whether a request may go to an upstream by its memory and count.
@@ -235,26 +243,26 @@
 /// @param router    the router
 /// @param upstream  the upstream
 /// @param request   the request, with its profile
+/// @param pressure  filled in: as router_pressure() with the request
 /// @return whether it fits
 bool
 router_fits(const struct router *router, const struct upstream *upstream,
-    const struct request *request)
+    const struct request *request, double *pressure)
 {
-	double reserve = reserve_for(router, request);
-	double unseen;
-	bool idle;
+	double memory;
 
+	*pressure = count_pressure(router, upstream, 1);
 	if (upstream->options.kind != UPSTREAM_ENGINE)
 		return upstream->own.length < call_limit(router, upstream);
-	if (count_pressure(router, upstream, 1) > 1)
+	if (*pressure > 1)
 		return false;
-	idle = upstream->own.length == 0 && upstream->others < 1;
-	if (idle)
+	memory = engine_pressure(
+	    router, upstream, newcomers(router, upstream), request);
+	*pressure = MAX(*pressure, memory);
+	if (upstream->own.length == 0 && upstream->others < 1)
 		return request->memory.at[0] <=
 		    (double)upstream->options.memory_tokens;
-	unseen = newcomers(router, upstream);
-	return engine_pressure(router, upstream, unseen, request) <=
-	    1 - reserve;
+	return memory <= 1 - reserve_for(router, request);
 }
 
 /// Forgets when an upstream started, as after a restart.
@@ -294,19 +302,22 @@
 }
 
 /// Gives the number of instances that go before us at the room that a report
-/// shows. All who have the same report work out the same order.
+/// shows. All who have the same report work out the same order, unless each
+/// considers a subset of its own.
 ///
-/// @param router  the router
-/// @param report  the report
-/// @return 0 to the number of entries less 1
+/// @param router    the router
+/// @param upstream  whose report
+/// @param report    the report
+/// @return 0 to the number of those that send to it less 1
 static unsigned
-turn_of(const struct router *router, const struct router_report *report)
+turn_of(const struct router *router, const struct upstream *upstream,
+    const struct router_report *report)
 {
-	unsigned n = router->options.n_entries;
+	unsigned n = router_senders(router, upstream->service);
 	uint64_t first =
 	    hash_pair(report->start_epoch, (uint64_t)report->uptime);
 
-	if (!router->has_index)
+	if (!router->has_index || n < router->options.n_entries)
 		return (unsigned)g_rand_int_range(
 		    router->options.random, 0, (gint32)n);
 	return (unsigned)((router->index + first) % n);
@@ -326,7 +337,7 @@
 	usec_t sampled_at = date_report(router, upstream, report);
 
 	if (sampled_at != upstream->sampled_at)
-		upstream->turn = turn_of(router, report);
+		upstream->turn = turn_of(router, upstream, report);
 	upstream->sampled_at = sampled_at;
 	upstream->sent_since = 0;
 	for (GList *link = upstream->own.head; link; link = link->next) {
@@ -347,8 +358,11 @@
 	    MAX((double)report->used_tokens - own_tokens, 0);
 	if (upstream->others == 0)
 		upstream->others_tokens = 0;
+	if (!router_projects(router))
+		return;
 	router_update_own(upstream);
-	if (upstream->options.kind == UPSTREAM_ENGINE)
+	if (upstream->options.kind == UPSTREAM_ENGINE &&
+	    router->options.policy != ROUTER_POLICY_MEMORY_MEAN)
 		upstream->contention =
 		    CLAMP((engine_pressure(router, upstream, 0, NULL) -
 			      CONTENTION_FROM) /
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -49,7 +49,8 @@
 	uint32_t id;
 	enum upstream_kind kind;
 	struct fairqueue *queue;
-	GPtrArray *all;         /// struct upstream, every one
+	GPtrArray *all; /// struct upstream, every one
+	unsigned n_in_service;
 	GPtrArray *considered;  /// in service and in this instance's subset
 	GSequence *by_pressure; /// the considered ones
 	unsigned next_turn;     /// round robin
@@ -63,13 +64,9 @@
 	struct memory_profile keep;     /// share of tokens kept, of any request
 	struct memory_profile growth;   /// tokens added, by any request
 	struct memory_profile newcomer; /// memory of a request just sent
-	double send_rate;               /// own sends a second
-	double slow_rate;               /// the same over a longer time
-	double sends;                   /// since the rate was worked out
-
-	usec_t marked_at;    /// backlog is accounted for until then
-	double backlog_time; /// seconds with a backlog, decaying
-	double starts;       /// starts in that time, decaying
+	usec_t population_at; /// when to look at the running ones again
+	double send_rate;     /// own sends a second
+	double sends;         /// since the rate was worked out
 };
 
 struct upstream {
@@ -154,6 +151,33 @@
 	usec_t surveyed_at;
 };
 
+/// Says whether the policy projects memory at all; the baselines don't.
+///
+/// @param router  the router
+/// @return whether it does
+static inline bool
+router_projects(const struct router *router)
+{
+	return router->options.policy == ROUTER_POLICY_MEMORY ||
+	    router->options.policy == ROUTER_POLICY_MEMORY_MEAN;
+}
+
+/// Gives the number of instances that send to one upstream of a service: all
+/// of them, or their share when each considers only a subset.
+///
+/// @param router   the router
+/// @param service  the service
+/// @return instances, 1 or more
+static inline unsigned
+router_senders(const struct router *router, const struct service *service)
+{
+	unsigned considered = service->considered->len;
+	unsigned all = MAX(service->n_in_service, 1);
+	unsigned n = (router->options.n_entries * considered + all - 1) / all;
+
+	return MAX(n, 1);
+}
+
 /* router_pressure.c */
 void router_profile_request(
     const struct request *request, struct memory_profile *memory);
@@ -162,7 +186,7 @@
 double router_pressure(const struct router *router,
     const struct upstream *upstream, const struct request *extra);
 bool router_fits(const struct router *router, const struct upstream *upstream,
-    const struct request *request);
+    const struct request *request, double *pressure);
 void router_update_own(struct upstream *upstream);
 void router_take_report(struct router *router, struct upstream *upstream,
     const struct router_report *report);
