Quorum: learners probe instances that left the list lately

Where views follow each other quickly only delisted instances know of the last active one, and nobody asked them. Ruled out: telling learners of configurations that other learners heard of; they may know of none either. Change: members that were delisted less than the lost-memory span ago are probed too.

--- a/src/godwitvale/core/quorum_learn.c
+++ b/src/godwitvale/core/quorum_learn.c
@@ -174,12 +174,39 @@
 	g_array_free(targets, TRUE);
 }
 
+/// Probes instances that left the list lately: where views follow each other
+/// quickly they alone may know of the last active one.
+///
+/// @param quorum   the learner's instance
+/// @param now      current time
+/// @param message  the PROBE
+static void
+probe_delisted(
+    struct quorum *quorum, usec_t now, const struct quorum_message *message)
+{
+	GHashTableIter iter;
+	gpointer key;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, quorum->delisted);
+	while (n < QUORUM_PROBE_BATCH &&
+	    g_hash_table_iter_next(&iter, &key, NULL)) {
+		node_id id = *(node_id *)key;
+
+		if (quorum_is_gone(quorum, now, id))
+			continue;
+		quorum_send(quorum, id, message);
+		n++;
+	}
+}
+
 /// Asks members at large what they know of the shard: first the voters of
-/// the view before, then the list in turn.
+/// the view before, then the list in turn, then those that left it lately.
 ///
 /// @param shard  the shard
+/// @param now    current time
 static void
-send_probes(struct quorum_shard *shard)
+send_probes(struct quorum_shard *shard, usec_t now)
 {
 	struct quorum *quorum = shard->quorum;
 	struct quorum_learner *learner = &shard->learner;
@@ -205,6 +232,7 @@
 		if (id != quorum->options.self)
 			quorum_send(quorum, id, &message);
 	}
+	probe_delisted(quorum, now, &message);
 }
 
 /// Starts an attempt: what was answered to the one before is of no use, as
@@ -254,7 +282,7 @@
 		return;
 	send_seals(shard);
 	if (quorum_newest_active(shard) == 0 || learner->failures > 0)
-		send_probes(shard);
+		send_probes(shard, now);
 	shift = learner->n_resends++ + learner->failures;
 	quorum_timer_set(quorum, &shard->timer,
 	    now +
