--- a/src/godwitvale/core/quorum_defs.h
+++ b/src/godwitvale/core/quorum_defs.h
@@ -98,6 +98,7 @@
 	uint64_t nonce;       /// ties an answer to its question
 	struct quorum_key key;
 	node_id holder;
+	/// Fence or version; REJECT: nonce of the claim that holds the key.
 	uint64_t number;
 	enum verdict verdict;
 	usec_t span;    /// term of a lease, or what is left of one
@@ -113,7 +114,8 @@
 	uint32_t page;    /// page of a STATE or HANDOVER
 	uint32_t n_pages; /// pages in all
 	bool ready;       /// sender may vote in that view's shard
-	/// Voters of the view that the sender knew to be active, where asked.
+	/// STATE, PROBE_REPLY: voters of one view that was active or asked for
+	/// the state; each page carries one. SEAL: voters of the asker's view.
 	uint64_t known_revision;
 	uint32_t n_known_voters;
 	node_id known_voters[QUORUM_VOTERS_MAX];
