--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -313,13 +313,14 @@
 	true
 }
 
+# shellcheck disable=SC2086 # options are words
 # start_fleet: platform, two engines, one order worker, three instances.
 start_fleet()
 {
 	make_keys
 	start_platform
-	start_engine g1 bilbao --step-ms 5
-	start_engine g2 santander --step-ms 5
+	start_engine g1 bilbao --step-ms 5 ${ENGINE_OPTIONS:-}
+	start_engine g2 santander --step-ms 5 ${ENGINE_OPTIONS:-}
 	start_service s1 oviedo orders --work-ms "${WORK_MS:-0}"
 	start_service s2 oviedo stock
 	publish_bundle
