Repeats: an answer of the service reaches a repeat with its status

Cause: a repeat that asked the holder for the kept answer gave its caller 200 and application/json whatever the service had answered; the status went between instances in a header that the asking side doesn't see.

Change: the kept answer goes as one line of status and content type, then the body.

Before: orders.sh, a 400 of the service came as 200 at the other two instances. After: 400 at all three.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -91,7 +91,7 @@
 		printf '"context_tokens":20000,"version":"%s"}],' \
 		    "$model_version"
 		printf '"services":['
-		for service in orders bookings; do
+		for service in orders bookings returns; do
 			printf '{"name":"%s","idempotent":false,' $service
 			printf '"identity":"header",'
 			printf '"identity_header":"x-request-id",'
--- a/src/godwitvale/peer/peer_http.c
+++ b/src/godwitvale/peer/peer_http.c
@@ -86,8 +86,23 @@
 	return true;
 }
 
-/// Serves the answer of a call that ran: 200 with the service's status in
-/// X-Status, 202 while it runs, 404 when it is not known here.
+/// Writes a kept answer: a line with the service's status and content type,
+/// then the body as it came.
+///
+/// @param out     the body that is extended
+/// @param answer  the kept answer
+static void
+write_answer(SoupMessageBody *out, const struct kept_answer *answer)
+{
+	char *line = g_strdup_printf("%u %s\n", answer->status,
+	    answer->content_type == NULL ? "" : answer->content_type);
+
+	soup_message_body_append(out, SOUP_MEMORY_TAKE, line, strlen(line));
+	soup_message_body_append_bytes(out, answer->body);
+}
+
+/// Serves the answer of a call that ran: 200 with the answer as
+/// write_answer() writes it, 202 while it runs, 404 when it is not known here.
 ///
 /// @param server   unused
 /// @param message  the exchange
@@ -103,7 +118,6 @@
 	struct quorum_key key;
 	char tag[crypto_auth_BYTES * 2 + 1];
 	const char *shown;
-	char status[8];
 
 	(void)server;
 	(void)path;
@@ -128,13 +142,8 @@
 		    NULL);
 		return;
 	}
-	g_snprintf(status, sizeof(status), "%u", answer->status);
 	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
-	soup_message_headers_replace(
-	    soup_server_message_get_response_headers(message), "X-Status",
-	    status);
-	soup_message_body_append_bytes(
-	    soup_server_message_get_response_body(message), answer->body);
+	write_answer(soup_server_message_get_response_body(message), answer);
 }
 
 /// Starts to serve peers.
--- a/src/godwitvale/upstream/join.c
+++ b/src/godwitvale/upstream/join.c
@@ -38,6 +38,43 @@
 	    g_get_monotonic_time() + JOIN_RETRY, NULL);
 }
 
+/// Gives the caller the answer that the holder kept: a line with status and
+/// content type, then the body.
+///
+/// @param request  the repeat
+/// @param kept     what the holder sent
+/// @return false when it is malformed
+static bool
+pass_kept(struct request *request, GBytes *kept)
+{
+	gsize len = 0;
+	const char *text = g_bytes_get_data(kept, &len);
+	const char *end = len == 0 ? NULL : memchr(text, '\n', len);
+	char *line;
+	char *type = NULL;
+	uint64_t status;
+	GBytes *body;
+
+	if (end == NULL)
+		return false;
+	line = g_strndup(text, (gsize)(end - text));
+	status = g_ascii_strtoull(line, &type, 10);
+	if (*type != ' ' || status < SOUP_STATUS_OK || status > 999) {
+		g_free(line);
+		return false;
+	}
+	type++;
+	body = g_bytes_new_from_bytes(
+	    kept, (gsize)(end + 1 - text), len - (gsize)(end + 1 - text));
+	request->join_holder = 0;
+	request->verdict = VERDICT_RAN;
+	request_answer(
+	    request, (unsigned)status, *type == '\0' ? NULL : type, body);
+	g_bytes_unref(body);
+	g_free(line);
+	return true;
+}
+
 /// Takes the holder's answer.
 ///
 /// @param status  HTTP status, 0 on failure
@@ -54,14 +91,10 @@
 	if (request == NULL || request->answered)
 		return;
 	request->join_pending = false;
-	if (status == SOUP_STATUS_OK) {
-		request->join_holder = 0;
-		request->verdict = VERDICT_RAN;
-		request_answer(
-		    request, SOUP_STATUS_OK, "application/json", body);
-	} else if (status != SOUP_STATUS_ACCEPTED) {
-		give_up(request);
-	}
+	if (status == SOUP_STATUS_ACCEPTED ||
+	    (status == SOUP_STATUS_OK && pass_kept(request, body)))
+		return;
+	give_up(request);
 }
 
 /// Looks for the answer at this instance.
--- a/test/functional/orders.sh
+++ b/test/functional/orders.sh
@@ -31,6 +31,9 @@
 
 WORK_MS=700
 start_service s3 bilbao bookings
+# A service that answers 400: an engine's address for orders without a fence.
+start_standin engine
+upstream_rows+=("s4 bilbao $address returns")
 start_fleet
 
 # booking INSTANCE ID [CURL_OPTION...]
@@ -66,6 +69,13 @@
 done
 once twin-{1..6}
 
+echo "== an answer that is an error reaches a repeat as it was"
+for name in e1 e2 e3; do
+	get "${caller_of[$name]}/services/returns/orders" -d '{}' \
+	    -H 'Authorization: Bearer clinic-1' -H 'X-Request-Id: refused' \
+	    -w ' %{http_code} %{content_type}\n'
+done
+
 echo "== the worker closes after reading, and half way through its answer"
 for method in POST PUT DELETE; do
 	control "${caller_of[s1]}" '{"close_after_read":1}'
