--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -202,6 +202,12 @@
 	    grep -q "\"$3\":$4[,}]"
 }
 
+# wait_up NAME: until it answers; its callers' address is open then too.
+wait_up()
+{
+	wait_for "$1 to answer" json_is "$1" /status instance "\"$1\""
+}
+
 # wait_voting NAME...: until each votes and is sure of the newest bundle.
 wait_voting()
 {
--- a/test/functional/graceful.sh
+++ b/test/functional/graceful.sh
@@ -97,6 +97,7 @@
 	wait_for "the order" ran "during-$name"
 	kill_program $name TERM
 	start_instance $name
+	wait_up $name
 	wait $during
 	again $other "during-$name"
 	again $name "during-$name"
--- a/test/functional/orders.sh
+++ b/test/functional/orders.sh
@@ -128,6 +128,7 @@
 
 echo "== back without memory: it learns before it votes"
 start_instance e1
+wait_up e1
 not_again e1 orphan
 wait_voting e1 e2 e3
 ask_order e1 fresh
