--- a/src/godwitvale/core/estimate.c
+++ b/src/godwitvale/core/estimate.c
@@ -1,6 +1,8 @@
 /* Decaying log-spaced histograms of output length, with shared priors. */
 #include "godwitvale/core/estimate.h"
 
+#include <math.h>
+
 #include <glib.h>
 
 /// Buckets for each doubling of the length, and in all (up to 2^17 tokens).
@@ -10,13 +12,17 @@
 #define WEIGHT_MAX 512.0
 /// Samples of a series that outweigh half of its prior.
 #define PRIOR_WEIGHT 12.0
+/// Lengths are taken to be log-logistic before any is known.
+#define FIRST_MEDIAN 300.0
+#define FIRST_SHAPE 1.2
 /// Weight of the built-in prior under the widest series.
 #define ROOT_WEIGHT 4.0
 /// A series' shape is worked out anew after this share of new samples.
 #define REFRESH_SHARE 0.02
 
 struct estimate_series {
-	struct estimate_series *prior; /// wider series; NULL at the root
+	struct estimate_series *prior; /// wider series; NULL at the built-in
+	double prior_weight;
 	double count[N_BUCKETS];
 	double total;
 	double fresh;               /// weight added since the last refresh
@@ -28,6 +34,7 @@
 struct estimate {
 	GHashTable *series; /// struct estimate_key -> struct estimate_series
 	struct estimate_series root;
+	struct estimate_series builtin; /// only its tail is used
 };
 
 /// Hashes a key for the table.
@@ -104,23 +111,35 @@
 	return CLAMP(part, 0, 1);
 }
 
+/// Gives the share of lengths in a bucket or above before any is known. Short
+/// of the truth it costs a few preemptions until more is learnt; beyond it
+/// nothing would be sent, and nothing learnt.
+///
+/// @param bucket  the bucket
+/// @return share, 0 to 1
+static double
+first_tail(int bucket)
+{
+	double ratio = bucket_edge(bucket) / FIRST_MEDIAN;
+
+	return 1 / (1 + pow(ratio, FIRST_SHAPE));
+}
+
 /// Works out the share of lengths above each bucket's edge.
 ///
 /// @param series  to be refreshed; its prior must be fresh
 static void
 refresh(struct estimate_series *series)
 {
-	double prior_weight = series->prior ? PRIOR_WEIGHT : ROOT_WEIGHT;
-	double all = series->total + prior_weight;
+	double weight = series->prior_weight;
+	double all = series->total + weight;
 	double above = 0;
 
 	series->tail[N_BUCKETS] = 0;
 	for (int i = N_BUCKETS - 1; i >= 0; i--) {
-		double prior = series->prior ? series->prior->tail[i]
-					     : 1.0 - (double)i / N_BUCKETS;
-
 		above += series->count[i];
-		series->tail[i] = (above + prior_weight * prior) / all;
+		series->tail[i] =
+		    (above + weight * series->prior->tail[i]) / all;
 	}
 	series->beyond[N_BUCKETS] = 0;
 	for (int i = N_BUCKETS - 1; i >= 0; i--) {
@@ -163,6 +182,7 @@
 		return series;
 	series = g_new0(struct estimate_series, 1);
 	series->prior = prior;
+	series->prior_weight = PRIOR_WEIGHT;
 	refresh(series);
 	g_hash_table_insert(
 	    estimate->series, g_memdup2(key, sizeof(*key)), series);
@@ -179,6 +199,10 @@
 
 	estimate->series =
 	    g_hash_table_new_full(key_hash, key_equal, g_free, g_free);
+	for (int i = 0; i < N_BUCKETS; i++)
+		estimate->builtin.tail[i] = first_tail(i);
+	estimate->root.prior = &estimate->builtin;
+	estimate->root.prior_weight = ROOT_WEIGHT;
 	refresh(&estimate->root);
 	return estimate;
 }
@@ -195,23 +219,27 @@
 	g_free(estimate);
 }
 
-/// Finds the series of a key; a new one starts from that of its service and
-/// class over all organisations.
+/// Finds the series of a key; a new one starts from that of its class over
+/// all organisations, and this from that of all classes of the service.
 ///
 /// @param estimate  the table
-/// @param key       organisation (not 0), service and class
+/// @param key       organisation and class may be ESTIMATE_ALL
 /// @return the series, owned by the table and valid as long as it is
 struct estimate_series *
 estimate_series_of(struct estimate *estimate, const struct estimate_key *key)
 {
-	struct estimate_key wide = *key;
-	struct estimate_series *prior;
-
-	wide.organisation = 0;
-	prior = find_or_make(estimate, &wide, &estimate->root);
-	if (key->organisation == 0)
-		return prior;
-	return find_or_make(estimate, key, prior);
+	struct estimate_key wide = {.organisation = ESTIMATE_ALL,
+	    .service = key->service,
+	    .class_id = ESTIMATE_ALL};
+	struct estimate_series *series =
+	    g_hash_table_lookup(estimate->series, key);
+
+	if (series != NULL)
+		return series;
+	series = find_or_make(estimate, &wide, &estimate->root);
+	wide.class_id = key->class_id;
+	series = find_or_make(estimate, &wide, series);
+	return find_or_make(estimate, key, series);
 }
 
 /// Takes the length of a finished output.
@@ -223,8 +251,9 @@
 {
 	int bucket = bucket_of(tokens);
 
-	if (series->prior != NULL)
-		estimate_add(series->prior, tokens);
+	if (series->prior == NULL)
+		return;
+	estimate_add(series->prior, tokens);
 	if (series->total >= WEIGHT_MAX) {
 		for (int i = 0; i < N_BUCKETS; i++)
 			series->count[i] /= 2;
--- a/src/godwitvale/core/router_defs.h
+++ b/src/godwitvale/core/router_defs.h
@@ -102,6 +102,20 @@
 	ROUTER_POLICY_MEMORY = 0,        /// the product's policy
 	ROUTER_POLICY_ROUND_ROBIN,       /// baseline: next in turn, no queue
 	ROUTER_POLICY_LEAST_OUTSTANDING, /// baseline: fewest of our own
+	ROUTER_POLICY_MEMORY_MEAN, /// earlier: expected memory alone, without
+				   /// its spread, turns or waiting time
+};
+
+/// What a bundle says of the routing policy.
+struct router_weights {
+	uint32_t queue_limit;  /// waiting requests an organisation
+	usec_t ageing_span;    /// waiting this long is worth one priority
+	double memory_reserve; /// share of an engine's memory kept free
+	double stall_weight;
+	double zone_weight;
+	double prefix_weight;
+	double retry_ratio; /// retries allowed for each first try
+	unsigned subset;    /// upstreams considered a service; 0: all
 };
 
 /// How a router is built. Weights come from the bundle.
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -28,6 +28,18 @@
 	router_push_action(router, &action);
 }
 
+/// Tells whether a cold upstream bears one more by its last report, too: what
+/// a holder left running there when it was lost is under no lease any more.
+///
+/// @param upstream  the upstream
+/// @param limit     requests that it bears
+/// @return whether it does
+static bool
+has_room(const struct upstream *upstream, uint32_t limit)
+{
+	return upstream->others + upstream->own.length < limit;
+}
+
 /// Finds a slot that may be asked for, starting at a random one.
 ///
 /// @param router    the router
@@ -41,7 +53,8 @@
 	uint32_t start;
 
 	if (limit == 0 || upstream->n_asked >= ASKED_MAX ||
-	    upstream->n_asked + upstream->own.length >= limit)
+	    upstream->n_asked + upstream->own.length >= limit ||
+	    !has_room(upstream, limit))
 		return false;
 	start = (uint32_t)g_rand_int_range(
 	    router->options.random, 0, (gint32)limit);
@@ -87,6 +100,7 @@
 	struct request *head =
 	    handle_table_get(router->requests, fairqueue_peek(service->queue));
 	bool reported = any_reports(service);
+	double pressure;
 	guint start;
 
 	if (!router->options.use_slots || considered->len == 0 || !head)
@@ -102,7 +116,7 @@
 			return;
 		if ((reported && !upstream->warmup.known) ||
 		    !warmup_is_cold(&upstream->warmup, router->now) ||
-		    !router_fits(router, upstream, head) ||
+		    !router_fits(router, upstream, head, &pressure) ||
 		    !find_slot(router, upstream, &slot))
 			continue;
 		upstream->slots[slot].state = SLOT_ASKED;
@@ -163,7 +177,9 @@
 {
 	struct upstream *found = handle_table_get(router->upstreams, upstream);
 	struct request *request;
+	uint32_t limit;
 	bool usable;
+	double pressure;
 
 	router->now = now;
 	if (!end_question(found, slot, now + NO_ROOM_SPAN)) {
@@ -172,11 +188,12 @@
 	}
 	request = handle_table_get(
 	    router->requests, fairqueue_peek(found->service->queue));
-	usable = request != NULL && found->considered &&
-	    slot < warmup_limit(&found->warmup, now);
+	limit = warmup_limit(&found->warmup, now);
+	usable = request != NULL && found->considered && slot < limit &&
+	    has_room(found, limit);
 	if (usable) {
 		router_profile_request(request, &request->memory);
-		usable = router_fits(router, found, request);
+		usable = router_fits(router, found, request, &pressure);
 	}
 	if (!usable) {
 		push_slot(router, ROUTER_ACTION_SLOT_DONE, upstream, slot);
@@ -187,8 +204,7 @@
 	found->n_in_use++;
 	request->has_slot = true;
 	request->slot = slot;
-	found->service->starts += 1;
-	fairqueue_start(found->service->queue, request->handle);
+	fairqueue_start(found->service->queue, now, request->handle);
 	router_place_request(router, request, found);
 	router_dispatch(router, found->service);
 }
--- a/src/godwitvale/platform/members.c
+++ b/src/godwitvale/platform/members.c
@@ -8,6 +8,7 @@
 #include "godwitvale/core/hash.h"
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
+#include "godwitvale/peer/peer.h"
 #include "godwitvale/platform/ask.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/parse.h"
@@ -108,7 +109,26 @@
 	return NULL;
 }
 
-/// Hands the list to the quorum part.
+/// Tells this instance's place among the listed ones, ordered alike by all.
+///
+/// @param list  the list
+/// @return the number of listed instances before it
+static unsigned
+own_index(const struct member_list *list)
+{
+	node_id self = peer_self(list->instance->peer);
+	unsigned index = 0;
+
+	for (guint i = 0; i < list->members->len; i++) {
+		const struct member *member =
+		    g_ptr_array_index(list->members, i);
+
+		index += member->id < self;
+	}
+	return index;
+}
+
+/// Hands the list to the quorum part and the router.
 ///
 /// @param list      the list
 /// @param asked_at  when the answer was asked for
@@ -133,6 +153,7 @@
 	}
 	quorum_set_view(list->instance->quorum, now, &view);
 	router_set_entries(list->instance->router, MAX(list->members->len, 1));
+	router_set_index(list->instance->router, own_index(list));
 	metrics_set(METRIC_MEMBERS_REVISION, list->revision);
 	g_free(view.members);
 }
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -64,6 +64,27 @@
 	return false;
 }
 
+/// Hands the bundle's policy to the router.
+///
+/// @param instance  the instance
+/// @param policy    the policy
+static void
+apply_policy(struct instance *instance, const struct bundle_policy *policy)
+{
+	struct router_weights weights = {
+	    .queue_limit = policy->queue_limit,
+	    .ageing_span = policy->ageing_span,
+	    .memory_reserve = policy->memory_reserve,
+	    .stall_weight = policy->stall_weight,
+	    .zone_weight = policy->zone_weight,
+	    .prefix_weight = policy->prefix_weight,
+	    .retry_ratio = policy->retry_ratio,
+	    .subset = policy->subset,
+	};
+
+	router_set_weights(instance->router, &weights);
+}
+
 /// Puts a bundle in force.
 ///
 /// @param instance  the instance
@@ -80,6 +101,7 @@
 	instance->bundle = bundle;
 	g_clear_pointer(&instance->bundle_text, g_bytes_unref);
 	instance->bundle_text = g_bytes_new(text, len);
+	apply_policy(instance, &bundle->policy);
 	upstream_table_apply(instance->upstreams, bundle);
 	audit_add(instance->audit, AUDIT_BUNDLE, "bundle", bundle->signed_by,
 	    bundle->version, "in force");
@@ -226,8 +248,10 @@
 	uint64_t highest = 0;
 	unsigned listed = member_list_all(instance->members)->len;
 	unsigned answered =
-	    peer_answered_since(instance->peer, since, &highest) + 1;
+	    peer_answered_since(instance->peer, since, &highest);
 
+	answered += member_list_find(
+			instance->members, peer_self(instance->peer)) != NULL;
 	authority_take_peers(
 	    &instance->authority, now, listed, answered, highest);
 	if (authority_tick(&instance->authority, now) == AUTHORITY_READ)
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -23,6 +23,7 @@
 #include "godwitvale/upstream/call.h"
 #include "godwitvale/upstream/generation.h"
 #include "godwitvale/upstream/join.h"
+#include "godwitvale/upstream/model_orders.h"
 #include "godwitvale/upstream/upstream.h"
 
 /// The parts are looked at this often.
@@ -38,11 +39,7 @@
 #define IDLE_CONNECTION_SECONDS 30
 /// A leaving instance stays this long for its peers, requests or not.
 #define LEAVE_LINGER (500 * USEC_PER_MSEC)
-/// Policy defaults until a bundle is in force.
-#define QUEUE_LIMIT 256
-#define AGEING_SPAN (10 * USEC_PER_SEC)
-#define MEMORY_RESERVE 0.1
-#define RETRY_RATIO 0.1
+/// Retries that an organisation may save up.
 #define RETRY_BURST 10
 #define RESEND_INTERVAL (100 * USEC_PER_MSEC)
 /// The register of the accepted version is read this often.
@@ -109,6 +106,7 @@
 		tick_requests(instance, now);
 		drive_instance(instance);
 	}
+	model_orders_tick(instance->model_orders, now);
 	tick_leaving(instance, now);
 	return G_SOURCE_CONTINUE;
 }
@@ -137,7 +135,7 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Makes the router with the defaults that hold until a bundle is in force.
+/// Makes the router; its weights come with the first bundle.
 ///
 /// @param instance  the instance
 static void
@@ -148,14 +146,7 @@
 	    .random = instance->random,
 	    .n_entries = 1,
 	    .self = hash_name(instance->settings->instance),
-	    .queue_limit = QUEUE_LIMIT,
-	    .ageing_span = AGEING_SPAN,
 	    .report_interval = instance->settings->report_interval,
-	    .memory_reserve = MEMORY_RESERVE,
-	    .stall_weight = 1.0,
-	    .zone_weight = 1.0,
-	    .prefix_weight = 1.0,
-	    .retry_ratio = RETRY_RATIO,
 	    .retry_burst = RETRY_BURST,
 	    .use_slots = true,
 	};
@@ -250,6 +241,7 @@
 	peer_close(instance->peer);
 	config_watch_free(instance->config);
 	member_list_free(instance->members);
+	model_orders_free(instance->model_orders);
 	upstream_table_free(instance->upstreams);
 	quorum_free(instance->quorum);
 	router_free(instance->router);
@@ -280,6 +272,7 @@
 		return CMD_INTERNAL;
 	open_parts(&instance);
 	if (open_addresses(&instance)) {
+		instance.model_orders = model_orders_new(&instance);
 		guint tick = g_timeout_add(
 		    TICK_INTERVAL / USEC_PER_MSEC, on_tick, &instance);
 		guint term = g_unix_signal_add(SIGTERM, on_signal, &instance);
--- a/test/unit/quorum_random_test.c
+++ b/test/unit/quorum_random_test.c
@@ -4,11 +4,13 @@
  */
 #include "quorum_net.h"
 
+/// Schedules within which each broken variant must be caught.
+#define NAIVE_SEEDS 300
+
 /// What a random schedule does beside losing and delaying messages.
 struct chaos {
 	struct net *net;
-	bool memory_kept; /// so few restarts that numbers can't be lost
-	usec_t restart_at;
+	bool memory_kept; /// restarts only while all voters remember
 	usec_t started_at[KEYS_MAX];
 	uint64_t next_version;
 	uint64_t floor; /// of the read that is out
@@ -23,10 +25,14 @@
 	return (unsigned)g_rand_int_range(net->random, 0, (gint32)net->n_nodes);
 }
 
+/// Changes the list. Where memory is to be kept there are always three
+/// members to vote, as one alone may forget by restarting.
 static void
-disturb_list(struct net *net)
+disturb_list(struct chaos *chaos)
 {
+	struct net *net = chaos->net;
 	struct node *node = &net->nodes[random_node(net)];
+	unsigned n_voting = 0;
 
 	switch (g_rand_int_range(net->random, 0, 4)) {
 	case 0:
@@ -46,6 +52,13 @@
 		}
 		break;
 	}
+	for (unsigned i = 0; i < net->n_nodes; i++)
+		n_voting += net->nodes[i].listed && !net->nodes[i].leaving;
+	for (unsigned i = 0; chaos->memory_kept && n_voting < 3; i++) {
+		n_voting += !net->nodes[i].listed || net->nodes[i].leaving;
+		net->nodes[i].listed = true;
+		net->nodes[i].leaving = false;
+	}
 	publish(net);
 }
 
@@ -64,18 +77,28 @@
 			net->nodes[i].group = 0;
 		break;
 	case 2:
+		/* Pauses hurt most at holders. */
+		index = net->seen[g_rand_int_range(
+				      net->random, 0, (gint32)net->n_keys)]
+			    .holder;
 		net->nodes[index].paused_until =
 		    net->now + g_rand_int_range(net->random, 0, 1000000);
 		break;
 	case 3:
-		if (chaos->memory_kept && net->now < chaos->restart_at)
+		if (chaos->memory_kept && !all_ready(net))
 			break;
-		chaos->restart_at = net->now + 4000 * MSEC;
 		start_node(net, index);
 		break;
 	case 4:
 	case 5:
-		disturb_list(net);
+		disturb_list(chaos);
+		break;
+	case 6:
+		if (chaos->memory_kept)
+			break;
+		quorum_leave(net->nodes[index].quorum,
+		    local_time(&net->nodes[index], net->now));
+		take_actions(net, index);
 		break;
 	default:
 		break;
@@ -138,10 +161,12 @@
 {
 	struct net *net = net_new(seed, 3 + seed % 8, naive);
 	struct chaos chaos = {.net = net, .memory_kept = seed % 2 == 0};
+	gint32 calm = 1 + (gint32)(seed / 2 % 4);
 	unsigned violations;
 
 	chaos.version_key = add_key(net, QUORUM_VERSION);
 	net->act_late = seed % 3 != 0;
+	net->some_fail = true;
 	net->check_fence = chaos.memory_kept;
 	net_run(net, WARM);
 	net->loss = seed % 5 * 0.03;
@@ -151,7 +176,7 @@
 		run_for(net, g_rand_int_range(net->random, 0, 200000));
 		use_keys(&chaos);
 		use_versions(&chaos);
-		if (g_rand_int_range(net->random, 0, 3) == 0)
+		if (g_rand_int_range(net->random, 0, calm) == 0)
 			disturb(&chaos);
 	}
 	run_for(net, 2000 * MSEC);
@@ -193,7 +218,7 @@
 		unsigned violations = 0, n_runs = 0;
 		uint32_t seed = 0;
 
-		while (violations == 0 && seed < 100)
+		while (violations == 0 && seed < NAIVE_SEEDS)
 			violations = run_chaos(++seed, naive[i], &n_runs);
 		print_message("naive %#x: seed %u breaks it\n", naive[i], seed);
 		assert_true(violations > 0);
