--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -91,7 +91,7 @@
 		printf '"context_tokens":20000,"version":"%s"}],' \
 		    "$model_version"
 		printf '"services":['
-		for service in orders bookings; do
+		for service in orders bookings returns; do
 			printf '{"name":"%s","idempotent":false,' $service
 			printf '"identity":"header",'
 			printf '"identity_header":"x-request-id",'
@@ -202,6 +202,12 @@
 	    grep -q "\"$3\":$4[,}]"
 }
 
+# wait_up NAME: until it answers; its callers' address is open then too.
+wait_up()
+{
+	wait_for "$1 to answer" json_is "$1" /status instance "\"$1\""
+}
+
 # wait_voting NAME...: until each votes and is sure of the newest bundle.
 wait_voting()
 {
@@ -313,13 +319,14 @@
 	true
 }
 
+# shellcheck disable=SC2086 # options are words
 # start_fleet: platform, two engines, one order worker, three instances.
 start_fleet()
 {
 	make_keys
 	start_platform
-	start_engine g1 bilbao --step-ms 5
-	start_engine g2 santander --step-ms 5
+	start_engine g1 bilbao --step-ms 5 ${ENGINE_OPTIONS:-}
+	start_engine g2 santander --step-ms 5 ${ENGINE_OPTIONS:-}
 	start_service s1 oviedo orders --work-ms "${WORK_MS:-0}"
 	start_service s2 oviedo stock
 	publish_bundle
