--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -354,7 +354,9 @@
 }
 
 /// Decides on another try, after router_finish() with FAILED or BUSY. A
-/// request that is not idempotent is tried again only when it was not run.
+/// request that is not idempotent is tried again only when it was not run. A
+/// REFUSE that follows later says that the next try was not sent; whether an
+/// earlier one may have run is for the embedder to remember.
 ///
 /// @param router   the router
 /// @param now      current time
--- a/src/godwitvale/core/router.h
+++ b/src/godwitvale/core/router.h
@@ -1,6 +1,25 @@
 /*
  * The router part of one instance: decides when and where each request goes.
- * Pure: takes the time and an event, fills a queue of actions.
+ * Pure: takes the time and an event, fills a queue of actions. After each
+ * call take the actions out until there are none, and call router_tick() at
+ * router_next_deadline(), which may have moved.
+ *
+ * The life of a request's handle:
+ *
+ *   router_submit -> waits -> SEND -> runs -> router_finish -> stale
+ *                      |       ^                 | FAILED or BUSY
+ *                      v       |                 v
+ *                   REFUSE     +-- true -- router_retry -- false -> stale
+ *                   (stale)
+ *
+ * router_finish(CANCELLED) ends it anywhere. A stale handle is harmless: its
+ * number is tagged with a generation and is not given out again for at least
+ * a million requests. A SEND must be carried out when it is taken out, not
+ * later: it was checked at that moment.
+ *
+ * Slots: each SLOT is answered by router_slot_granted() or router_slot_denied()
+ * once. A granted slot is held until SLOT_DONE, which follows when the request
+ * sent with it has ended, or at once when no request needs the slot any more.
  */
 #ifndef GODWITVALE_CORE_ROUTER_H
 #define GODWITVALE_CORE_ROUTER_H
