Router: a lagging report is no restart

Cause: found in review: when a report taken before our requests reached the engine, yet asked for after, shows none running, four or more with progress counted as gone and the engine as restarted without warning. Ruled out: a higher count (it only makes it rarer). Change: our requests are expected in a report only if sent before it was taken, as dated by its uptime. The test failed before (one COLD) and passes now. Conclusion: the sign stays, without the false alarm.

--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -282,8 +282,8 @@
 /// @param upstream  the upstream
 /// @param report    a report that has just come
 /// @return when its figures were true, at the latest
-static usec_t
-date_report(const struct router *router, struct upstream *upstream,
+usec_t
+router_date_report(const struct router *router, struct upstream *upstream,
     const struct router_report *report)
 {
 	usec_t start = router->now - report->uptime;
@@ -334,7 +334,7 @@
 {
 	double own = 0;
 	double own_tokens = 0;
-	usec_t sampled_at = date_report(router, upstream, report);
+	usec_t sampled_at = router_date_report(router, upstream, report);
 
 	if (sampled_at != upstream->sampled_at)
 		upstream->turn = turn_of(router, upstream, report);
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -191,6 +191,8 @@
 void router_take_report(struct router *router, struct upstream *upstream,
     const struct router_report *report);
 void router_forget_start(struct upstream *upstream);
+usec_t router_date_report(const struct router *router,
+    struct upstream *upstream, const struct router_report *report);
 
 /* router_survey.c */
 void router_note_class(
--- a/src/godwitvale/core/router_upstream.c
+++ b/src/godwitvale/core/router_upstream.c
@@ -156,16 +156,18 @@
 	struct warmup_report start = {.start_epoch = report->start_epoch,
 	    .uptime = report->uptime,
 	    .running = report->running + report->waiting};
+	usec_t sampled_at;
 
 	router->now = now;
 	if (found == NULL || report->asked_at < found->trusted_from ||
 	    (found->reported && report->asked_at < found->report.asked_at))
 		return;
+	sampled_at = router_date_report(router, found, report);
 	for (GList *link = found->own.head; link; link = link->next) {
 		const struct request *request = link->data;
 
 		start.expected_running +=
-		    request->so_far > 0 && request->sent_at < report->asked_at;
+		    request->so_far > 0 && request->sent_at < sampled_at;
 	}
 	if (warmup_report(&found->warmup, now, &start)) {
 		found->n_starts++;
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -486,6 +486,31 @@
 	assert_int_equal(sent, 4);
 }
 
+/* A report taken before our requests reached the engine shows none of them,
+   also when it was asked for after that. */
+static void
+a_lagging_report_is_no_restart(void **state)
+{
+	struct fixture *f = *state;
+	router_upstream engine = add(f, UPSTREAM_ENGINE, true);
+
+	learn_short(f);
+	f->now += USEC_PER_SEC;
+	for (int i = 0; i < 5; i++) {
+		router_request request = submit(f, ENGINE, 10);
+
+		router_progress(f->router, f->now, request, 1);
+	}
+	f->now += USEC_PER_SEC / 10;
+	report(f, engine, 1, WARM + USEC_PER_SEC / 2, 0, 0);
+	drain(f);
+	assert_int_equal(f->count[ROUTER_ACTION_COLD], 0);
+	f->now += USEC_PER_SEC;
+	report(f, engine, 1, WARM + 2 * USEC_PER_SEC, 0, 0);
+	drain(f);
+	assert_int_equal(f->count[ROUTER_ACTION_COLD], 1);
+}
+
 /* With subsets fewer instances send to each upstream, and each may send more.
  */
 static void
@@ -526,6 +551,7 @@
 	    ROUTER_TEST(does_not_judge_others_by_its_own_leftovers),
 	    ROUTER_TEST(leaves_a_silent_upstream_alone_while_others_report),
 	    ROUTER_TEST(takes_turns_at_scarce_room),
+	    ROUTER_TEST(a_lagging_report_is_no_restart),
 	    ROUTER_TEST(a_subset_raises_the_share_of_each_upstream),
 	    ROUTER_TEST(a_subset_is_the_same_on_each_run_and_refills),
 	};
