--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -174,7 +174,7 @@
 	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct row));
 	GError *error = NULL;
 	double capacity;
-	int status = 0;
+	int status;
 
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &error) ||
@@ -189,8 +189,9 @@
 	printf("capacity of one engine: %.4f generations/s\n", capacity);
 	run_rows((struct row *)rows->data, rows->len, capacity);
 	table_print((struct row *)rows->data, rows->len);
-	if (opt_out != NULL)
-		status = write_files((struct row *)rows->data, rows->len);
+	if (opt_out == NULL)
+		opt_out = g_path_get_dirname(argv[0]);
+	status = write_files((struct row *)rows->data, rows->len);
 	for (guint i = 0; i < rows->len; i++)
 		g_free(g_array_index(rows, struct row, i).values);
 	g_array_free(rows, TRUE);
