Scenarios: the core's parts under virtual time, scripts and random schedules

Cause: the nine properties had no proof that covers pauses, partitions, amnesia and lagging lists together. Ruled out: processes in real time (not repeatable), a simulator with its own copy of the decisions; see docs/design/0004-scenarios.md. Change: test/scenario: runner, fakes, invariants with their bounds in one header, scripts of cases for each property with broken variants that must fail, and random schedules from a seed.

--- /dev/null
+++ b/test/scenario/main.c
@@ -0,0 +1,163 @@
+/* The scenario runner: scripts, random schedules, cost. */
+#include "scenario.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/// Plays a script; its output must be that of the .expected file beside it.
+static bool
+run_file(const char *path, bool bless)
+{
+	GString *out = g_string_new(NULL);
+	char *stem = g_strndup(path, strlen(path) - strlen(".scn"));
+	char *beside = g_strconcat(stem, ".expected", NULL);
+	char *text = NULL;
+	char *expected = NULL;
+	bool ok = g_file_get_contents(path, &text, NULL, NULL);
+
+	if (!ok) {
+		fprintf(stderr, "%s: can't be read\n", path);
+		goto out;
+	}
+	ok = script_run(text, out);
+	if (bless)
+		g_file_set_contents(beside, out->str, -1, NULL);
+	g_file_get_contents(beside, &expected, NULL, NULL);
+	if (g_strcmp0(expected, out->str) != 0) {
+		ok = false;
+		printf("%s: output differs from %s\n", path, beside);
+	}
+	printf("%s%s: %s\n", out->str, path, ok ? "pass" : "FAIL");
+out:
+	g_free(expected);
+	g_free(text);
+	g_free(beside);
+	g_free(stem);
+	g_string_free(out, TRUE);
+	return ok;
+}
+
+/// What became of the calls of a soak.
+struct tally {
+	unsigned outcomes[OUTCOME_FAILED + 1];
+};
+
+/// Plays one random schedule, with a broken variant where one is named.
+static bool
+run_seed(int seed, const char *naive, struct tally *tally, bool show)
+{
+	GString *out = g_string_new(NULL);
+	char *made = soak_script((uint32_t)seed);
+	char *text = naive == NULL
+	    ? g_strdup(made)
+	    : g_strdup_printf("mechanism naive=%s\n%s", naive, made);
+	bool ok;
+	struct world *world = script_play(text, out, &ok);
+
+	for (guint i = 0; i < world->calls->len; i++)
+		tally->outcomes[((struct call *)world->calls->pdata[i])
+				    ->outcome]++;
+	world_free(world);
+	if (!ok)
+		printf("seed %d\n", seed);
+	for (char *at = ok ? NULL : strstr(out->str, "VIOLATION"); at != NULL;
+	     at = strstr(at + 1, "VIOLATION"))
+		printf("%.*s\n", (int)strcspn(at, "\n"), at);
+	if (!ok && show)
+		printf("%s", text);
+	g_free(text);
+	g_free(made);
+	g_string_free(out, TRUE);
+	return ok;
+}
+
+/// Tells whether a seed is listed in KNOWN-RED.txt, as its test names them.
+static bool
+is_known(const char *known, int seed)
+{
+	char *name = g_strdup_printf("%d", seed);
+	bool found = world_names(known, name);
+
+	g_free(name);
+	return found;
+}
+
+/// Plays random schedules; the first failing one's script is printed.
+static bool
+run_soak(int seeds, int from, const char *naive, const char *known)
+{
+	struct tally tally = {{0}};
+	int failed = 0;
+	int n_known = 0;
+
+	for (int seed = from; seed < from + seeds; seed++) {
+		bool quiet = failed > 0 || naive != NULL;
+
+		if (run_seed(seed, naive, &tally, !quiet))
+			continue;
+		if (is_known(known, seed)) {
+			printf("seed %d is in KNOWN-RED.txt\n", seed);
+			n_known++;
+		} else {
+			failed++;
+		}
+	}
+	printf("soak: %d seeds from %d, %d failed, %d known to; calls whole "
+	       "%u, refused "
+	       "%u, failed part way %u, cut off %u\n",
+	    seeds, from, failed, n_known, tally.outcomes[OUTCOME_WHOLE],
+	    tally.outcomes[OUTCOME_REFUSED], tally.outcomes[OUTCOME_FAILED],
+	    tally.outcomes[OUTCOME_NONE]);
+	return failed == 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	gint soak = 0;
+	gint from = 1;
+	gint print = 0;
+	char *naive = NULL;
+	char *known = NULL;
+	gboolean bless = FALSE;
+	gboolean cost = FALSE;
+	bool ok = true;
+	GOptionEntry entries[] = {
+	    {"soak", 0, 0, G_OPTION_ARG_INT, &soak, "random schedules", "N"},
+	    {"from", 0, 0, G_OPTION_ARG_INT, &from, "their first seed", "S"},
+	    {"print", 0, 0, G_OPTION_ARG_INT, &print, "print a seed's script",
+		"S"},
+	    {"naive", 0, 0, G_OPTION_ARG_STRING, &naive,
+		"soak with a broken variant", "NAMES"},
+	    {"known", 0, 0, G_OPTION_ARG_STRING, &known,
+		"seeds listed in KNOWN-RED.txt", "S,S"},
+	    {"bless", 0, 0, G_OPTION_ARG_NONE, &bless,
+		"write the .expected files", NULL},
+	    {"cost", 0, 0, G_OPTION_ARG_NONE, &cost,
+		"measure messages and memory", NULL},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
+	GOptionContext *context = g_option_context_new("[SCRIPT.scn..]");
+	GError *error = NULL;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		return 2;
+	}
+	g_option_context_free(context);
+	if (cost)
+		cost_print();
+	if (print > 0) {
+		char *text = soak_script((uint32_t)print);
+
+		printf("%s", text);
+		g_free(text);
+	}
+	if (soak > 0)
+		ok = run_soak(soak, from, naive, known);
+	for (int i = 1; i < argc; i++)
+		ok = run_file(argv[i], bless) && ok;
+	g_free(naive);
+	g_free(known);
+	return ok ? 0 : 1;
+}
