--- a/bench/run.c
+++ b/bench/run.c
@@ -223,7 +223,7 @@
 
 		if (event->at > run->now - CACHE_LAG)
 			return;
-		if (g_rand_double(run->random) < CACHE_LOST)
+		if (g_rand_double(run->noise) < CACHE_LOST)
 			continue;
 		router_cache_event(at->router, run->now, at->handles[upstream],
 		    i + 1, event->block, event->stored);
@@ -370,6 +370,7 @@
 	at->random = g_rand_new_with_seed(g_rand_int(run->random));
 	options.random = at->random;
 	at->router = router_new(&options);
+	router_set_index(at->router, number);
 	at->zone = number % fleet->n_zones;
 	at->records = g_hash_table_new(NULL, NULL);
 	at->upstreams = g_hash_table_new(NULL, NULL);
@@ -451,6 +452,7 @@
 	spans_free(run->gaps);
 	events_free(run->events);
 	g_rand_free(run->random);
+	g_rand_free(run->noise);
 }
 
 /* Runs once and fills in the measures. */
@@ -459,6 +461,7 @@
 {
 	struct run run = {.options = *options,
 	    .random = g_rand_new_with_seed(options->seed),
+	    .noise = g_rand_new_with_seed(options->seed + 1000),
 	    .events = events_new(),
 	    .now = 1,
 	    .gaps = spans_new(),
--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -14,8 +14,9 @@
 /// Blocks of prompts remembered.
 #define PREFIX_BLOCKS 65536
 /// Standard deviations of projected memory kept free when the bundle weighs
-/// stalls and zone changes alike.
-#define SPREAD_EVEN 1.5
+/// stalls and zone changes alike, and how much more or less at the extremes.
+#define SPREAD_EVEN 1.75
+#define SPREAD_SWING 0.75
 /// Used where the options leave them at 0.
 #define AGEING_SPAN_DEFAULT (10 * USEC_PER_SEC)
 #define REPORT_INTERVAL_DEFAULT (500 * USEC_PER_MSEC)
@@ -86,6 +87,8 @@
 	request->counted_from = router->now;
 	request->service = g_hash_table_lookup(
 	    router->services, GUINT_TO_POINTER(options->service));
+	if (request->service != NULL)
+		router_note_class(router, request->service, options->class_id);
 	request->series = estimate_series_of(router->estimate, &key);
 	request->handle = handle_table_add(router->requests, request);
 	g_hash_table_add(router->all_requests, request);
@@ -177,9 +180,13 @@
 {
 	double both = options->stall_weight + options->zone_weight;
 
+	if (options->policy == ROUTER_POLICY_MEMORY_MEAN)
+		return 0;
 	if (both <= 0)
 		return SPREAD_EVEN;
-	return SPREAD_EVEN * 2 * options->stall_weight / both;
+	return SPREAD_EVEN +
+	    SPREAD_SWING * (options->stall_weight - options->zone_weight) /
+	    both;
 }
 
 /// Makes a router.
@@ -246,6 +253,20 @@
 	router->options.n_entries = MAX(n_entries, 1);
 }
 
+/// Sets this instance's place in the list of those that send to the same
+/// upstreams, as sorted alike by all. With it the instances take turns at the
+/// room that a report shows; without it, or while their lists differ, turns
+/// are random and may coincide.
+///
+/// @param router  the router
+/// @param index   0 to the number of entries less 1
+void
+router_set_index(struct router *router, unsigned index)
+{
+	router->has_index = true;
+	router->index = index;
+}
+
 /// Submits a request. What becomes of it follows as actions, possibly before
 /// this returns: SEND now or later, or REFUSE, after which the handle is
 /// stale.
@@ -333,7 +354,9 @@
 }
 
 /// Decides on another try, after router_finish() with FAILED or BUSY. A
-/// request that is not idempotent is tried again only when it was not run.
+/// request that is not idempotent is tried again only when it was not run. A
+/// REFUSE that follows later says that the next try was not sent; whether an
+/// earlier one may have run is for the embedder to remember.
 ///
 /// @param router   the router
 /// @param now      current time
--- a/src/godwitvale/core/router_pressure.c
+++ b/src/godwitvale/core/router_pressure.c
@@ -6,21 +6,28 @@
 
 #include <math.h>
 
+#include "godwitvale/core/hash.h"
+
 const uint32_t router_horizons[ROUTER_HORIZONS] = {
     0, 64, 256, 1024, 4096, 16384};
 
-/// The mean of the running requests moves by this share at each survey.
-#define SURVEY_SHARE 0.3
-/// The same for the rate of sends over a longer time.
-#define SLOW_SHARE 0.02
-
 /// A start is judged by the reports of this window and the last one, so that
 /// the drift between two clocks does not add up.
 #define START_WINDOW (30 * USEC_PER_SEC)
 /// No report is taken to be older than this when it is asked for.
 #define SAMPLE_AGE_MAX (3 * USEC_PER_SEC)
-/// Plain calls of one instance, as a multiple of its even share.
-#define CALL_SHARES 2
+/// Plain calls of one instance, as a multiple of its even share, at upstreams
+/// that were full and that had room.
+#define CALL_SHARES_FULL 2
+#define CALL_SHARES_FREE 4
+/// From the first to the second pressure, turns are taken more and more.
+#define CONTENTION_FROM 0.6
+#define CONTENTION_TO 0.9
+/// Multiples of the fixed reserve for a request that has just come, and for
+/// one that has waited this long.
+#define RESERVE_FRESH 1.6
+#define RESERVE_AGED 0.4
+#define AGED_SPAN (20.0 * USEC_PER_SEC)
 /// What a reported plain call of another instance counts.
 #define STALE_CALL_SHARE 0.1
 
@@ -52,7 +59,6 @@
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
 		uint32_t ahead = router_horizons[i];
-
 		double whole = now + ahead;
 		double on = runs_on(request, ahead);
 
@@ -94,9 +100,10 @@
 }
 
 /// Gives the number of requests that other instances are thought to have sent
-/// since the last report was taken. While there is a backlog they all see the
-/// same room, so each assumes a random turn among them: a report's room is
-/// used about once, not once by each.
+/// since the last report was taken. Where there is little room they all see
+/// the same one, so they take turns: a report's room is used about once, not
+/// once by each. This must not hang on a backlog of our own: an instance with
+/// a backlog would leave the room to those without.
 ///
 /// @param router    the router
 /// @param upstream  the upstream
@@ -105,7 +112,8 @@
 newcomers(const struct router *router, const struct upstream *upstream)
 {
 	const struct service *service = upstream->service;
-	unsigned others = router->options.n_entries - 1;
+	unsigned others = router_senders(router, service) - 1;
+	double before_us = upstream->turn + upstream->sent_since * others;
 	double lag;
 	double sent;
 
@@ -114,24 +122,21 @@
 	lag = (double)(router->now - upstream->sampled_at) / USEC_PER_SEC;
 	sent = service->send_rate / service->considered->len;
 	sent *= others * MAX(lag, 0);
-	if (router->now < service->backlogged_until)
-		sent =
-		    MAX(sent, upstream->turn + upstream->sent_since * others);
-	return sent;
+	return MAX(sent, before_us * upstream->contention);
 }
 
 /// Projects an engine's memory use.
 ///
 /// @param router    the router
 /// @param upstream  an engine
+/// @param unseen    requests of others since the report
 /// @param extra     a request to be added, or NULL
 /// @return the highest expected use as a share of the memory
 static double
 engine_pressure(const struct router *router, const struct upstream *upstream,
-    const struct request *extra)
+    double unseen, const struct request *extra)
 {
 	const struct service *service = upstream->service;
-	double unseen = newcomers(router, upstream);
 	double highest = 0;
 
 	for (int i = 0; i < ROUTER_HORIZONS; i++) {
@@ -185,13 +190,38 @@
     const struct request *extra)
 {
 	double count = count_pressure(router, upstream, extra != NULL);
+	double unseen;
 
-	if (upstream->options.kind != UPSTREAM_ENGINE)
+	if (upstream->options.kind != UPSTREAM_ENGINE ||
+	    !router_projects(router))
 		return count;
-	return MAX(count, engine_pressure(router, upstream, extra));
+	unseen = newcomers(router, upstream);
+	return MAX(count, engine_pressure(router, upstream, unseen, extra));
+}
+
+/// Gives the share of memory that a request must leave free. One that has
+/// waited may use more of it: so the room goes to the instance whose requests
+/// have waited longest, although the instances don't know of each other's
+/// queues, and a long one is not passed for ever by short ones.
+///
+/// @param router   the router
+/// @param request  the request
+/// @return the share
+static double
+reserve_for(const struct router *router, const struct request *request)
+{
+	double age = (double)(router->now - request->since) / AGED_SPAN;
+	double factor =
+	    RESERVE_FRESH - (RESERVE_FRESH - RESERVE_AGED) * CLAMP(age, 0, 1);
+
+	if (router->options.policy == ROUTER_POLICY_MEMORY_MEAN)
+		factor = 1;
+	return router->options.memory_reserve * factor;
 }
 
-/// Gives the number of plain calls that this instance may have running.
+/// Gives the number of plain calls that this instance may have running: twice
+/// its even share, and twice as many again while the last report shows that
+/// not all calls of the upstream are taken.
 ///
 /// @param router    the router
 /// @param upstream  a plain service
@@ -199,11 +229,13 @@
 static unsigned
 call_limit(const struct router *router, const struct upstream *upstream)
 {
-	unsigned n_entries = router->options.n_entries;
+	unsigned senders = router_senders(router, upstream->service);
 	unsigned limit = upstream->options.max_running;
-	unsigned share = (CALL_SHARES * limit + n_entries - 1) / n_entries;
+	unsigned shares = CALL_SHARES_FULL;
 
-	return MIN(share, limit);
+	if (upstream->report.running + upstream->report.waiting < limit)
+		shares = CALL_SHARES_FREE;
+	return MIN((shares * limit + senders - 1) / senders, limit);
 }
 
 /// Says whether a request may go to an upstream by its memory and count.
@@ -211,23 +243,26 @@
 /// @param router    the router
 /// @param upstream  the upstream
 /// @param request   the request, with its profile
+/// @param pressure  filled in: as router_pressure() with the request
 /// @return whether it fits
 bool
 router_fits(const struct router *router, const struct upstream *upstream,
-    const struct request *request)
+    const struct request *request, double *pressure)
 {
-	double reserve = router->options.memory_reserve;
-	bool idle;
+	double memory;
 
+	*pressure = count_pressure(router, upstream, 1);
 	if (upstream->options.kind != UPSTREAM_ENGINE)
 		return upstream->own.length < call_limit(router, upstream);
-	if (count_pressure(router, upstream, 1) > 1)
+	if (*pressure > 1)
 		return false;
-	idle = upstream->own.length == 0 && upstream->others < 1;
-	if (idle)
+	memory = engine_pressure(
+	    router, upstream, newcomers(router, upstream), request);
+	*pressure = MAX(*pressure, memory);
+	if (upstream->own.length == 0 && upstream->others < 1)
 		return request->memory.at[0] <=
 		    (double)upstream->options.memory_tokens;
-	return engine_pressure(router, upstream, request) <= 1 - reserve;
+	return memory <= 1 - reserve_for(router, request);
 }
 
 /// Forgets when an upstream started, as after a restart.
@@ -266,6 +301,28 @@
 	return MIN(sampled_at, report->asked_at);
 }
 
+/// Gives the number of instances that go before us at the room that a report
+/// shows. All who have the same report work out the same order, unless each
+/// considers a subset of its own.
+///
+/// @param router    the router
+/// @param upstream  whose report
+/// @param report    the report
+/// @return 0 to the number of those that send to it less 1
+static unsigned
+turn_of(const struct router *router, const struct upstream *upstream,
+    const struct router_report *report)
+{
+	unsigned n = router_senders(router, upstream->service);
+	uint64_t first =
+	    hash_pair(report->start_epoch, (uint64_t)report->uptime);
+
+	if (!router->has_index || n < router->options.n_entries)
+		return (unsigned)g_rand_int_range(
+		    router->options.random, 0, (gint32)n);
+	return (unsigned)((router->index + first) % n);
+}
+
 /// Takes a load report's figures into an upstream's record.
 ///
 /// @param router    the router
@@ -280,9 +337,7 @@
 	usec_t sampled_at = date_report(router, upstream, report);
 
 	if (sampled_at != upstream->sampled_at)
-		upstream->turn =
-		    (unsigned)g_rand_int_range(router->options.random, 0,
-			(gint32)router->options.n_entries);
+		upstream->turn = turn_of(router, upstream, report);
 	upstream->sampled_at = sampled_at;
 	upstream->sent_since = 0;
 	for (GList *link = upstream->own.head; link; link = link->next) {
@@ -303,64 +358,14 @@
 	    MAX((double)report->used_tokens - own_tokens, 0);
 	if (upstream->others == 0)
 		upstream->others_tokens = 0;
+	if (!router_projects(router))
+		return;
 	router_update_own(upstream);
-}
-
-/// Moves a mean towards a value.
-///
-/// @param mean   changed in place
-/// @param value  newest value
-/// @param share  how far
-static void
-blend(double *mean, double value, double share)
-{
-	*mean += (value - *mean) * share;
-}
-
-/// Learns from our own running requests how those of other instances, which
-/// are drawn from the same mix, will grow and end.
-///
-/// @param router   the router
-/// @param service  the service
-void
-router_survey(struct router *router, struct service *service)
-{
-	double span =
-	    (double)(router->now - router->surveyed_at) / USEC_PER_SEC;
-	double n = 0;
-	double tokens = 0;
-	struct memory_profile kept = {{0}, {0}};
-	struct memory_profile grown = {{0}, {0}};
-
-	for (guint i = 0; i < service->all->len; i++) {
-		struct upstream *upstream = service->all->pdata[i];
-
-		for (GList *link = upstream->own.head; link;
-		     link = link->next) {
-			struct request *request = link->data;
-			double now = request->memory.at[0];
-
-			n += 1;
-			tokens += now;
-			for (int h = 0; h < ROUTER_HORIZONS; h++) {
-				double whole = now + router_horizons[h];
-				double on = request->memory.at[h] / whole;
-
-				kept.at[h] += now * on;
-				kept.variance[h] += request->memory.variance[h];
-				grown.at[h] += router_horizons[h] * on;
-			}
-		}
-	}
-	if (span > 0) {
-		blend(&service->send_rate, service->sends / span, SURVEY_SHARE);
-		blend(&service->slow_rate, service->sends / span, SLOW_SHARE);
-	}
-	service->sends = 0;
-	for (int h = 0; h < ROUTER_HORIZONS && tokens > 0; h++) {
-		blend(&service->keep.at[h], kept.at[h] / tokens, SURVEY_SHARE);
-		blend(&service->keep.variance[h], kept.variance[h] / n,
-		    SURVEY_SHARE);
-		blend(&service->growth.at[h], grown.at[h] / n, SURVEY_SHARE);
-	}
+	if (upstream->options.kind == UPSTREAM_ENGINE &&
+	    router->options.policy != ROUTER_POLICY_MEMORY_MEAN)
+		upstream->contention =
+		    CLAMP((engine_pressure(router, upstream, 0, NULL) -
+			      CONTENTION_FROM) /
+			    (CONTENTION_TO - CONTENTION_FROM),
+			0, 1);
 }
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -100,6 +100,7 @@
 	struct request *head =
 	    handle_table_get(router->requests, fairqueue_peek(service->queue));
 	bool reported = any_reports(service);
+	double pressure;
 	guint start;
 
 	if (!router->options.use_slots || considered->len == 0 || !head)
@@ -115,7 +116,7 @@
 			return;
 		if ((reported && !upstream->warmup.known) ||
 		    !warmup_is_cold(&upstream->warmup, router->now) ||
-		    !router_fits(router, upstream, head) ||
+		    !router_fits(router, upstream, head, &pressure) ||
 		    !find_slot(router, upstream, &slot))
 			continue;
 		upstream->slots[slot].state = SLOT_ASKED;
@@ -178,6 +179,7 @@
 	struct request *request;
 	uint32_t limit;
 	bool usable;
+	double pressure;
 
 	router->now = now;
 	if (!end_question(found, slot, now + NO_ROOM_SPAN)) {
@@ -191,7 +193,7 @@
 	    has_room(found, limit);
 	if (usable) {
 		router_profile_request(request, &request->memory);
-		usable = router_fits(router, found, request);
+		usable = router_fits(router, found, request, &pressure);
 	}
 	if (!usable) {
 		push_slot(router, ROUTER_ACTION_SLOT_DONE, upstream, slot);
@@ -202,8 +204,7 @@
 	found->n_in_use++;
 	request->has_slot = true;
 	request->slot = slot;
-	found->service->starts += 1;
-	fairqueue_start(found->service->queue, request->handle);
+	fairqueue_start(found->service->queue, now, request->handle);
 	router_place_request(router, request, found);
 	router_dispatch(router, found->service);
 }
