--- a/src/godwitvale/core/authority.c
+++ b/src/godwitvale/core/authority.c
@@ -90,7 +90,9 @@
 
 /// Takes what the listed instances say. It counts only until the register
 /// could be read once, by this instance or a peer that it heard: in a fleet
-/// that has just started, no majority of voters is ready yet.
+/// that has just started, no majority of voters is ready yet. All listed ones
+/// must have answered, since those that don't may have accepted a newer bundle
+/// on the other side of a partition.
 ///
 /// @param authority  the part
 /// @param now        current time
@@ -105,7 +107,7 @@
 	usec_t until = now + authority->options.freshness / 2;
 
 	if (authority->register_seen || authority->peer_read ||
-	    authority->version == 0 || listed == 0 || answered <= listed / 2 ||
+	    authority->version == 0 || listed == 0 || answered < listed ||
 	    highest > authority->version)
 		return;
 	authority->valid_until = MAX(authority->valid_until, until);
--- a/src/godwitvale/core/quorum_claim.c
+++ b/src/godwitvale/core/quorum_claim.c
@@ -212,18 +212,15 @@
 	set_timer(quorum, claim);
 }
 
-/// Says what is known of earlier runs of a denied key. "Not run" needs a
-/// majority that voted for this claim, if too late, and so knew no other.
+/// Says what is known of other runs of a denied key. "Not run" is never known:
+/// even a majority that knew no other claim, but voted too late, says nothing
+/// of one that is still being asked for.
 ///
 /// @param claim  the claim
 /// @return the verdict
 static enum verdict
 denied_verdict(const struct quorum_claim *claim)
 {
-	unsigned votes = (unsigned)__builtin_popcount(claim->voted);
-
-	if (!claim->known_held && votes >= quorum_majority(&claim->config))
-		return VERDICT_NOT_RUN;
 	return verdict_raise(claim->verdict, VERDICT_MAY_HAVE_RUN);
 }
 
