Upstreams: an idle connection tells of a restart at once

Cause: an idle engine that restarts was taken for warm until the next load report, so a burst from three instances put more on it than it bears. Ruled out: asking for a report before each send, which adds a round trip to every first token; shorter report intervals, which only narrow the gap. Change: each instance keeps one idle connection to each upstream (up to 128 of them) and takes its end for a restart; a report asked for before that end is passed over. Conclusion: what remains is the time in which the connection's end travels, and fleets of more upstreams, where the lease on slots and reports have to do.

--- a/src/godwitvale/upstream/upstream.c
+++ b/src/godwitvale/upstream/upstream.c
@@ -9,6 +9,7 @@
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/parse.h"
 #include "godwitvale/serve/request.h"
+#include "godwitvale/upstream/watch.h"
 
 /// A report that takes longer counts as silence.
 #define REPORT_TIMEOUT (2 * USEC_PER_SEC)
@@ -33,6 +34,7 @@
 {
 	struct upstream *upstream = data;
 
+	watch_free(upstream->watch);
 	g_free(upstream->name);
 	g_free(upstream->base);
 	g_free(upstream->address.ip);
@@ -106,6 +108,8 @@
 	upstream->in_service = true;
 	upstream->handle = router_add_upstream(table->instance->router,
 	    g_get_monotonic_time(), &upstream->options);
+	if (table->upstreams->len < WATCH_UPSTREAMS_MAX)
+		upstream->watch = watch_new(table->instance, upstream);
 	g_ptr_array_add(table->upstreams, upstream);
 	return upstream;
 }
@@ -287,6 +291,9 @@
 	if (upstream == NULL)
 		goto out;
 	upstream->report_pending = false;
+	/* A report from before a restart says nothing of what runs now. */
+	if (question->asked_at < upstream->lost_at)
+		goto out;
 	if (status == SOUP_STATUS_OK)
 		root = parse_bytes(body);
 	if (json_object_is_type(root, json_type_object))
@@ -459,6 +466,8 @@
 		struct upstream *upstream =
 		    g_ptr_array_index(table->upstreams, i);
 
+		if (upstream->watch != NULL && !upstream->retired)
+			watch_tick(upstream->watch, now);
 		if (upstream->retired || upstream->report_pending ||
 		    now < upstream->report_due)
 			continue;
--- a/src/godwitvale/upstream/upstream.h
+++ b/src/godwitvale/upstream/upstream.h
@@ -4,6 +4,8 @@
 
 #include "godwitvale/serve/instance_defs.h"
 
+struct watch;
+
 /// One upstream of the bundle in force.
 struct upstream {
 	router_upstream handle; /// the router's handle of it
@@ -15,6 +17,8 @@
 	bool engine;
 	bool checks_fence;
 	bool in_service;
+	usec_t lost_at;      /// when its idle connection last ended
+	struct watch *watch; /// NULL where there are too many
 	bool retired; /// not in the bundle any more, or with other options
 	struct router_upstream_options options;
 	char *model;          /// weights loaded, as last reported, or NULL
