--- a/scripts/bench-control.sh
+++ b/scripts/bench-control.sh
@@ -8,12 +8,6 @@
 . test/functional/lib.sh || exit 1
 . scripts/fleet.sh || exit 1
 
-cpu_ms()
-{
-	awk -v hz="$(getconf CLK_TCK)" \
-	    '{ print int(($14 + $15) * 1000 / hz) }' "/proc/$1/stat"
-}
-
 # row N_INSTANCES N_ENGINES
 row()
 {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -340,3 +340,10 @@
 	wait_bundle 1 e1 e2 e3
 	wait_voting e1 e2 e3
 }
+
+# cpu_ms PID: a process's processor time so far, in ms.
+cpu_ms()
+{
+	awk -v hz="$(getconf CLK_TCK)" \
+	    '{ print int(($14 + $15) * 1000 / hz) }' "/proc/$1/stat"
+}
