Counters that stayed at 0 are kept; 304 of the membership stand-in

Cause: requests_ended, in_flight, queue_length, upstreams_cold and orders_may_have_run were never set. Change: router_count(); one place where a request is noted as answered; the stand-in answers.

--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -253,6 +253,35 @@
 	router->options.n_entries = MAX(n_entries, 1);
 }
 
+/// Counts what the router holds.
+///
+/// @param router  the router
+/// @param now     current time
+/// @param counts  filled in
+void
+router_count(
+    const struct router *router, usec_t now, struct router_counts *counts)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	memset(counts, 0, sizeof(*counts));
+	g_hash_table_iter_init(&iter, router->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct service *service = value;
+
+		counts->waiting += fairqueue_length(service->queue);
+		for (guint i = 0; i < service->all->len; i++) {
+			const struct upstream *upstream =
+			    service->all->pdata[i];
+
+			counts->running += upstream->own.length;
+			counts->cold += upstream->in_service &&
+			    warmup_is_cold(&upstream->warmup, now);
+		}
+	}
+}
+
 /// Puts a bundle's weights in force. Requests that wait keep the place that
 /// they have.
 ///
--- a/src/godwitvale/core/router.h
+++ b/src/godwitvale/core/router.h
@@ -31,6 +31,8 @@
 struct router *router_new(const struct router_options *options);
 void router_free(struct router *router);
 void router_set_entries(struct router *router, unsigned n_entries);
+void router_count(
+    const struct router *router, usec_t now, struct router_counts *counts);
 void router_set_weights(
     struct router *router, const struct router_weights *weights);
 void router_set_index(struct router *router, unsigned index);
--- a/src/godwitvale/core/router_defs.h
+++ b/src/godwitvale/core/router_defs.h
@@ -118,6 +118,13 @@
 	unsigned subset;    /// upstreams considered a service; 0: all
 };
 
+/// What a router holds at present.
+struct router_counts {
+	unsigned waiting; /// requests in its queues
+	unsigned running; /// requests at upstreams
+	unsigned cold;    /// upstreams in service that are cold
+};
+
 /// How a router is built. Weights come from the bundle.
 struct router_options {
 	enum router_policy policy;
--- a/src/godwitvale/serve/operator.c
+++ b/src/godwitvale/serve/operator.c
@@ -129,12 +129,16 @@
     GHashTable *query, gpointer data)
 {
 	struct instance *instance = data;
+	struct router_counts counts;
 	GString *text;
 
 	(void)server;
 	(void)path;
 	(void)query;
-	metrics_set(METRIC_IN_FLIGHT, request_count(instance));
+	router_count(instance->router, g_get_monotonic_time(), &counts);
+	metrics_set(METRIC_IN_FLIGHT, counts.running);
+	metrics_set(METRIC_QUEUE_LENGTH, counts.waiting);
+	metrics_set(METRIC_UPSTREAMS_COLD, counts.cold);
 	text = metrics_to_text();
 	answer(message, "text/plain; version=0.0.4", text->str, text->len);
 	g_string_free(text, TRUE);
--- a/src/godwitvale/serve/request.c
+++ b/src/godwitvale/serve/request.c
@@ -354,6 +354,27 @@
 	g_bytes_unref(body);
 }
 
+/// Notes that a request has its final answer.
+///
+/// @param request  the request; it no longer counts at the router
+static void
+note_answered(struct request *request)
+{
+	static const enum metric metrics[] = {
+	    [VERDICT_NOT_RUN] = METRIC_ENDED_NOT_RUN,
+	    [VERDICT_MAY_HAVE_RUN] = METRIC_ENDED_MAY_HAVE_RUN,
+	    [VERDICT_RAN] = METRIC_ENDED_RAN,
+	};
+
+	g_assert(!request->answered);
+	request->answered = true;
+	metrics_add(metrics[request->verdict], 1);
+	if (request->key.kind != 0 && request->verdict == VERDICT_MAY_HAVE_RUN)
+		metrics_add(METRIC_ORDERS_MAY_HAVE_RUN, 1);
+	request_leave_router(
+	    request, ROUTER_END_DONE, request->relay.next_offset);
+}
+
 /// Gives the final answer to a request in one piece.
 ///
 /// @param request       the request
@@ -367,10 +388,7 @@
 	SoupMessageBody *out;
 
 	request_settle_claim(request);
-	g_assert(!request->answered);
-	request->answered = true;
-	request_leave_router(
-	    request, ROUTER_END_DONE, request->relay.next_offset);
+	note_answered(request);
 	if (request->message == NULL) {
 		request_free(request);
 		return;
@@ -447,10 +465,7 @@
 request_stream_end(struct request *request)
 {
 	request_stream_flush(request);
-	g_assert(!request->answered);
-	request->answered = true;
-	request_leave_router(
-	    request, ROUTER_END_DONE, request->relay.next_offset);
+	note_answered(request);
 	soup_message_body_complete(
 	    soup_server_message_get_response_body(request->message));
 	soup_server_message_unpause(request->message);
--- a/test/standin/members.c
+++ b/test/standin/members.c
@@ -59,8 +59,7 @@
 	json_object *object;
 
 	if (after >= 0 && (uint64_t)after == revision->number) {
-		soup_server_message_set_status(
-		    message, SOUP_STATUS_NOT_MODIFIED, NULL);
+		standin_answer(message, SOUP_STATUS_NOT_MODIFIED, NULL, "", 0);
 		return;
 	}
 	object = json_object_new_object();
