--- a/src/godwitvale/upstream/upstream.c
+++ b/src/godwitvale/upstream/upstream.c
@@ -70,20 +70,36 @@
 static struct router_upstream_options
 router_options_of(const struct bundle_upstream *options)
 {
-	struct router_upstream_options routed;
-
-	/* Compared as bytes, so that padding has to be alike. */
-	memset(&routed, 0, sizeof(routed));
-	routed.kind = options->engine ? UPSTREAM_ENGINE : UPSTREAM_SERVICE;
-	routed.service = g_quark_from_string(options->serves);
-	routed.zone = g_quark_from_string(options->zone);
-	routed.memory_tokens = options->memory_tokens;
-	routed.max_running = options->max_running;
-	routed.cold_limit = options->cold_limit;
-	routed.warm_span = options->warm_span;
+	struct router_upstream_options routed = {
+	    .kind = options->engine ? UPSTREAM_ENGINE : UPSTREAM_SERVICE,
+	    .service = g_quark_from_string(options->serves),
+	    .zone = g_quark_from_string(options->zone),
+	    .memory_tokens = options->memory_tokens,
+	    .max_running = options->max_running,
+	    .cold_limit = options->cold_limit,
+	    .warm_span = options->warm_span,
+	};
+
 	return routed;
 }
 
+/// Compares what the router knows of an upstream.
+///
+/// @param left   one description
+/// @param right  the other
+/// @return true when they are alike
+static bool
+same_options(const struct router_upstream_options *left,
+    const struct router_upstream_options *right)
+{
+	return left->kind == right->kind && left->service == right->service &&
+	    left->zone == right->zone &&
+	    left->memory_tokens == right->memory_tokens &&
+	    left->max_running == right->max_running &&
+	    left->cold_limit == right->cold_limit &&
+	    left->warm_span == right->warm_span;
+}
+
 /// Enters an upstream.
 ///
 /// @param table    the table
@@ -403,7 +419,7 @@
 		    router_options_of(options);
 
 		if (upstream != NULL &&
-		    memcmp(&routed, &upstream->options, sizeof(routed)) != 0) {
+		    !same_options(&routed, &upstream->options)) {
 			retire_upstream(table, upstream);
 			upstream = NULL;
 		}
