Generations: asked again in the step in which bytes leave

Cause: a generation was confirmed before the exchange was handed to the HTTP library; a connection that takes long to open could leave under an older bundle, and one that was refused still counted as may-have-run. Change: the same check as for calls, in the `starting` signal, where the verdict is raised too.

--- a/src/godwitvale/upstream/generation.c
+++ b/src/godwitvale/upstream/generation.c
@@ -428,6 +428,36 @@
 	return message;
 }
 
+/// Checks, in the step that sends, that a new generation may still leave;
+/// from here on it may have run.
+///
+/// @param message  the exchange's message
+/// @param data     the stream
+static void
+on_starting(SoupMessage *message, gpointer data)
+{
+	struct stream *stream = data;
+	struct instance *instance = stream->instance;
+	struct request *request = stream_request(stream);
+	struct upstream *upstream;
+
+	(void)message;
+	if (request == NULL) {
+		g_cancellable_cancel(stream->cancellable);
+		return;
+	}
+	upstream = upstream_find(instance->upstreams, request->upstream);
+	if (!stream->resume &&
+	    (upstream == NULL || !upstream->in_service ||
+		!authority_may_admit(
+		    &instance->authority, g_get_monotonic_time()))) {
+		g_cancellable_cancel(stream->cancellable);
+		return;
+	}
+	request->verdict =
+	    verdict_raise(request->verdict, VERDICT_MAY_HAVE_RUN);
+}
+
 /// Opens a new exchange with the engine; events of earlier ones are dropped.
 ///
 /// @param request  the request
@@ -457,8 +487,8 @@
 	stream->cancellable = g_object_ref(request->cancellable);
 	stream->message = make_message(request, upstream, resume);
 	sse_init(&stream->parser);
-	request->verdict =
-	    verdict_raise(request->verdict, VERDICT_MAY_HAVE_RUN);
+	g_signal_connect(
+	    stream->message, "starting", G_CALLBACK(on_starting), stream);
 	soup_session_send_async(instance->session, stream->message,
 	    G_PRIORITY_DEFAULT, stream->cancellable, on_head, stream);
 }
