Peer: the window against replays is a module with tests

Cause: the refusal of replayed datagrams stood inside the peer part and no test showed it. Change: peer/replay, with a unit test; peer.c is shorter. Over processes no replay was sent.

--- a/src/godwitvale/peer/peer.c
+++ b/src/godwitvale/peer/peer.c
@@ -19,6 +19,7 @@
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer_codec.h"
+#include "godwitvale/peer/replay.h"
 #include "godwitvale/platform/members.h"
 #include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
@@ -29,15 +30,12 @@
 #define HEARTBEAT_INTERVAL (400 * USEC_PER_MSEC)
 /// Instances that each round of heartbeats goes to.
 #define HEARTBEAT_FANOUT 3
-/// Sequence numbers remembered behind the highest one.
-#define REPLAY_WINDOW 64
 
 /// What is known of one other instance.
 struct contact {
 	uint64_t boot;      /// its present life; 0: not known
 	uint64_t challenge; /// it is to echo this to prove a new life
-	uint64_t highest;   /// highest sequence number taken
-	uint64_t window;    /// bit i: highest - i was taken
+	struct replay replay;
 	usec_t answered_at; /// when it last proved to be alive
 	uint64_t bundle_version;
 };
@@ -234,32 +232,6 @@
 	send_body(peer, to, boot, &body);
 }
 
-/// Takes a sequence number once.
-///
-/// @param contact   the sender
-/// @param sequence  the number
-/// @return false when it was taken before or is too old to tell
-static bool
-take_sequence(struct contact *contact, uint64_t sequence)
-{
-	uint64_t behind;
-
-	if (sequence > contact->highest) {
-		uint64_t ahead = sequence - contact->highest;
-
-		contact->window =
-		    ahead >= REPLAY_WINDOW ? 0 : contact->window << ahead;
-		contact->window |= 1;
-		contact->highest = sequence;
-		return true;
-	}
-	behind = contact->highest - sequence;
-	if (behind >= REPLAY_WINDOW || (contact->window >> behind & 1) != 0)
-		return false;
-	contact->window |= (uint64_t)1 << behind;
-	return true;
-}
-
 /// Takes a heartbeat: answers its challenge, or takes its proof of life.
 ///
 /// @param peer      the part
@@ -280,8 +252,7 @@
 		return;
 	if (contact->boot != envelope->sender_boot) {
 		contact->boot = envelope->sender_boot;
-		contact->highest = envelope->sequence;
-		contact->window = 1;
+		replay_init(&contact->replay, envelope->sequence);
 	}
 	contact->challenge = 0;
 	contact->answered_at = g_get_monotonic_time();
@@ -314,7 +285,7 @@
 		send_hello(peer, envelope->sender, 0, 0);
 		return;
 	}
-	if (!take_sequence(contact, envelope->sequence)) {
+	if (!replay_take(&contact->replay, envelope->sequence)) {
 		metrics_add(METRIC_PEER_DROPPED_REPLAYED, 1);
 		return;
 	}
