Retries end with the caller's patience, and a lapsed grant is in doubt

Cause: each retry counted the time to start anew, so an order whose worker was down was refused after 14.5 s under a patience of 10 s (a trial). With that mended, scenario at-most-once "checked-before-the-send" showed a second fault that further retries had hidden: a call that was not sent within its grant was refused as not-run, although a repeat had been granted and had run meanwhile. Ruled out: asking the voters again before that refusal, which would hold the final answer back. Change: what was not run keeps its time to start, and is refused at once when its next try would come too late; a refusal under a lapsed grant says may-have-run.

--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -424,8 +424,8 @@
 /// @param request  its handle
 /// @param verdict  whether the last try may have run
 /// @return true when it waits again under the same handle, its time to start
-///         counted anew; false when the embedder has to answer it, the handle
-///         being stale then
+///         counted anew where it may have run; false when the embedder has to
+///         answer it at once, the handle being stale then
 bool
 router_retry(struct router *router, usec_t now, router_request request,
     enum verdict verdict)
@@ -434,23 +434,28 @@
 	struct router_request_options *options;
 	unsigned doublings;
 	double span;
+	bool too_late;
 
 	router->now = now;
 	if (found == NULL || found->state != REQUEST_ENDED)
 		return false;
 	options = &found->options;
-	if ((!options->idempotent && verdict != VERDICT_NOT_RUN) ||
+	doublings = MIN(found->retries, RETRY_DOUBLINGS_MAX);
+	span = (double)(RETRY_SPAN << doublings);
+	span *= 0.5 + g_rand_double(router->options.random) / 2;
+	too_late = verdict == VERDICT_NOT_RUN &&
+	    now + (usec_t)span >= options->start_deadline;
+	if (too_late || (!options->idempotent && verdict != VERDICT_NOT_RUN) ||
 	    !budget_take(router->budget, options->organisation)) {
 		router_release(router, found);
 		return false;
 	}
-	if (options->start_deadline != USEC_NEVER)
-		options->start_deadline += now - found->counted_from;
-	found->counted_from = now;
-	doublings = MIN(found->retries, RETRY_DOUBLINGS_MAX);
+	if (verdict != VERDICT_NOT_RUN) {
+		if (options->start_deadline != USEC_NEVER)
+			options->start_deadline += now - found->counted_from;
+		found->counted_from = now;
+	}
 	found->retries++;
-	span = (double)(RETRY_SPAN << doublings);
-	span *= 0.5 + g_rand_double(router->options.random) / 2;
 	router_delay(router, found, now + (usec_t)span);
 	tick_within(router, (usec_t)span);
 	return true;
--- a/src/godwitvale/serve/request.c
+++ b/src/godwitvale/serve/request.c
@@ -289,7 +289,12 @@
 in_doubt(const struct request *request, enum refusal refusal)
 {
 	if (request->kind != REQUEST_CALL || request->idempotent ||
-	    request->denied || (request->granted && request->ticket != 0))
+	    request->denied)
+		return false;
+	/* Once a grant has lapsed, a repeat may have got one of its own. */
+	if (request->granted && request->ticket != 0 &&
+	    quorum_may_act(request->instance->quorum, g_get_monotonic_time(),
+		request->ticket))
 		return false;
 	return request->key.kind != 0 || refusal == REFUSAL_NO_BUNDLE ||
 	    refusal == REFUSAL_TOO_MANY || refusal == REFUSAL_ISOLATED;
--- a/test/scenario/request.c
+++ b/test/scenario/request.c
@@ -137,6 +137,11 @@
 	    naive(call, NAIVE_RESEND) ? VERDICT_NOT_RUN : call->verdict);
 	if (!again) {
 		call->routed = 0;
+		/* Once a grant has lapsed, a repeat may have got another. */
+		if (!call->idempotent &&
+		    !quorum_may_act(inst->quorum, now, call->ticket))
+			call->verdict =
+			    verdict_raise(call->verdict, VERDICT_MAY_HAVE_RUN);
 		refuse_soon(call, reason);
 		return;
 	}
