Fleet of the tests: instances outlive a hang-up of the shell's group

Cause: in a whole run whose own shell had gone, the kernel sent SIGHUP to the orphaned process group when it had a stopped member, and ended the instance that functional/model_orders had stopped. Ruled out: the daemon; the same script passed at once in a live shell. Change: instances are started by nohup. Measured: functional/model_orders and the demo pass. The orphaned case itself was not run again.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -189,7 +189,7 @@
 start_instance()
 {
 	write_settings "$1" "${zone_of[$1]}" "$workdir/$1.json"
-	"$BINDIR/godwitvale" serve --settings "$workdir/$1.json" \
+	nohup "$BINDIR/godwitvale" serve --settings "$workdir/$1.json" \
 	    >>"$workdir/$1.log" 2>&1 &
 	pid_of[$1]=$!
 	pids+=($!)
