--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SEEDS ?= 200
 FROM ?= 1
-C_FILES = $(shell git ls-files 'src/*.[ch]' 'test/*.[ch]' 'bench/*.[ch]' | \
+C_FILES = $(shell git ls-files 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'bench/*.[ch]' | \
 	grep -v '_xdr\.[ch]$$')
 C_SOURCES = $(filter %.c,$(C_FILES))
 
--- a/scripts/check-layout.sh
+++ b/scripts/check-layout.sh
@@ -3,7 +3,7 @@
 # owns, and the core keeps clear of I/O, clocks and global random numbers.
 set -eu
 status=0
-for file in $(git ls-files 'src/*.[ch]' 'test/*.[ch]' 'bench/*.[ch]' |
+for file in $(git ls-files 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'bench/*.[ch]' |
     grep -v '_xdr\.[ch]$'); do
 	head -1 "$file" | grep -qE '^(///?|/\*)' || {
 		echo "$file:1: opens without a comment on what it owns"
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,9 +1,15 @@
 #!/bin/sh
-# Makes the committed XDR code anew from peer_wire.x; needs rpcgen.
+# Makes the committed XDR code anew from its .x files; needs rpcgen.
 set -eu
-cd "$(dirname "$0")/../src/godwitvale/peer"
-rm -f peer_wire_xdr.h peer_wire_xdr.c
-rpcgen -C -h -o peer_wire_xdr.h peer_wire.x
-rpcgen -C -c -o peer_wire_xdr.c peer_wire.x
-sed -i 's|#include "peer_wire.h"|#include "godwitvale/peer/peer_wire_xdr.h"|' \
-    peer_wire_xdr.c
+cd "$(dirname "$0")/../src/godwitvale"
+for wire in peer/peer_wire fleet/fleet_wire; do
+	(
+		cd "$(dirname "$wire")"
+		name=$(basename "$wire")
+		rm -f "${name}_xdr.h" "${name}_xdr.c"
+		rpcgen -C -h -o "${name}_xdr.h" "$name.x"
+		rpcgen -C -c -o "${name}_xdr.c" "$name.x"
+		sed -i "s|#include \"$name.h\"|#include \"godwitvale/${wire}_xdr.h\"|" \
+		    "${name}_xdr.c"
+	)
+done
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="build-essential cmake ninja-build pkg-config git curl
     libglib2.0-dev libsoup-3.0-dev libtirpc-dev libjson-c-dev libxxhash-dev
-    libsodium-dev libcmocka-dev liblog4c-dev clang-format clang-tidy"
+    libsodium-dev libhttp-parser-dev libcmocka-dev liblog4c-dev clang-format clang-tidy"
 missing=""
 for package in $packages; do
 	dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
--- /dev/null
+++ b/src/godwitvale/core/deployment.c
@@ -0,0 +1,279 @@
+/* Configurations. Lookups cost the same however many routes there are. */
+#include "godwitvale/core/deployment.h"
+
+#include <string.h>
+
+/// Frees a share of a route.
+static void
+share_clear(void *data)
+{
+	g_free(((struct route_share *)data)->service);
+}
+
+/// Frees a route.
+static void
+route_free(void *data)
+{
+	struct route *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->shares);
+	g_free(route);
+}
+
+/// Frees a service.
+static void
+service_free(void *data)
+{
+	struct service *service = data;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+/// Frees an organisation.
+static void
+organisation_free(void *data)
+{
+	struct organisation *organisation = data;
+
+	g_free(organisation->name);
+	g_free(organisation);
+}
+
+/// Frees the routes of a host, which they don't belong to.
+static void
+host_routes_free(void *data)
+{
+	g_ptr_array_unref(data);
+}
+
+/// Makes an empty configuration.
+///
+/// @return with one reference
+struct deployment *
+deployment_new(void)
+{
+	struct deployment *deployment = g_new0(struct deployment, 1);
+
+	deployment->refs = 1;
+	deployment->routes = g_ptr_array_new_with_free_func(route_free);
+	deployment->routes_by_host = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, host_routes_free);
+	deployment->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	deployment->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	deployment->organisations =
+	    g_ptr_array_new_with_free_func(organisation_free);
+	return deployment;
+}
+
+/// Takes a reference.
+///
+/// @param deployment  a configuration
+/// @return the same
+struct deployment *
+deployment_ref(struct deployment *deployment)
+{
+	deployment->refs++;
+	return deployment;
+}
+
+/// Drops a reference; the last one frees it.
+///
+/// @param deployment  a configuration, or NULL
+void
+deployment_unref(struct deployment *deployment)
+{
+	if (deployment == NULL || --deployment->refs > 0)
+		return;
+	g_hash_table_unref(deployment->routes_by_host);
+	g_ptr_array_unref(deployment->routes);
+	g_hash_table_unref(deployment->services);
+	g_hash_table_unref(deployment->keys);
+	g_ptr_array_unref(deployment->organisations);
+	g_free(deployment);
+}
+
+/// Adds a route, to be filled in.
+///
+/// @param deployment  not yet sealed
+/// @return the route
+struct route *
+deployment_add_route(struct deployment *deployment)
+{
+	struct route *route = g_new0(struct route, 1);
+
+	route->shares = g_array_new(false, true, sizeof(struct route_share));
+	g_array_set_clear_func(route->shares, share_clear);
+	g_ptr_array_add(deployment->routes, route);
+	return route;
+}
+
+/// Adds a service to those a route is split among.
+///
+/// @param route    the route
+/// @param service  its name
+/// @param weight   its part of the requests
+void
+route_add_share(struct route *route, const char *service, uint32_t weight)
+{
+	struct route_share share = {g_strdup(service), weight};
+
+	g_array_append_val(route->shares, share);
+}
+
+/// Adds a service, to be filled in.
+///
+/// @param deployment  not yet sealed
+/// @param name        its name
+/// @return the service
+struct service *
+deployment_add_service(struct deployment *deployment, const char *name)
+{
+	struct service *service = g_new0(struct service, 1);
+
+	service->name = g_strdup(name);
+	g_hash_table_replace(deployment->services, service->name, service);
+	return service;
+}
+
+/// Adds an organisation, to be filled in.
+///
+/// @param deployment  not yet sealed
+/// @param name        its name
+/// @return the organisation
+struct organisation *
+deployment_add_organisation(struct deployment *deployment, const char *name)
+{
+	struct organisation *organisation = g_new0(struct organisation, 1);
+
+	organisation->name = g_strdup(name);
+	organisation->priority = -1;
+	g_ptr_array_add(deployment->organisations, organisation);
+	return organisation;
+}
+
+/// Orders routes by the length of their prefix, longest first.
+static gint
+compare_prefixes(gconstpointer a, gconstpointer b)
+{
+	const struct route *left = *(struct route *const *)a;
+	const struct route *right = *(struct route *const *)b;
+	size_t left_len = strlen(left->prefix);
+	size_t right_len = strlen(right->prefix);
+
+	return left_len < right_len ? 1 : left_len > right_len ? -1 : 0;
+}
+
+/// Builds the lookups once everything has been added.
+///
+/// @param deployment  complete
+void
+deployment_seal(struct deployment *deployment)
+{
+	GHashTableIter iter;
+	void *value;
+
+	for (guint i = 0; i < deployment->routes->len; i++) {
+		struct route *route = deployment->routes->pdata[i];
+		GPtrArray *routes = g_hash_table_lookup(
+		    deployment->routes_by_host, route->host);
+
+		if (routes == NULL) {
+			routes = g_ptr_array_new();
+			g_hash_table_insert(
+			    deployment->routes_by_host, route->host, routes);
+		}
+		g_ptr_array_add(routes, route);
+	}
+	g_hash_table_iter_init(&iter, deployment->routes_by_host);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_sort(value, compare_prefixes);
+}
+
+/// Finds the route of a request: of its host's routes the one with the
+/// longest prefix of the path.
+///
+/// @param deployment  the configuration
+/// @param host        the Host field; a port in it is ignored
+/// @param path        the request's target
+/// @return the route, or NULL
+const struct route *
+deployment_route(
+    const struct deployment *deployment, const char *host, const char *path)
+{
+	char name[256];
+	const char *colon = strchr(host, ':');
+	size_t len = colon == NULL ? strlen(host) : (size_t)(colon - host);
+	const GPtrArray *routes;
+
+	if (len >= sizeof(name))
+		return NULL;
+	for (size_t i = 0; i < len; i++)
+		name[i] = g_ascii_tolower(host[i]);
+	name[len] = '\0';
+	routes = g_hash_table_lookup(deployment->routes_by_host, name);
+	for (guint i = 0; routes != NULL && i < routes->len; i++) {
+		const struct route *route = routes->pdata[i];
+
+		if (g_str_has_prefix(path, route->prefix))
+			return route;
+	}
+	return NULL;
+}
+
+/// Finds who holds a key.
+///
+/// @param deployment  the configuration
+/// @param key         the key
+/// @return the organisation, or NULL
+const struct organisation *
+deployment_organisation(const struct deployment *deployment, const char *key)
+{
+	return g_hash_table_lookup(deployment->keys, key);
+}
+
+/// Finds a service.
+///
+/// @param deployment  the configuration
+/// @param name        its name
+/// @return the service, or NULL
+const struct service *
+deployment_service(const struct deployment *deployment, const char *name)
+{
+	return g_hash_table_lookup(deployment->services, name);
+}
+
+/// Picks one of the services that a route is split among, in proportion to
+/// their weights. The same hash gets the same service.
+///
+/// @param route  the route
+/// @param hash   of the request
+/// @return the service's name, or NULL when the route has none
+const char *
+route_service_for(const struct route *route, uint64_t hash)
+{
+	uint64_t total = 0;
+	uint64_t point;
+
+	for (guint i = 0; i < route->shares->len; i++)
+		total +=
+		    g_array_index(route->shares, struct route_share, i).weight;
+	if (total == 0)
+		return NULL;
+	point = hash % total;
+	for (guint i = 0; i < route->shares->len; i++) {
+		const struct route_share *share =
+		    &g_array_index(route->shares, struct route_share, i);
+
+		if (point < share->weight)
+			return share->service;
+		point -= share->weight;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/godwitvale/core/deployment.h
@@ -0,0 +1,26 @@
+/* Configurations: building, sharing, finding a request's route and sender. */
+#ifndef GODWITVALE_CORE_DEPLOYMENT_H
+#define GODWITVALE_CORE_DEPLOYMENT_H
+
+#include "godwitvale/core/deployment_defs.h"
+
+struct deployment *deployment_new(void);
+struct deployment *deployment_ref(struct deployment *deployment);
+void deployment_unref(struct deployment *deployment);
+struct route *deployment_add_route(struct deployment *deployment);
+struct service *deployment_add_service(
+    struct deployment *deployment, const char *name);
+struct organisation *deployment_add_organisation(
+    struct deployment *deployment, const char *name);
+void route_add_share(struct route *route, const char *service, uint32_t weight);
+void deployment_seal(struct deployment *deployment);
+
+const struct route *deployment_route(
+    const struct deployment *deployment, const char *host, const char *path);
+const struct organisation *deployment_organisation(
+    const struct deployment *deployment, const char *key);
+const struct service *deployment_service(
+    const struct deployment *deployment, const char *name);
+const char *route_service_for(const struct route *route, uint64_t hash);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/core/membership.c
@@ -0,0 +1,247 @@
+/* The other instances, as their heartbeats tell. */
+#include "godwitvale/core/membership.h"
+
+#include <string.h>
+
+#include "godwitvale/core/hash.h"
+
+struct membership {
+	char *own_name;
+	usec_t lost_span;
+	membership_listener listener;
+	void *owner;
+	GHashTable *members; /// name -> struct member *
+	unsigned peak;       /// most instances seen at a time, with this one
+};
+
+/// Frees a member.
+static void
+member_free(void *data)
+{
+	struct member *member = data;
+
+	g_free(member->name);
+	g_free(member->ip);
+	g_free(member);
+}
+
+/// Makes a membership of this instance alone.
+///
+/// @param own_name   this instance's name
+/// @param lost_span  silence after which a member counts as lost
+/// @param listener   told of changes
+/// @param owner      passed to it
+/// @return the membership; free with membership_free()
+struct membership *
+membership_new(const char *own_name, usec_t lost_span,
+    membership_listener listener, void *owner)
+{
+	struct membership *membership = g_new0(struct membership, 1);
+
+	membership->own_name = g_strdup(own_name);
+	membership->lost_span = lost_span;
+	membership->listener = listener;
+	membership->owner = owner;
+	membership->members =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
+	membership->peak = 1;
+	return membership;
+}
+
+/// Frees a membership.
+///
+/// @param membership  the membership
+void
+membership_free(struct membership *membership)
+{
+	g_hash_table_unref(membership->members);
+	g_free(membership->own_name);
+	g_free(membership);
+}
+
+/// Adds a member.
+static struct member *
+add_member(struct membership *membership, const struct member_beat *beat)
+{
+	struct member *member = g_new0(struct member, 1);
+
+	member->name = g_strdup(beat->name);
+	member->ip = g_strdup(beat->ip);
+	member->key = hash_name(beat->name);
+	member->incarnation = beat->incarnation;
+	g_hash_table_insert(membership->members, member->name, member);
+	membership->peak = MAX(membership->peak, membership_size(membership));
+	return member;
+}
+
+/// Takes a heartbeat.
+///
+/// @param membership  the membership
+/// @param now         time
+/// @param beat        what it says
+/// @return its sender, or NULL when it is this instance or an earlier life
+const struct member *
+membership_heard(
+    struct membership *membership, usec_t now, const struct member_beat *beat)
+{
+	struct member *member;
+	bool is_new = false;
+
+	if (strcmp(beat->name, membership->own_name) == 0)
+		return NULL;
+	member = g_hash_table_lookup(membership->members, beat->name);
+	if (member != NULL && beat->incarnation < member->incarnation)
+		return NULL;
+	if (member == NULL) {
+		member = add_member(membership, beat);
+		is_new = true;
+	}
+	if (strcmp(member->ip, beat->ip) != 0) {
+		g_free(member->ip);
+		member->ip = g_strdup(beat->ip);
+	}
+	if (beat->incarnation > member->incarnation) {
+		member->incarnation = beat->incarnation;
+		membership->listener(
+		    membership->owner, MEMBER_RESTARTED, member);
+	}
+	member->directory_revision = beat->directory_revision;
+	member->config_revision = beat->config_revision;
+	member->reads_store = beat->reads_store;
+	member->leaving = beat->leaving;
+	member->heard_at = now;
+	if (is_new)
+		membership->listener(membership->owner, MEMBER_JOINED, member);
+	return member;
+}
+
+/// Loses the members that have been silent for too long.
+///
+/// @param membership  the membership
+/// @param now         time
+void
+membership_tick(struct membership *membership, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (now < member->heard_at + membership->lost_span)
+			continue;
+		membership->listener(membership->owner, MEMBER_LOST, member);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/// Forgets all members: this process stood still, and what it knew of them
+/// is as old as its pause.
+///
+/// @param membership  the membership
+void
+membership_forget_all(struct membership *membership)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		membership->listener(membership->owner, MEMBER_LOST, value);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/// @param membership  the membership
+/// @return live instances, this one included
+unsigned
+membership_size(const struct membership *membership)
+{
+	return g_hash_table_size(membership->members) + 1;
+}
+
+/// @param membership  the membership
+/// @return the most live instances that were seen at a time
+unsigned
+membership_peak(const struct membership *membership)
+{
+	return membership->peak;
+}
+
+/// Whether this instance is one of those that read the store for all: the
+/// first by name among the live ones that reach it.
+///
+/// @param membership   the membership
+/// @param reads_store  whether this instance reaches it
+/// @return true when it is
+bool
+membership_is_reader(const struct membership *membership, bool reads_store)
+{
+	unsigned before = 0;
+	GHashTableIter iter;
+	void *value;
+
+	if (!reads_store)
+		return false;
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (member->reads_store && !member->leaving &&
+		    strcmp(member->name, membership->own_name) < 0)
+			before++;
+	}
+	return before < MEMBERSHIP_READERS;
+}
+
+/// @param membership  the membership
+/// @return the member with the newest configuration, or NULL
+const struct member *
+membership_newest_config(const struct membership *membership)
+{
+	const struct member *newest = NULL;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (newest == NULL ||
+		    member->config_revision > newest->config_revision)
+			newest = member;
+	}
+	return newest;
+}
+
+/// @param membership  the membership
+/// @return the newest revision up to which a member has read the directory
+uint64_t
+membership_newest_directory(const struct membership *membership)
+{
+	uint64_t newest = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		newest = MAX(
+		    newest, ((const struct member *)value)->directory_revision);
+	return newest;
+}
+
+/// @param membership  the membership
+/// @return all members (struct member *); free with g_ptr_array_unref()
+GPtrArray *
+membership_list(const struct membership *membership)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(list, value);
+	return list;
+}
--- /dev/null
+++ b/src/godwitvale/entry/dispatch.c
@@ -0,0 +1,445 @@
+/* Upstreams as this instance uses them. */
+#include "godwitvale/entry/dispatch.h"
+
+#include <string.h>
+
+#include "godwitvale/core/fleet_share.h"
+#include "godwitvale/core/hash.h"
+#include "godwitvale/ops/log.h"
+
+/// An upstream that says it is full gets nothing for this long: other
+/// instances see the same, and its queue must drain first.
+#define DISPATCH_FULL_SPAN (100 * USEC_PER_MSEC)
+/// Part of an upstream's connections that the instances share out; the rest
+/// allows for connections that are closing.
+#define DISPATCH_CONNECTION_SHARE 0.85
+/// Upstreams of a zone that was taken back count as cold for this long
+/// unless they say otherwise.
+#define DISPATCH_RETURN_SPAN (5 * USEC_PER_SEC)
+/// Penalty in placement of an upstream that is back from an ejection.
+#define DISPATCH_TRIAL_PENALTY 0.3
+/// Penalty in placement of an upstream that is cold.
+#define DISPATCH_COLD_PENALTY 0.2
+
+struct dispatch {
+	struct dispatch_options options;
+	GHashTable *states;  /// id -> struct state *
+	GHashTable *repeats; /// service -> struct fleet_share *
+	GRand *rand;
+};
+
+/// What this instance has learnt of an upstream.
+struct state {
+	struct outlier outlier;
+	struct fleet_share cold;
+	usec_t full_until;
+	bool misdirected; /// its address belongs to another one
+};
+
+/// Candidates of one placement.
+struct gathered {
+	struct place_candidate *candidates;
+	const struct upstream_record **records;
+	size_t n;
+};
+
+/// Makes the dispatch.
+///
+/// @param options  copied
+/// @return the dispatch; free with dispatch_free()
+struct dispatch *
+dispatch_new(const struct dispatch_options *options)
+{
+	struct dispatch *dispatch = g_new0(struct dispatch, 1);
+
+	dispatch->options = *options;
+	dispatch->states =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	dispatch->repeats =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	dispatch->rand = g_rand_new();
+	return dispatch;
+}
+
+/// Frees the dispatch.
+///
+/// @param dispatch  the dispatch
+void
+dispatch_free(struct dispatch *dispatch)
+{
+	g_hash_table_unref(dispatch->states);
+	g_hash_table_unref(dispatch->repeats);
+	g_rand_free(dispatch->rand);
+	g_free(dispatch);
+}
+
+/// Finds what is known of an upstream, making it.
+static struct state *
+state_of(struct dispatch *dispatch, const char *id)
+{
+	struct state *state = g_hash_table_lookup(dispatch->states, id);
+
+	if (state != NULL)
+		return state;
+	state = g_new0(struct state, 1);
+	g_hash_table_insert(dispatch->states, g_strdup(id), state);
+	return state;
+}
+
+/// Takes a change of the directory.
+///
+/// @param dispatch  the dispatch
+/// @param change    what changed
+/// @param record    of the upstream
+void
+dispatch_on_upstream(struct dispatch *dispatch, enum directory_change change,
+    const struct upstream_record *record)
+{
+	if (change == DIRECTORY_REMOVED || change == DIRECTORY_REBORN) {
+		g_hash_table_remove(dispatch->states, record->entry.id);
+		pool_forget(dispatch->options.pool, record->entry.address);
+	}
+}
+
+/// @return instances that share a rate, counted with care: those seen
+///         lately, not only those alive now
+static unsigned
+sharers(const struct dispatch *dispatch)
+{
+	return membership_peak(dispatch->options.membership);
+}
+
+/// Whether an upstream can't bear its usual load yet.
+static bool
+is_cold(const struct dispatch *dispatch, usec_t now,
+    const struct upstream_record *record)
+{
+	usec_t returned_at =
+	    view_returned_at(dispatch->options.view, record->entry.zone);
+
+	return now < record->cold_until ||
+	    (returned_at != 0 && now < returned_at + DISPATCH_RETURN_SPAN);
+}
+
+/// Sets this instance's share of what an upstream bears while it is cold.
+static void
+set_cold_share(struct dispatch *dispatch, usec_t now, struct state *state,
+    const struct service *service)
+{
+	const struct entry_settings *settings = dispatch->options.settings;
+
+	fleet_share_cold(&state->cold, now, service->cold_rate,
+	    settings->cold_overrun, settings->cold_slack, sharers(dispatch));
+}
+
+/// Whether this instance has all the connections to an upstream that it may
+/// open, and none of them is idle.
+static bool
+connections_used_up(const struct dispatch *dispatch,
+    const struct service *service, const char *address)
+{
+	double most;
+
+	if (service->max_connections == 0 ||
+	    pool_idle(dispatch->options.pool, address) > 0)
+		return false;
+	most = DISPATCH_CONNECTION_SHARE * service->max_connections /
+	    sharers(dispatch);
+	return pool_count(dispatch->options.pool, address) >= MAX(most, 1);
+}
+
+/// Whether a request has been sent to an upstream before.
+static bool
+was_tried(const struct dispatch_request *request, uint64_t key)
+{
+	for (unsigned i = 0; i < request->n_tried; i++)
+		if (request->tried[i] == key)
+			return true;
+	return false;
+}
+
+/// Whether an upstream is in service at all, whatever its load.
+static bool
+in_service(const struct dispatch *dispatch,
+    const struct upstream_record *record, const struct state *state)
+{
+	return record->entry.state == UPSTREAM_READY && !state->misdirected &&
+	    !view_is_evacuated(dispatch->options.view, record->entry.zone);
+}
+
+/// Fills in one candidate.
+static void
+fill_candidate(struct dispatch *dispatch, usec_t now,
+    const struct dispatch_request *request, const struct service *service,
+    const struct upstream_record *record, struct state *state,
+    struct place_candidate *candidate)
+{
+	const char *zone = request->zone == NULL
+	    ? dispatch->options.settings->zone
+	    : request->zone;
+	bool cold = service->cold_rate > 0 && is_cold(dispatch, now, record);
+
+	*candidate = (struct place_candidate){
+	    .load = loads_total(
+		dispatch->options.loads, hash_name(record->entry.id)),
+	    .slots = (int32_t)record->entry.slots,
+	    .memory_tokens = (int32_t)service->engine.memory_tokens,
+	    .same_zone = strcmp(record->entry.zone, zone) == 0,
+	};
+	if (cold) {
+		set_cold_share(dispatch, now, state, service);
+		candidate->penalty += DISPATCH_COLD_PENALTY;
+	}
+	if (outlier_is_on_trial(&state->outlier, now))
+		candidate->penalty += DISPATCH_TRIAL_PENALTY;
+	if (record->missing_deadline != 0)
+		candidate->penalty += DISPATCH_TRIAL_PENALTY;
+	candidate->excluded = was_tried(request, hash_name(record->entry.id)) ||
+	    now < state->full_until ||
+	    (cold && !fleet_share_has(&state->cold, now)) ||
+	    connections_used_up(dispatch, service, record->entry.address);
+}
+
+/// Lets ejected upstreams take part again where too few are left: a service
+/// is never emptied by ejection.
+static bool
+ejection_counts(size_t n_ejected, size_t n_all)
+{
+	return 2 * n_ejected <= n_all;
+}
+
+/// Gathers the upstreams that a request may go to.
+static void
+gather(struct dispatch *dispatch, usec_t now,
+    const struct dispatch_request *request, const struct service *service,
+    struct gathered *gathered)
+{
+	const GPtrArray *records = directory_of_service(
+	    view_directory(dispatch->options.view), request->service);
+	size_t n_ejected = 0;
+	size_t n_all = 0;
+
+	gathered->n = 0;
+	for (guint i = 0; records != NULL && i < records->len; i++) {
+		const struct upstream_record *record = records->pdata[i];
+		struct state *state = state_of(dispatch, record->entry.id);
+
+		if (!in_service(dispatch, record, state))
+			continue;
+		n_all++;
+		n_ejected += outlier_is_ejected(&state->outlier, now);
+	}
+	gathered->candidates = g_new(struct place_candidate, n_all + 1);
+	gathered->records = g_new(const struct upstream_record *, n_all + 1);
+	for (guint i = 0; records != NULL && i < records->len; i++) {
+		const struct upstream_record *record = records->pdata[i];
+		struct state *state = state_of(dispatch, record->entry.id);
+
+		if (!in_service(dispatch, record, state) ||
+		    (outlier_is_ejected(&state->outlier, now) &&
+			ejection_counts(n_ejected, n_all)))
+			continue;
+		fill_candidate(dispatch, now, request, service, record, state,
+		    &gathered->candidates[gathered->n]);
+		gathered->records[gathered->n++] = record;
+	}
+}
+
+/// Draws a number from 0 to 1.
+static double
+draw(void *context)
+{
+	return g_rand_double(context);
+}
+
+/// Whether some candidate is only excluded for now, so that waiting helps.
+static bool
+is_waiting_useful(
+    const struct dispatch_request *request, const struct gathered *gathered)
+{
+	for (size_t i = 0; i < gathered->n; i++)
+		if (!was_tried(
+			request, hash_name(gathered->records[i]->entry.id)))
+			return true;
+	return false;
+}
+
+/// Places a request.
+///
+/// @param dispatch  the dispatch
+/// @param request   what is placed
+/// @param target    filled in when PLACE_FOUND; free with
+///                  dispatch_target_clear()
+/// @return PLACE_FOUND, or why no upstream takes it
+enum place_outcome
+dispatch_place(struct dispatch *dispatch,
+    const struct dispatch_request *request, struct dispatch_target *target)
+{
+	const struct service *service = deployment_service(
+	    view_deployment(dispatch->options.view), request->service);
+	usec_t now = g_get_monotonic_time();
+	struct gathered gathered;
+	enum place_outcome outcome;
+	size_t picked = 0;
+
+	if (service == NULL)
+		return PLACE_NONE;
+	gather(dispatch, now, request, service, &gathered);
+	outcome = place_pick(&request->place, gathered.candidates, gathered.n,
+	    draw, dispatch->rand, &picked);
+	if (outcome == PLACE_NONE && is_waiting_useful(request, &gathered))
+		outcome = PLACE_FULL;
+	if (outcome == PLACE_FOUND) {
+		const struct upstream_record *record = gathered.records[picked];
+		struct state *state = state_of(dispatch, record->entry.id);
+
+		if (service->cold_rate > 0 && is_cold(dispatch, now, record))
+			fleet_share_take(&state->cold, now);
+		target->id = g_strdup(record->entry.id);
+		target->address = g_strdup(record->entry.address);
+		target->zone = g_strdup(record->entry.zone);
+		target->key = hash_name(record->entry.id);
+	}
+	g_free(gathered.candidates);
+	g_free(gathered.records);
+	return outcome;
+}
+
+/// Frees a target's texts.
+///
+/// @param target  may be empty
+void
+dispatch_target_clear(struct dispatch_target *target)
+{
+	g_clear_pointer(&target->id, g_free);
+	g_clear_pointer(&target->address, g_free);
+	g_clear_pointer(&target->zone, g_free);
+	target->key = 0;
+}
+
+/// Finds the share of the repeats to a service, brought up to date.
+static struct fleet_share *
+repeats_of(struct dispatch *dispatch, const char *service)
+{
+	const struct entry_settings *settings = dispatch->options.settings;
+	struct fleet_share *share =
+	    g_hash_table_lookup(dispatch->repeats, service);
+
+	if (share == NULL) {
+		share = g_new0(struct fleet_share, 1);
+		g_hash_table_insert(
+		    dispatch->repeats, g_strdup(service), share);
+	}
+	fleet_share_retries(share, g_get_monotonic_time(),
+	    settings->retry_slack, settings->retry_window, sharers(dispatch));
+	return share;
+}
+
+/// Part of what first requests earn that is used: they are counted in a
+/// window that may have begun just before them.
+#define DISPATCH_EARNED_SHARE 0.7
+
+/// Takes it that a request for a service has come for the first time.
+///
+/// @param dispatch  the dispatch
+/// @param service   the service's name
+void
+dispatch_first_arrival(struct dispatch *dispatch, const char *service)
+{
+	fleet_share_earn(repeats_of(dispatch, service),
+	    DISPATCH_EARNED_SHARE * dispatch->options.settings->retry_ratio);
+}
+
+/// Takes a permit to send a request to a service once more.
+///
+/// @param dispatch  the dispatch
+/// @param service   the service's name
+/// @return false when this instance's share is used up
+bool
+dispatch_take_repeat(struct dispatch *dispatch, const char *service)
+{
+	return fleet_share_take(
+	    repeats_of(dispatch, service), g_get_monotonic_time());
+}
+
+/// Takes what a request to an upstream came to.
+///
+/// @param dispatch  the dispatch
+/// @param target    the upstream
+/// @param sign      what it came to
+void
+dispatch_sign(struct dispatch *dispatch, const struct dispatch_target *target,
+    enum outlier_sign sign)
+{
+	struct state *state = g_hash_table_lookup(dispatch->states, target->id);
+
+	if (state == NULL)
+		return;
+	if (outlier_sign(&state->outlier, g_get_monotonic_time(), sign))
+		log_event(LOG_LEVEL_WARN, "upstream-ejected",
+		    "upstream=%s ejections=%u for_ms=%" G_GINT64_FORMAT,
+		    target->id, state->outlier.ejections,
+		    (state->outlier.ejected_until - g_get_monotonic_time()) /
+			USEC_PER_MSEC);
+}
+
+/// Takes it that an upstream has no room.
+///
+/// @param dispatch  the dispatch
+/// @param target    the upstream
+void
+dispatch_full(struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	struct state *state = g_hash_table_lookup(dispatch->states, target->id);
+
+	if (state != NULL)
+		state->full_until = g_get_monotonic_time() + DISPATCH_FULL_SPAN;
+}
+
+/// Takes it that an upstream's address belongs to another one.
+///
+/// @param dispatch  the dispatch
+/// @param target    the upstream
+void
+dispatch_misdirected(
+    struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	struct state *state = g_hash_table_lookup(dispatch->states, target->id);
+
+	log_event(LOG_LEVEL_WARN, "upstream-misdirected",
+	    "upstream=%s address=%s outcome=not-used", target->id,
+	    target->address);
+	if (state != NULL)
+		state->misdirected = true;
+	pool_forget(dispatch->options.pool, target->address);
+}
+
+/// Adds work at an upstream, or takes it away.
+///
+/// @param dispatch  the dispatch
+/// @param target    the upstream
+/// @param load      the work
+/// @param sign      1 or -1
+void
+dispatch_charge(struct dispatch *dispatch, const struct dispatch_target *target,
+    const struct load *load, int sign)
+{
+	const struct load delta = {
+	    sign * load->requests, sign * load->tokens, sign * load->prompt};
+
+	loads_add(dispatch->options.loads, target->key, &delta);
+}
+
+/// @param outcome  of a placement
+/// @return one word
+const char *
+dispatch_outcome_name(enum place_outcome outcome)
+{
+	static const char *const names[] = {
+	    [PLACE_FOUND] = "found",
+	    [PLACE_FULL] = "full",
+	    [PLACE_NONE] = "none",
+	};
+
+	return names[outcome];
+}
--- /dev/null
+++ b/src/godwitvale/entry/entry.c
@@ -0,0 +1,441 @@
+/* An entry instance on a site: wires its parts, starts, reloads and leaves. */
+#include "godwitvale/entry/entry.h"
+
+#include <signal.h>
+#include <time.h>
+
+#include <glib-unix.h>
+
+#include "godwitvale/entry/admin.h"
+#include "godwitvale/entry/rq.h"
+#include "godwitvale/ops/cmd.h"
+#include "godwitvale/ops/log.h"
+
+/// Interval at which what is due by time is looked at, in milliseconds.
+#define ENTRY_TICK_MS 50
+/// A pause of the whole machine that is longer than this makes all that is
+/// known of others old: heartbeats would have told otherwise.
+#define ENTRY_PAUSE_SPAN (500 * USEC_PER_MSEC)
+/// From SIGTERM the balancer sends callers here until it has missed two
+/// answers, a second apart.
+#define ENTRY_LEAVE_SHORTEST (3 * USEC_PER_SEC)
+/// The process ends this long before it would be killed.
+#define ENTRY_LEAVE_MARGIN (300 * USEC_PER_MSEC)
+/// Limits on callers until a configuration sets others.
+#define ENTRY_HEAD_BYTES 16384
+#define ENTRY_BODY_BYTES (4u * 1024 * 1024)
+#define ENTRY_HEAD_TIMEOUT (3 * USEC_PER_SEC)
+#define ENTRY_IDLE_TIMEOUT (15 * USEC_PER_SEC)
+
+/// Server callback: a whole request.
+static void
+on_request(void *owner, struct http_call *call)
+{
+	rq_begin(owner, call);
+}
+
+/// Server callback: bad input was refused.
+static void
+on_refused(void *owner, unsigned status)
+{
+	(void)owner;
+	log_event(LOG_LEVEL_WARN, "caller-input-refused", "status=%u", status);
+}
+
+static const struct http_server_vtable callers_vtable = {
+    .request = on_request,
+    .refused = on_refused,
+};
+
+/// View callback: another configuration is in force.
+static void
+on_config(void *owner, struct deployment *deployment)
+{
+	struct entry *entry = owner;
+	const struct http_limits limits = {
+	    .max_head = deployment->limits.max_head_bytes,
+	    .max_body = deployment->limits.max_body_bytes,
+	    .head_timeout = deployment->limits.head_timeout,
+	    .idle_timeout = deployment->limits.idle_timeout,
+	    .max_callers = entry->settings->max_callers,
+	};
+
+	http_server_set_limits(entry->callers, &limits);
+	entry_room_made(entry);
+}
+
+/// View callback: a zone was evacuated or taken back.
+static void
+on_zone(void *owner, const char *zone, bool evacuated)
+{
+	(void)zone;
+	(void)evacuated;
+	entry_room_made(owner);
+}
+
+/// View callback: an upstream has come, changed or gone.
+static void
+on_upstream(void *owner, enum directory_change change,
+    const struct upstream_record *record)
+{
+	static const char *const names[] = {
+	    [DIRECTORY_ADDED] = "upstream-added",
+	    [DIRECTORY_REBORN] = "upstream-reborn",
+	    [DIRECTORY_DRAINING] = "upstream-draining",
+	    [DIRECTORY_READY] = "upstream-ready",
+	    [DIRECTORY_REMOVED] = "upstream-removed",
+	    [DIRECTORY_HELD] = "upstream-held",
+	    [DIRECTORY_COLD] = "upstream-cold",
+	};
+	struct entry *entry = owner;
+
+	log_event(LOG_LEVEL_INFO, names[change],
+	    "upstream=%s service=%s address=%s zone=%s "
+	    "revision=%" G_GUINT64_FORMAT " cold_ms=%" G_GINT64_FORMAT,
+	    record->entry.id, record->entry.service, record->entry.address,
+	    record->entry.zone, record->revision,
+	    record->entry.cold_left / USEC_PER_MSEC);
+	if (entry->dispatch == NULL)
+		return;
+	if (change == DIRECTORY_DRAINING || change == DIRECTORY_REMOVED)
+		rq_upstream_leaves(entry, record);
+	dispatch_on_upstream(entry->dispatch, change, record);
+	entry_room_made(entry);
+}
+
+static const struct view_vtable view_vtable = {
+    .config = on_config,
+    .zone = on_zone,
+    .upstream = on_upstream,
+};
+
+/// Store callback: whether this instance reads for all.
+static bool
+is_reader(void *owner)
+{
+	const struct entry *entry = owner;
+
+	return entry->peers != NULL && entry->store != NULL &&
+	    !entry->leaving &&
+	    membership_is_reader(peers_membership(entry->peers),
+		store_is_reachable(entry->store));
+}
+
+/// Store callback: changes of the upstreams were read.
+static void
+on_news(void *owner, GPtrArray *items, uint64_t after, uint64_t as_of)
+{
+	struct entry *entry = owner;
+
+	if (entry->peers != NULL)
+		peers_send_news(entry->peers, items, after, as_of);
+}
+
+static const struct store_vtable store_vtable = {
+    .is_reader = is_reader,
+    .news = on_news,
+};
+
+/// Peers callback: whether this instance reaches the store.
+static bool
+reads_store(void *owner)
+{
+	const struct entry *entry = owner;
+
+	return entry->store != NULL && store_is_reachable(entry->store);
+}
+
+/// Peers callback: other instances' work has changed.
+static void
+on_loads_changed(void *owner)
+{
+	entry_room_made(owner);
+}
+
+static const struct peers_vtable peers_vtable = {
+    .reads_store = reads_store,
+    .loads_changed = on_loads_changed,
+};
+
+/// Loop callback: places what waits.
+static gboolean
+on_settle(gpointer data)
+{
+	struct entry *entry = data;
+
+	entry->settle = 0;
+	rq_run_waiting(entry);
+	return G_SOURCE_REMOVE;
+}
+
+/// Takes it that there may be room for what waits.
+///
+/// @param entry  the instance
+void
+entry_room_made(struct entry *entry)
+{
+	if (entry->settle == 0 && wait_queue_length(entry->waiting) > 0)
+		entry->settle = g_idle_add(on_settle, entry);
+}
+
+/// @return how far the clock that counts pauses is ahead of the one that
+///         doesn't
+static usec_t
+boot_ahead(void)
+{
+	struct timespec boot;
+
+	clock_gettime(CLOCK_BOOTTIME, &boot);
+	return (usec_t)boot.tv_sec * USEC_PER_SEC + boot.tv_nsec / 1000 -
+	    g_get_monotonic_time();
+}
+
+/// Notices that the machine stood still: what is known is old by that much.
+static void
+check_pause(struct entry *entry)
+{
+	usec_t ahead = boot_ahead();
+	usec_t pause = ahead - entry->boot_ahead;
+
+	entry->boot_ahead = ahead;
+	if (pause < ENTRY_PAUSE_SPAN)
+		return;
+	log_event(LOG_LEVEL_WARN, "paused",
+	    "for_ms=%" G_GINT64_FORMAT " outcome=distrust",
+	    pause / USEC_PER_MSEC);
+	view_distrust(entry->view);
+	peers_distrust(entry->peers);
+	store_hurry(entry->store);
+}
+
+/// Ends the process once nothing is left to do, or when its time is over.
+static void
+check_leaving(struct entry *entry, usec_t now)
+{
+	bool idle = http_server_open_calls(entry->callers) == 0 &&
+	    now >= entry->leave_at + ENTRY_LEAVE_SHORTEST;
+
+	if (!entry->leaving || (!idle && now < entry->leave_deadline))
+		return;
+	log_event(LOG_LEVEL_INFO, "stopping",
+	    "open=%u since_ms=%" G_GINT64_FORMAT,
+	    http_server_open_calls(entry->callers),
+	    (now - entry->leave_at) / USEC_PER_MSEC);
+	g_main_loop_quit(entry->loop);
+}
+
+/// Loop callback: looks at what is due by time.
+static gboolean
+on_tick(gpointer data)
+{
+	struct entry *entry = data;
+	usec_t now = g_get_monotonic_time();
+
+	check_pause(entry);
+	view_tick(entry->view, now);
+	pool_sweep(entry->pool, now);
+	rq_run_waiting(entry);
+	check_leaving(entry, now);
+	return G_SOURCE_CONTINUE;
+}
+
+/// Loop callback: SIGTERM. New callers are still served until the balancer
+/// has noticed; each answer is the last of its connection.
+static gboolean
+on_terminate(gpointer data)
+{
+	struct entry *entry = data;
+
+	if (entry->leaving)
+		return G_SOURCE_CONTINUE;
+	entry->leaving = true;
+	entry->leave_at = g_get_monotonic_time();
+	entry->leave_deadline =
+	    entry->leave_at + entry->settings->grace - ENTRY_LEAVE_MARGIN;
+	log_event(LOG_LEVEL_INFO, "leaving",
+	    "open=%u grace_ms=%" G_GINT64_FORMAT,
+	    http_server_open_calls(entry->callers),
+	    entry->settings->grace / USEC_PER_MSEC);
+	http_server_set_leaving(entry->callers);
+	peers_set_leaving(entry->peers);
+	return G_SOURCE_CONTINUE;
+}
+
+/// Loop callback: SIGHUP. The settings are read again; what can change while
+/// the process runs does.
+static gboolean
+on_reload(gpointer data)
+{
+	struct entry *entry = data;
+	GError *error = NULL;
+	struct entry_settings *settings =
+	    entry_settings_load(entry->settings_path, &error);
+
+	if (settings == NULL) {
+		log_event(LOG_LEVEL_ERROR, "reload",
+		    "outcome=kept reason=\"%s\"", error->message);
+		g_error_free(error);
+		return G_SOURCE_CONTINUE;
+	}
+	log_event(LOG_LEVEL_INFO, "reload", "outcome=taken seeds=%s",
+	    settings->seeds);
+	peers_set_seeds(entry->peers, settings->seeds);
+	entry_settings_free(settings);
+	return G_SOURCE_CONTINUE;
+}
+
+/// Starts to listen for callers.
+static bool
+open_callers(struct entry *entry, GError **error)
+{
+	const struct http_server_options options = {
+	    .vtable = &callers_vtable,
+	    .owner = entry,
+	    .ip = entry->settings->caller.ip,
+	    .port = entry->settings->caller.port,
+	    .limits = {.max_head = ENTRY_HEAD_BYTES,
+		.max_body = ENTRY_BODY_BYTES,
+		.head_timeout = ENTRY_HEAD_TIMEOUT,
+		.idle_timeout = ENTRY_IDLE_TIMEOUT,
+		.max_callers = entry->settings->max_callers},
+	};
+
+	entry->callers = http_server_new(&options, error);
+	return entry->callers != NULL;
+}
+
+/// Starts to talk to the other instances.
+static bool
+open_peers(struct entry *entry, GError **error)
+{
+	const struct entry_settings *settings = entry->settings;
+	const struct peers_options options = {
+	    .vtable = &peers_vtable,
+	    .owner = entry,
+	    .name = settings->instance,
+	    .ip = settings->control.ip,
+	    .port = settings->peer_port,
+	    .control_port = settings->control.port,
+	    .seeds = settings->seeds,
+	    .view = entry->view,
+	    .loads = entry->loads,
+	    .pool = entry->pool,
+	};
+
+	entry->peers = peers_new(&options, error);
+	return entry->peers != NULL;
+}
+
+/// Makes what decides and what reads the store.
+static void
+open_decisions(struct entry *entry)
+{
+	const struct dispatch_options dispatch = {
+	    .settings = entry->settings,
+	    .view = entry->view,
+	    .loads = entry->loads,
+	    .pool = entry->pool,
+	    .membership = peers_membership(entry->peers),
+	};
+	const struct store_options store = {
+	    .vtable = &store_vtable,
+	    .owner = entry,
+	    .site = entry->site,
+	    .view = entry->view,
+	    .pool = entry->pool,
+	    .address = entry->settings->store,
+	};
+
+	entry->dispatch = dispatch_new(&dispatch);
+	entry->store = store_new(&store);
+}
+
+/// Makes an instance's parts.
+static bool
+entry_open(struct entry *entry, GError **error)
+{
+	const struct view_options view = {
+	    .vtable = &view_vtable,
+	    .owner = entry,
+	    .site = entry->site,
+	};
+
+	entry->loop = g_main_loop_new(NULL, false);
+	entry->pool = pool_new();
+	entry->loads = loads_new();
+	entry->waiting = wait_queue_new();
+	entry->requests = g_hash_table_new(NULL, NULL);
+	entry->boot_ahead = boot_ahead();
+	entry->view = view_new(&view);
+	if (!open_callers(entry, error) || !open_peers(entry, error))
+		return false;
+	open_decisions(entry);
+	if (!admin_open(entry, error))
+		return false;
+	entry->tick = g_timeout_add(ENTRY_TICK_MS, on_tick, entry);
+	g_unix_signal_add(SIGTERM, on_terminate, entry);
+	g_unix_signal_add(SIGHUP, on_reload, entry);
+	return true;
+}
+
+/// Frees an instance's parts.
+static void
+entry_close(struct entry *entry)
+{
+	if (entry->requests != NULL)
+		rq_abort_all(entry);
+	if (entry->tick != 0)
+		g_source_remove(entry->tick);
+	if (entry->settle != 0)
+		g_source_remove(entry->settle);
+	admin_close(entry);
+	g_clear_pointer(&entry->store, store_free);
+	g_clear_pointer(&entry->callers, http_server_free);
+	g_clear_pointer(&entry->peers, peers_free);
+	g_clear_pointer(&entry->dispatch, dispatch_free);
+	g_clear_pointer(&entry->view, view_free);
+	g_clear_pointer(&entry->waiting, wait_queue_free);
+	g_clear_pointer(&entry->requests, g_hash_table_unref);
+	g_clear_pointer(&entry->loads, loads_free);
+	g_clear_pointer(&entry->loop, g_main_loop_unref);
+}
+
+/// Runs an entry instance until it has been told to leave.
+///
+/// @param settings_path  its settings file
+/// @param site           adapter to the site
+/// @return one of enum cmd_status
+int
+entry_run(const char *settings_path, const struct site *site)
+{
+	struct entry entry = {.site = site};
+	GError *error = NULL;
+	int status = CMD_OK;
+
+	entry.settings_path = g_strdup(settings_path);
+	entry.settings = entry_settings_load(settings_path, &error);
+	if (entry.settings == NULL) {
+		cmd_refuse(settings_path, error);
+		status = CMD_REFUSED;
+		goto out;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_open(entry.settings->instance,
+	    (enum log_level)entry.settings->log_level);
+	if (!entry_open(&entry, &error)) {
+		cmd_refuse(NULL, error);
+		status = CMD_UNAVAILABLE;
+		goto close;
+	}
+	log_event(LOG_LEVEL_INFO, "start", "zone=%s seeds=%s store=%s",
+	    entry.settings->zone, entry.settings->seeds, entry.settings->store);
+	g_main_loop_run(entry.loop);
+	log_event(LOG_LEVEL_INFO, "stop", "status=%d", status);
+close:
+	entry_close(&entry);
+	log_close();
+out:
+	entry_settings_free(entry.settings);
+	g_free(entry.settings_path);
+	return status;
+}
--- /dev/null
+++ b/src/godwitvale/entry/entry_settings.h
@@ -0,0 +1,41 @@
+/* Settings of an entry instance on a site, from its settings file. */
+#ifndef GODWITVALE_ENTRY_ENTRY_SETTINGS_H
+#define GODWITVALE_ENTRY_ENTRY_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "godwitvale/core/time_defs.h"
+#include "godwitvale/ops/settings_defs.h"
+
+/// Settings of one entry instance. Spans are in microseconds; in the file
+/// their keys end in _ms.
+struct entry_settings {
+	char *instance;                  /// "instance": name of this instance
+	char *zone;                      /// "zone": its availability zone
+	struct settings_address caller;  /// "listen.caller": HTTP of callers
+	struct settings_address ready;   /// "listen.ready": HTTP of balancers
+	struct settings_address control; /// "listen.control": HTTP of peers
+	uint16_t peer_port;              /// "listen.peer_port": UDP of peers
+	uint16_t metrics_port;           /// "listen.metrics_port": HTTP
+	char *seeds;   /// "seeds": control addresses of some instances
+	char *store;   /// "store.address": IP:PORT of the platform's store
+	int log_level; /// "log.level": error|warn|info|debug
+	uint32_t max_callers; /// "limits.max_callers": connections
+	uint32_t memory_mb;   /// "limits.memory_mb": of this process
+	double retry_ratio;   /// "retries.ratio": repeats by first requests
+	double retry_slack;   /// "retries.slack": repeats in a window, besides
+	usec_t retry_window;  /// "retries.window_ms"
+	double cold_overrun;  /// "cold.overrun": factor on what is borne
+	double cold_slack;    /// "cold.slack": requests a second, besides
+	usec_t grace;         /// "leaving.grace_ms": from SIGTERM to the end
+	usec_t contact;       /// "contact_ms": silence that counts as a cut
+};
+
+struct entry_settings *entry_settings_load(const char *path, GError **error);
+struct entry_settings *entry_settings_parse(const char *text, GError **error);
+void entry_settings_free(struct entry_settings *settings);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/entry/rq_defs.h
@@ -0,0 +1,95 @@
+/* One request of a caller; shared by the files that carry it along. */
+#ifndef GODWITVALE_ENTRY_RQ_DEFS_H
+#define GODWITVALE_ENTRY_RQ_DEFS_H
+
+#include "godwitvale/core/comeback.h"
+#include "godwitvale/core/event_cutter.h"
+#include "godwitvale/core/handover.h"
+#include "godwitvale/core/verdict.h"
+#include "godwitvale/entry/entry_defs.h"
+#include "godwitvale/http/exchange.h"
+#include "godwitvale/http/fetch.h"
+
+/// A request. Callbacks hold a reference while they run; `done` says that
+/// its final answer is out.
+struct entry_request {
+	struct entry *entry;
+	struct http_call *call;
+	int refs;
+	bool done;
+
+	/* What was asked. */
+	struct site_request facts;
+	struct deployment *deployment; /// in force when it came
+	const struct route *route;
+	const struct organisation *organisation;
+	const char *service;
+	usec_t arrived_at;
+	usec_t deadline; /// of the final answer
+
+	/* Where it is. */
+	enum verdict verdict;
+	unsigned attempts;
+	uint64_t tried[DISPATCH_TRIED_MAX];
+	unsigned n_tried;
+	struct exchange *exchange;
+	struct dispatch_target target;
+	struct load charged;
+	bool is_charged;
+	usec_t sent_at;
+	bool is_waiting;
+	usec_t wait_deadline;
+	guint timer;
+
+	/* Its answer. */
+	struct http_head answer;
+	GString *body;  /// of an answer that isn't streamed
+	bool is_stream; /// events are passed on one by one
+	bool begun;     /// the head has left for the caller
+	struct event_cutter cutter;
+	int64_t last_event;
+	unsigned events;
+	usec_t first_event_at;
+	usec_t last_event_at;
+
+	/* Its handover to another upstream. */
+	struct handover handover;
+	struct dispatch_target copy;   /// the upstream that gets a copy
+	struct dispatch_target source; /// the upstream it was copied from
+	bool is_charged_copy;
+	bool resuming; /// sent to go on, no event yet
+	struct fetch *copy_call;
+	unsigned handovers;
+};
+
+/* rq.c */
+struct entry_request *rq_ref(struct entry_request *request);
+void rq_unref(struct entry_request *request);
+void rq_send(struct entry_request *request, const struct site_send *how);
+void rq_place(struct entry_request *request);
+void rq_refuse(struct entry_request *request, enum comeback_reason reason,
+    const char *why);
+void rq_fail(struct entry_request *request, unsigned status, const char *why);
+void rq_done(
+    struct entry_request *request, unsigned status, const char *outcome);
+void rq_set_timer(struct entry_request *request);
+void rq_drop_exchange(struct entry_request *request);
+void rq_note_tried(struct entry_request *request, uint64_t key);
+bool rq_may_repeat(const struct entry_request *request);
+struct place_request rq_size(const struct entry_request *request);
+struct load rq_load(const struct entry_request *request);
+
+/* continuation.c */
+void continuation_init(struct entry_request *request);
+void continuation_clear(struct entry_request *request);
+void continuation_notice(struct entry_request *request, usec_t changed_at);
+void continuation_run(struct entry_request *request);
+void continuation_cut(struct entry_request *request, const char *why);
+void continuation_resumed(struct entry_request *request);
+void continuation_refused(struct entry_request *request);
+bool continuation_is_possible(const struct entry_request *request);
+
+/* answer.c */
+const struct exchange_vtable *answer_vtable(void);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -0,0 +1,66 @@
+/* Messages between entry instances: one datagram each, without answers. */
+
+const FLEET_NAME_BYTES = 80;
+const FLEET_IP_BYTES = 15;
+const FLEET_LOADS = 96;
+const FLEET_KNOWN = 24;
+const FLEET_ITEMS = 4096;
+const FLEET_VALUE_BYTES = 1048576;
+
+/* Work of the sender at one upstream. */
+struct fleet_load {
+	unsigned hyper upstream;
+	int requests;
+	int tokens;
+	int prompt;
+};
+
+/* Sent to every known instance at an even pace. */
+struct fleet_beat {
+	string name<FLEET_NAME_BYTES>;
+	string ip<FLEET_IP_BYTES>;
+	unsigned hyper incarnation;
+	unsigned hyper directory_revision;
+	unsigned hyper config_revision;
+	bool reads_store;
+	bool leaving;
+	fleet_load loads<FLEET_LOADS>;
+	unsigned int known<FLEET_KNOWN>; /* IPv4 addresses of live ones */
+};
+
+/* One item of the store, as it was read; no value: deleted. */
+struct fleet_item {
+	int kind;
+	string name<FLEET_NAME_BYTES>;
+	unsigned hyper revision;
+	bool deleted;
+	opaque value<FLEET_VALUE_BYTES>;
+};
+
+/* Changes of the upstreams' entries between two revisions. */
+struct fleet_news {
+	string name<FLEET_NAME_BYTES>;
+	unsigned hyper incarnation;
+	unsigned hyper after;
+	unsigned hyper as_of;
+	fleet_item items<FLEET_ITEMS>;
+};
+
+enum fleet_kind {
+	FLEET_BEAT = 1,
+	FLEET_NEWS = 2
+};
+
+union fleet_message switch (fleet_kind kind) {
+case FLEET_BEAT:
+	fleet_beat beat;
+case FLEET_NEWS:
+	fleet_news news;
+};
+
+/* All that an instance has read from the store. Fetched over HTTP. */
+struct fleet_snapshot {
+	unsigned hyper directory_revision;
+	unsigned hyper operator_revision;
+	fleet_item items<FLEET_ITEMS>;
+};
--- /dev/null
+++ b/src/godwitvale/fleet/peers.c
@@ -0,0 +1,597 @@
+/* Messages between entry instances. */
+#include "godwitvale/fleet/peers.h"
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <sys/socket.h>
+
+#include "godwitvale/core/hash.h"
+#include "godwitvale/fleet/fleet_codec.h"
+#include "godwitvale/http/address.h"
+#include "godwitvale/http/fetch.h"
+#include "godwitvale/ops/log.h"
+
+/// Interval of heartbeats, in milliseconds.
+#define PEERS_BEAT_MS 200
+/// Silence after which an instance counts as lost: several heartbeats, so
+/// that a few lost datagrams tell nothing.
+#define PEERS_LOST_SPAN (1200 * USEC_PER_MSEC)
+/// Instances that were lost are still sent to for this long, so that both
+/// sides of a cut find one another again.
+#define PEERS_REMEMBER_SPAN (60 * USEC_PER_SEC)
+/// Longest datagram, in bytes: it fits into one packet of an Ethernet.
+#define PEERS_DATAGRAM_BYTES 1400
+/// Longest datagram that is taken.
+#define PEERS_RECEIVE_BYTES 65536
+/// A peer that knows more is asked for a snapshot after this long: in calm
+/// the store tells sooner.
+#define PEERS_BEHIND_SPAN (300 * USEC_PER_MSEC)
+/// For the answer to that question.
+#define PEERS_SNAPSHOT_SPAN (500 * USEC_PER_MSEC)
+
+struct peers {
+	struct peers_options options;
+	char *name;
+	char *ip;
+	struct membership *membership;
+	GHashTable *addresses; /// IPv4 number -> struct target
+	uint64_t incarnation;
+	int fd;
+	guint source;
+	guint timer;
+	bool leaving;
+	usec_t behind_since; /// a peer has known more since; 0: none does
+	struct fetch *snapshot;
+};
+
+/// An address that heartbeats go to.
+struct target {
+	usec_t until;
+	bool is_seed;
+};
+
+/// @return an IPv4 address as a number in host order, 0 when it is none
+static uint32_t
+number_of(const char *ip)
+{
+	struct in_addr address;
+
+	return inet_pton(AF_INET, ip, &address) == 1 ? ntohl(address.s_addr)
+						     : 0;
+}
+
+/// Adds an address to those that heartbeats go to.
+static void
+add_target(struct peers *peers, uint32_t number, usec_t until, bool is_seed)
+{
+	struct target *target;
+
+	if (number == 0 || number == number_of(peers->ip))
+		return;
+	target =
+	    g_hash_table_lookup(peers->addresses, GUINT_TO_POINTER(number));
+	if (target == NULL) {
+		target = g_new0(struct target, 1);
+		g_hash_table_insert(
+		    peers->addresses, GUINT_TO_POINTER(number), target);
+	}
+	target->until = MAX(target->until, until);
+	target->is_seed = target->is_seed || is_seed;
+}
+
+/// Sends one datagram. A lost one is made up for by the next.
+static void
+send_to(struct peers *peers, uint32_t number, const char *bytes, size_t len)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	address.sin_addr.s_addr = htonl(number);
+	address.sin_port = htons(peers->options.port);
+	sendto(peers->fd, bytes, len, MSG_DONTWAIT | MSG_NOSIGNAL,
+	    (struct sockaddr *)&address, sizeof(address));
+}
+
+/// Sends one datagram to every known address.
+static void
+send_to_all(struct peers *peers, const char *bytes, size_t len)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, peers->addresses);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		send_to(peers, GPOINTER_TO_UINT(key), bytes, len);
+}
+
+/// Lists the addresses of live members, for instances that know fewer.
+static size_t
+list_known(struct peers *peers, u_int *known)
+{
+	GPtrArray *members = membership_list(peers->membership);
+	size_t n = 0;
+	guint first = members->len > FLEET_KNOWN
+	    ? (guint)g_random_int_range(0, (gint32)members->len)
+	    : 0;
+
+	for (guint i = 0; i < members->len && n < FLEET_KNOWN; i++) {
+		const struct member *member =
+		    members->pdata[(first + i) % members->len];
+
+		known[n++] = number_of(member->ip);
+	}
+	g_ptr_array_unref(members);
+	return n;
+}
+
+/// Sends a heartbeat.
+static void
+send_beat(struct peers *peers)
+{
+	const struct peers_options *options = &peers->options;
+	struct load_entry loads[FLEET_LOADS];
+	fleet_load wire[FLEET_LOADS];
+	u_int known[FLEET_KNOWN];
+	char bytes[PEERS_RECEIVE_BYTES];
+	fleet_message message = {.kind = FLEET_BEAT};
+	fleet_beat *beat = &message.fleet_message_u.beat;
+	size_t n_loads = loads_list_own(options->loads, loads, FLEET_LOADS);
+	size_t len;
+
+	for (size_t i = 0; i < n_loads; i++)
+		wire[i] =
+		    (fleet_load){loads[i].upstream, loads[i].load.requests,
+			loads[i].load.tokens, loads[i].load.prompt};
+	*beat = (fleet_beat){
+	    .name = peers->name,
+	    .ip = peers->ip,
+	    .incarnation = peers->incarnation,
+	    .directory_revision =
+		view_revision(options->view, SITE_SCOPE_UPSTREAMS),
+	    .config_revision = view_config_revision(options->view),
+	    .reads_store = options->vtable->reads_store(options->owner),
+	    .leaving = peers->leaving,
+	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
+	    .known = {.known_len = (u_int)list_known(peers, known),
+		.known_val = known},
+	};
+	len = fleet_encode(&message, bytes, sizeof(bytes));
+	if (len > 0)
+		send_to_all(peers, bytes, len);
+}
+
+/// Takes a heartbeat.
+static void
+take_beat(struct peers *peers, const fleet_beat *beat)
+{
+	const struct peers_options *options = &peers->options;
+	usec_t now = g_get_monotonic_time();
+	const struct member_beat heard = {
+	    .name = beat->name,
+	    .ip = beat->ip,
+	    .incarnation = beat->incarnation,
+	    .directory_revision = beat->directory_revision,
+	    .config_revision = beat->config_revision,
+	    .reads_store = beat->reads_store,
+	    .leaving = beat->leaving,
+	};
+	const struct member *member =
+	    membership_heard(peers->membership, now, &heard);
+	struct load_entry loads[FLEET_LOADS];
+
+	if (member == NULL)
+		return;
+	add_target(
+	    peers, number_of(beat->ip), now + PEERS_REMEMBER_SPAN, false);
+	for (u_int i = 0; i < beat->known.known_len; i++)
+		add_target(peers, beat->known.known_val[i],
+		    now + PEERS_REMEMBER_SPAN, false);
+	for (u_int i = 0; i < beat->loads.loads_len; i++) {
+		const fleet_load *load = &beat->loads.loads_val[i];
+
+		loads[i].upstream = load->upstream;
+		loads[i].load =
+		    (struct load){load->requests, load->tokens, load->prompt};
+	}
+	loads_set_peer(
+	    options->loads, member->key, loads, beat->loads.loads_len);
+	options->vtable->loads_changed(options->owner);
+}
+
+/// Takes news of the upstreams, if nothing is missing before them.
+static void
+take_news(struct peers *peers, const fleet_news *news)
+{
+	struct view *view = peers->options.view;
+	GPtrArray *items;
+
+	if (strcmp(news->name, peers->name) == 0 ||
+	    view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 ||
+	    news->after > view_revision(view, SITE_SCOPE_UPSTREAMS))
+		return;
+	items =
+	    fleet_items_to_site(news->items.items_val, news->items.items_len);
+	view_take_changes(view, g_get_monotonic_time(), SITE_SCOPE_UPSTREAMS,
+	    items, news->as_of);
+	g_ptr_array_unref(items);
+}
+
+/// Loop callback: datagrams have come.
+static gboolean
+on_readable(gint fd, GIOCondition condition, gpointer data)
+{
+	struct peers *peers = data;
+	static char bytes[PEERS_RECEIVE_BYTES];
+	fleet_message message;
+	ssize_t len;
+
+	(void)condition;
+	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0) {
+		if (!fleet_decode(bytes, (size_t)len, &message)) {
+			log_event(LOG_LEVEL_WARN, "peer-message-unreadable",
+			    "bytes=%zd outcome=dropped", len);
+			continue;
+		}
+		if (message.kind == FLEET_BEAT)
+			take_beat(peers, &message.fleet_message_u.beat);
+		else
+			take_news(peers, &message.fleet_message_u.news);
+		fleet_clear(&message);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/// Sends one part of the news.
+static void
+send_part(struct peers *peers, GArray *part, uint64_t after, uint64_t as_of)
+{
+	char bytes[PEERS_RECEIVE_BYTES];
+	fleet_message message = {.kind = FLEET_NEWS};
+	fleet_news *news = &message.fleet_message_u.news;
+	size_t len;
+
+	*news = (fleet_news){
+	    .name = peers->name,
+	    .incarnation = peers->incarnation,
+	    .after = after,
+	    .as_of = as_of,
+	    .items = {.items_len = part->len,
+		.items_val = (fleet_item *)(void *)part->data},
+	};
+	len = fleet_encode(&message, bytes, sizeof(bytes));
+	if (len > 0)
+		send_to_all(peers, bytes, len);
+}
+
+/// Sends what was read of the upstreams' changes to all instances, in
+/// datagrams that follow one another.
+///
+/// @param peers  the peers
+/// @param items  struct site_item *, in the order of their revisions
+/// @param after  the store's revision before them
+/// @param as_of  the store's revision after them
+void
+peers_send_news(
+    struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of)
+{
+	GArray *part = g_array_new(false, false, sizeof(fleet_item));
+	size_t bytes = 0;
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct site_item *item = items->pdata[i];
+		fleet_item wire;
+
+		if (!view_is_news(peers->options.view, item))
+			continue;
+		wire = fleet_item_from(item);
+		if (part->len > 0 &&
+		    bytes + wire.value.value_len > PEERS_DATAGRAM_BYTES) {
+			uint64_t upto =
+			    g_array_index(part, fleet_item, part->len - 1)
+				.revision;
+
+			send_part(peers, part, after, upto);
+			after = upto;
+			g_array_set_size(part, 0);
+			bytes = 0;
+		}
+		g_array_append_val(part, wire);
+		bytes += wire.value.value_len;
+	}
+	send_part(peers, part, after, as_of);
+	g_array_unref(part);
+}
+
+/// Takes a snapshot of a peer.
+static void
+take_snapshot(struct peers *peers, const fleet_snapshot *snapshot)
+{
+	struct view *view = peers->options.view;
+	usec_t now = g_get_monotonic_time();
+	GPtrArray *items = fleet_items_to_site(
+	    snapshot->items.items_val, snapshot->items.items_len);
+	GPtrArray *parts[] = {g_ptr_array_new(), g_ptr_array_new()};
+
+	for (guint i = 0; i < items->len; i++) {
+		struct site_item *item = items->pdata[i];
+
+		g_ptr_array_add(parts[item->kind == SITE_ITEM_UPSTREAM
+					? SITE_SCOPE_UPSTREAMS
+					: SITE_SCOPE_OPERATOR],
+		    item);
+	}
+	log_event(LOG_LEVEL_INFO, "peer-snapshot",
+	    "directory_revision=%" G_GUINT64_FORMAT
+	    " operator_revision=%" G_GUINT64_FORMAT " items=%u",
+	    snapshot->directory_revision, snapshot->operator_revision,
+	    items->len);
+	view_take_list(view, now, SITE_SCOPE_UPSTREAMS,
+	    parts[SITE_SCOPE_UPSTREAMS], snapshot->directory_revision);
+	view_take_list(view, now, SITE_SCOPE_OPERATOR,
+	    parts[SITE_SCOPE_OPERATOR], snapshot->operator_revision);
+	g_ptr_array_unref(parts[0]);
+	g_ptr_array_unref(parts[1]);
+	g_ptr_array_unref(items);
+}
+
+/// Fetch callback: a peer has answered the question for a snapshot.
+static void
+on_snapshot(void *owner, const struct fetch_answer *answer)
+{
+	struct peers *peers = owner;
+	fleet_snapshot snapshot;
+
+	peers->snapshot = NULL;
+	if (answer->status != 200 ||
+	    !fleet_snapshot_decode(answer->body, answer->len, &snapshot)) {
+		log_event(LOG_LEVEL_WARN, "peer-snapshot-failed",
+		    "status=%u reason=%s", answer->status,
+		    answer->failure == NULL ? "unreadable" : answer->failure);
+		return;
+	}
+	take_snapshot(peers, &snapshot);
+	xdr_free((xdrproc_t)xdr_fleet_snapshot, (char *)&snapshot);
+}
+
+/// Whether a peer knows what this instance doesn't.
+static const struct member *
+better_informed(const struct peers *peers)
+{
+	const struct view *view = peers->options.view;
+	const struct member *newest =
+	    membership_newest_config(peers->membership);
+
+	if (newest == NULL || newest->config_revision == 0)
+		return NULL;
+	if (newest->config_revision > view_config_revision(view))
+		return newest;
+	return view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 &&
+		newest->directory_revision > 0
+	    ? newest
+	    : NULL;
+}
+
+/// Asks a peer that knows more, once that has lasted.
+static void
+catch_up(struct peers *peers, usec_t now)
+{
+	const struct member *member = better_informed(peers);
+	struct fetch_options options = {
+	    .pool = peers->options.pool,
+	    .method = "GET",
+	    .target = PEERS_SNAPSHOT_TARGET,
+	    .deadline = now + PEERS_SNAPSHOT_SPAN,
+	    .handler = on_snapshot,
+	    .owner = peers,
+	};
+	char *address;
+
+	if (member == NULL) {
+		peers->behind_since = 0;
+		return;
+	}
+	if (peers->behind_since == 0)
+		peers->behind_since = now;
+	if (peers->snapshot != NULL ||
+	    now < peers->behind_since + PEERS_BEHIND_SPAN)
+		return;
+	address =
+	    g_strdup_printf("%s:%u", member->ip, peers->options.control_port);
+	options.address = address;
+	peers->snapshot = fetch_start(&options);
+	g_free(address);
+}
+
+/// Forgets addresses that nobody has named for long.
+static void
+forget_targets(struct peers *peers, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, peers->addresses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct target *target = value;
+
+		if (!target->is_seed && now >= target->until)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/// Loop callback: a heartbeat is due.
+static gboolean
+on_beat(gpointer data)
+{
+	struct peers *peers = data;
+	usec_t now = g_get_monotonic_time();
+
+	membership_tick(peers->membership, now);
+	forget_targets(peers, now);
+	send_beat(peers);
+	catch_up(peers, now);
+	return G_SOURCE_CONTINUE;
+}
+
+/// Membership callback: an instance has come or gone.
+static void
+on_member(void *owner, enum member_change change, const struct member *member)
+{
+	static const char *const names[] = {
+	    [MEMBER_JOINED] = "peer-joined",
+	    [MEMBER_RESTARTED] = "peer-restarted",
+	    [MEMBER_LOST] = "peer-lost",
+	};
+	struct peers *peers = owner;
+
+	log_event(LOG_LEVEL_INFO, names[change],
+	    "peer=%s silent_ms=%" G_GINT64_FORMAT, member->name,
+	    member->heard_at == 0
+		? 0
+		: (g_get_monotonic_time() - member->heard_at) / USEC_PER_MSEC);
+	if (change != MEMBER_JOINED)
+		loads_drop_peer(peers->options.loads, member->key);
+}
+
+/// Opens the socket.
+static bool
+open_socket(struct peers *peers, GError **error)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	peers->fd =
+	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	address.sin_addr.s_addr = htonl(number_of(peers->ip));
+	address.sin_port = htons(peers->options.port);
+	if (peers->fd >= 0 &&
+	    bind(peers->fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return true;
+	g_set_error(error, G_IO_ERROR, g_io_error_from_errno(errno),
+	    "UDP %s:%u: %s", peers->ip, peers->options.port, g_strerror(errno));
+	return false;
+}
+
+/// Starts to talk to other instances.
+///
+/// @param options  copied
+/// @param error    set when the address can't be bound
+/// @return the peers, or NULL
+struct peers *
+peers_new(const struct peers_options *options, GError **error)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+
+	peers->options = *options;
+	peers->name = g_strdup(options->name);
+	peers->ip = g_strdup(options->ip);
+	peers->incarnation = (uint64_t)g_get_real_time();
+	peers->addresses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	peers->membership =
+	    membership_new(peers->name, PEERS_LOST_SPAN, on_member, peers);
+	if (!open_socket(peers, error)) {
+		peers_free(peers);
+		return NULL;
+	}
+	peers_set_seeds(peers, options->seeds);
+	peers->source = g_unix_fd_add(peers->fd, G_IO_IN, on_readable, peers);
+	peers->timer = g_timeout_add(PEERS_BEAT_MS, on_beat, peers);
+	send_beat(peers);
+	return peers;
+}
+
+/// Stops.
+///
+/// @param peers  the peers
+void
+peers_free(struct peers *peers)
+{
+	if (peers->source != 0)
+		g_source_remove(peers->source);
+	if (peers->timer != 0)
+		g_source_remove(peers->timer);
+	g_clear_pointer(&peers->snapshot, fetch_cancel);
+	if (peers->fd >= 0)
+		close(peers->fd);
+	membership_free(peers->membership);
+	g_hash_table_unref(peers->addresses);
+	g_free(peers->name);
+	g_free(peers->ip);
+	g_free(peers);
+}
+
+/// Sets the instances that are asked first. Those known so far stay known.
+///
+/// @param peers  the peers
+/// @param seeds  IP:PORT,...
+void
+peers_set_seeds(struct peers *peers, const char *seeds)
+{
+	char **words = g_strsplit(seeds, ",", -1);
+
+	for (char **word = words; *word != NULL; word++) {
+		struct address address;
+
+		if (address_parse(g_strstrip(*word), &address))
+			add_target(peers, number_of(address.ip), 0, true);
+	}
+	g_strfreev(words);
+}
+
+/// Tells the others that this instance leaves.
+///
+/// @param peers  the peers
+void
+peers_set_leaving(struct peers *peers)
+{
+	peers->leaving = true;
+	send_beat(peers);
+}
+
+/// Forgets what the others have told: this process stood still.
+///
+/// @param peers  the peers
+void
+peers_distrust(struct peers *peers)
+{
+	membership_forget_all(peers->membership);
+}
+
+/// @param peers  the peers
+/// @return the other instances
+struct membership *
+peers_membership(const struct peers *peers)
+{
+	return peers->membership;
+}
+
+/// Encodes all that a view has read, for an instance that asks.
+///
+/// @param view  the view
+/// @return the bytes, or NULL when there is nothing to tell
+GBytes *
+peers_snapshot(const struct view *view)
+{
+	GPtrArray *items = view_items(view);
+	GArray *wire = g_array_new(false, false, sizeof(fleet_item));
+	fleet_snapshot snapshot = {
+	    .directory_revision = view_revision(view, SITE_SCOPE_UPSTREAMS),
+	    .operator_revision = view_revision(view, SITE_SCOPE_OPERATOR),
+	};
+	GBytes *bytes = NULL;
+
+	for (guint i = 0; i < items->len; i++) {
+		fleet_item item = fleet_item_from(items->pdata[i]);
+
+		g_array_append_val(wire, item);
+	}
+	snapshot.items.items_len = wire->len;
+	snapshot.items.items_val = (fleet_item *)(void *)wire->data;
+	if (wire->len > 0)
+		bytes = fleet_snapshot_encode(&snapshot);
+	g_array_unref(wire);
+	g_ptr_array_unref(items);
+	return bytes;
+}
--- a/src/godwitvale/peer/peer.c
+++ b/src/godwitvale/peer/peer.c
@@ -20,7 +20,7 @@
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer_codec.h"
 #include "godwitvale/peer/replay.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
 
--- a/src/godwitvale/platform/ask.c
+++ b/src/godwitvale/registry/ask.c
@@ -1,5 +1,5 @@
 /* HTTP questions with a deadline. */
-#include "godwitvale/platform/ask.h"
+#include "godwitvale/registry/ask.h"
 
 #include <string.h>
 
--- a/src/godwitvale/platform/ask.h
+++ b/src/godwitvale/registry/ask.h
@@ -1,6 +1,6 @@
 /* One HTTP question to an address of the platform or of a peer. */
-#ifndef GODWITVALE_PLATFORM_ASK_H
-#define GODWITVALE_PLATFORM_ASK_H
+#ifndef GODWITVALE_REGISTRY_ASK_H
+#define GODWITVALE_REGISTRY_ASK_H
 
 #include "godwitvale/serve/instance_defs.h"
 
--- a/src/godwitvale/platform/config.c
+++ b/src/godwitvale/registry/config.c
@@ -3,14 +3,14 @@
  * others get bundles from their peers and read seldom, so that the service's
  * rate suffices at any size of the fleet.
  */
-#include "godwitvale/platform/config.h"
+#include "godwitvale/registry/config.h"
 
 #include "godwitvale/core/hash.h"
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/ask.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/ask.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/drive.h"
 
--- a/src/godwitvale/platform/config.h
+++ b/src/godwitvale/registry/config.h
@@ -1,6 +1,6 @@
 /* Watching the configuration service for bundles. */
-#ifndef GODWITVALE_PLATFORM_CONFIG_H
-#define GODWITVALE_PLATFORM_CONFIG_H
+#ifndef GODWITVALE_REGISTRY_CONFIG_H
+#define GODWITVALE_REGISTRY_CONFIG_H
 
 #include "godwitvale/serve/instance_defs.h"
 
--- a/src/godwitvale/platform/members.c
+++ b/src/godwitvale/registry/members.c
@@ -1,5 +1,5 @@
 /* The membership list: reads it, checks it, and hands it to the parts. */
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/members.h"
 
 #include <string.h>
 
@@ -9,7 +9,7 @@
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/ask.h"
+#include "godwitvale/registry/ask.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/parse.h"
 
--- a/src/godwitvale/platform/members.h
+++ b/src/godwitvale/registry/members.h
@@ -1,6 +1,6 @@
 /* The platform's list of live and leaving instances. */
-#ifndef GODWITVALE_PLATFORM_MEMBERS_H
-#define GODWITVALE_PLATFORM_MEMBERS_H
+#ifndef GODWITVALE_REGISTRY_MEMBERS_H
+#define GODWITVALE_REGISTRY_MEMBERS_H
 
 #include "godwitvale/serve/instance_defs.h"
 
--- a/src/godwitvale/serve/drive.c
+++ b/src/godwitvale/serve/drive.c
@@ -8,7 +8,7 @@
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/request.h"
 #include "godwitvale/serve/slots.h"
--- a/src/godwitvale/serve/operator.c
+++ b/src/godwitvale/serve/operator.c
@@ -7,7 +7,7 @@
 
 #include "godwitvale/caller/listener.h"
 #include "godwitvale/ops/metrics.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/request.h"
 #include "godwitvale/upstream/upstream.h"
 
--- a/src/godwitvale/serve/rollout.c
+++ b/src/godwitvale/serve/rollout.c
@@ -10,8 +10,8 @@
 #include "godwitvale/ops/log.h"
 #include "godwitvale/ops/metrics.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/ask.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/ask.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/upstream/upstream.h"
 
 /// A fetch of a bundle from a peer is given up after this.
--- a/src/godwitvale/upstream/join.c
+++ b/src/godwitvale/upstream/join.c
@@ -9,8 +9,8 @@
 #include "godwitvale/core/verdict.h"
 #include "godwitvale/peer/peer.h"
 #include "godwitvale/peer/peer_http.h"
-#include "godwitvale/platform/ask.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/ask.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/request.h"
 #include "godwitvale/upstream/call.h"
 
--- a/src/godwitvale/upstream/model_orders.c
+++ b/src/godwitvale/upstream/model_orders.c
@@ -10,7 +10,7 @@
 #include "godwitvale/core/hash.h"
 #include "godwitvale/ops/log.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/upstream/model_send.h"
 #include "godwitvale/upstream/model_share.h"
--- a/src/godwitvale/upstream/model_send.c
+++ b/src/godwitvale/upstream/model_send.c
@@ -9,7 +9,7 @@
 #include <json-c/json.h>
 
 #include "godwitvale/ops/log.h"
-#include "godwitvale/platform/ask.h"
+#include "godwitvale/registry/ask.h"
 #include "godwitvale/upstream/upstream.h"
 
 /// An exchange that takes longer is given up.
--- a/src/godwitvale/upstream/model_share.c
+++ b/src/godwitvale/upstream/model_share.c
@@ -13,8 +13,8 @@
 #include "godwitvale/caller/listener.h"
 #include "godwitvale/ops/log.h"
 #include "godwitvale/peer/peer.h"
-#include "godwitvale/platform/ask.h"
-#include "godwitvale/platform/members.h"
+#include "godwitvale/registry/ask.h"
+#include "godwitvale/registry/members.h"
 #include "godwitvale/serve/parse.h"
 #include "godwitvale/upstream/upstream.h"
 
--- a/src/godwitvale/upstream/upstream.c
+++ b/src/godwitvale/upstream/upstream.c
@@ -5,7 +5,7 @@
 
 #include <json-c/json.h>
 
-#include "godwitvale/platform/ask.h"
+#include "godwitvale/registry/ask.h"
 #include "godwitvale/serve/drive.h"
 #include "godwitvale/serve/parse.h"
 #include "godwitvale/serve/request.h"
