Generations go on when their engine leaves; prompts are spread

Traces of the thin path showed four kinds of late or lost drafts: a stopped run paused for 160 to 310 ms because its last copy queued behind others' first ones; targets that were leaving themselves, since three notices of one batch were acted on one by one; first events late because several prompts were read at one engine while others read none; notices unseen while the store was away.

Change: the first copy starts at the notice, spread over 120 ms so that instances hear of one another's targets; it is refreshed before the end and the run stopped only 150 ms before a known end; whatever is cut goes on from the copy that stands. Notices are acted on once a batch is known. Prompts that are still read weigh four times their memory in placement, and new work is told to peers within 10 ms. Output lengths are estimated by route, not by the callers' hints, which are off by a factor of three or more. Engines are asked for their reports while the store is away, and once after a notice for the time at which they will be gone. An instance that leaves refuses at once what it can't end.

--- a/src/godwitvale/core/comeback.c
+++ b/src/godwitvale/core/comeback.c
@@ -29,6 +29,9 @@
 	case COMEBACK_STARTING:
 		span = COMEBACK_START_SPAN;
 		break;
+	case COMEBACK_LEAVING:
+		span = COMEBACK_SHORTEST;
+		break;
 	case COMEBACK_NOBODY:
 		span = COMEBACK_NOBODY_SPAN;
 		break;
--- a/src/godwitvale/core/comeback.h
+++ b/src/godwitvale/core/comeback.h
@@ -14,6 +14,7 @@
 enum comeback_reason {
 	COMEBACK_FULL = 1, /// upstreams are full
 	COMEBACK_NOBODY,   /// no upstream can be used now
+	COMEBACK_LEAVING,  /// this instance leaves, others serve
 	COMEBACK_STARTING, /// this instance doesn't know enough yet
 };
 
--- a/src/godwitvale/core/handover.c
+++ b/src/godwitvale/core/handover.c
@@ -11,9 +11,9 @@
 	static const char *const names[] = {
 	    [HANDOVER_WAIT] = "wait",
 	    [HANDOVER_COPY] = "copy",
+	    [HANDOVER_REFRESH] = "refresh",
 	    [HANDOVER_STOP] = "stop",
 	    [HANDOVER_RESUME] = "resume",
-	    [HANDOVER_RESUME_SOURCE] = "resume-source",
 	    [HANDOVER_BREAK] = "break",
 	};
 
@@ -29,6 +29,7 @@
 {
 	*handover = (struct handover){.options = *options};
 	handover->wake_at = USEC_NEVER;
+	handover->stop_at = USEC_NEVER;
 }
 
 /// Starts anew: the generation runs at another upstream now.
@@ -42,43 +43,50 @@
 	handover_init(handover, &options);
 }
 
-/// Takes it that the generation's upstream leaves.
+/// Takes it that the generation's upstream leaves. May be told again once
+/// more is known.
 ///
-/// @param handover    the handover
-/// @param now         time
-/// @param changed_at  when it began to leave, as far as is known
+/// @param handover   the handover
+/// @param now        time
+/// @param leaves_at  when the upstream will be gone; 0: not known
+/// @param chance     from 0 to 1, for the spread
 void
-handover_notice(struct handover *handover, usec_t now, usec_t changed_at)
+handover_notice(
+    struct handover *handover, usec_t now, usec_t leaves_at, double chance)
 {
+	if (leaves_at != 0 && handover->state != HANDOVER_STOPPING)
+		handover->stop_at = leaves_at - handover->options.stop_margin;
+	if (handover->refresh_at != USEC_NEVER && leaves_at != 0)
+		handover->refresh_at =
+		    leaves_at - handover->options.refresh_margin;
+	else if (handover->state == HANDOVER_IDLE)
+		handover->refresh_at = now + handover->options.refresh_delay;
+	if (handover->state == HANDOVER_COPIED)
+		handover->wake_at =
+		    MIN(handover->refresh_at, handover->stop_at);
 	if (handover->state != HANDOVER_IDLE)
 		return;
 	handover->state = HANDOVER_NOTICED;
-	handover->stop_at = changed_at + handover->options.stop_delay;
-	handover->wake_at = now;
+	handover->wake_at =
+	    now + (usec_t)(chance * (double)handover->options.spread_span);
 }
 
-/// What follows a cut stream.
+/// What follows a cut stream. A copy that stands is used at once: one under
+/// way won't be finished by an upstream that is gone, unless the run was
+/// stopped for it.
 static enum handover_step
 step_after_cut(struct handover *handover, usec_t now)
 {
 	usec_t answer_deadline =
 	    handover->cut_at + handover->options.answer_span;
+	bool is_awaited = handover->state == HANDOVER_STOPPING ||
+	    (handover->state == HANDOVER_COPYING && !handover->has_copy);
 
-	switch (handover->state) {
-	case HANDOVER_COPIED:
-	case HANDOVER_STOPPED:
-		return HANDOVER_RESUME;
-	case HANDOVER_REFUSED_LAST:
-		return HANDOVER_RESUME_SOURCE;
-	case HANDOVER_COPYING:
-	case HANDOVER_STOPPING:
+	if (is_awaited && now < answer_deadline) {
 		handover->wake_at = answer_deadline;
-		if (now < answer_deadline)
-			return HANDOVER_WAIT;
-		return handover->has_copy ? HANDOVER_RESUME : HANDOVER_BREAK;
-	default:
-		return HANDOVER_BREAK;
+		return HANDOVER_WAIT;
 	}
+	return handover->has_copy ? HANDOVER_RESUME : HANDOVER_BREAK;
 }
 
 /// Says what is to be done now.
@@ -101,14 +109,11 @@
 	case HANDOVER_COPIED:
 		if (now >= handover->stop_at)
 			return HANDOVER_STOP;
-		handover->wake_at = handover->stop_at;
+		if (now >= handover->refresh_at)
+			return HANDOVER_REFRESH;
+		handover->wake_at =
+		    MIN(handover->refresh_at, handover->stop_at);
 		return HANDOVER_WAIT;
-	case HANDOVER_STOPPED:
-		return now >= handover->wake_at ? HANDOVER_RESUME
-						: HANDOVER_WAIT;
-	case HANDOVER_REFUSED_LAST:
-		return now >= handover->wake_at ? HANDOVER_RESUME_SOURCE
-						: HANDOVER_WAIT;
 	default:
 		handover->wake_at = USEC_NEVER;
 		return HANDOVER_WAIT;
@@ -126,12 +131,25 @@
 /// Takes it that a copy was asked for.
 ///
 /// @param handover  the handover
-/// @param stop      it is the last one, which stops the run
+/// @param step      HANDOVER_COPY, HANDOVER_REFRESH or HANDOVER_STOP
 void
-handover_began(struct handover *handover, bool stop)
+handover_began(struct handover *handover, enum handover_step step)
 {
-	handover->state = stop ? HANDOVER_STOPPING : HANDOVER_COPYING;
 	handover->wake_at = USEC_NEVER;
+	switch (step) {
+	case HANDOVER_REFRESH:
+		handover->state = HANDOVER_REFRESHING;
+		handover->refresh_at = USEC_NEVER;
+		break;
+	case HANDOVER_STOP:
+		handover->state = HANDOVER_STOPPING;
+		handover->refresh_at = USEC_NEVER;
+		handover->stop_at = USEC_NEVER;
+		break;
+	default:
+		handover->state = HANDOVER_COPYING;
+		break;
+	}
 }
 
 /// Takes it that there is no target now.
@@ -152,13 +170,14 @@
 void
 handover_made(struct handover *handover, usec_t now, const char *handle)
 {
-	bool stopped = handover->state == HANDOVER_STOPPING;
+	bool was_stopping = handover->state == HANDOVER_STOPPING;
 
 	g_strlcpy(handover->handle, handle, sizeof(handover->handle));
 	handover->has_copy = true;
-	handover->state = stopped ? HANDOVER_STOPPED : HANDOVER_COPIED;
-	handover->wake_at =
-	    stopped ? now + handover->options.close_span : handover->stop_at;
+	handover->state = HANDOVER_COPIED;
+	handover->wake_at = MIN(handover->refresh_at, handover->stop_at);
+	if (was_stopping && handover->cut_at == 0)
+		handover->cut_at = now; /* its stream ends by itself */
 }
 
 /// Takes it that a copy was not made.
@@ -166,24 +185,15 @@
 /// @param handover  the handover
 /// @param now       time
 /// @param refusal   why
-/// @param handle    its name at the source, or NULL
 void
-handover_refused(struct handover *handover, usec_t now,
-    enum handover_refusal refusal, const char *handle)
+handover_refused(
+    struct handover *handover, usec_t now, enum handover_refusal refusal)
 {
-	bool was_stopping = handover->state == HANDOVER_STOPPING;
-
-	if (was_stopping && refusal == HANDOVER_NO_ROOM && handle != NULL) {
-		g_strlcpy(handover->handle, handle, sizeof(handover->handle));
-		handover->state = HANDOVER_REFUSED_LAST;
-		handover->wake_at = now + handover->options.close_span;
-		return;
-	}
-	if (was_stopping && handover->has_copy) {
-		/* Ended, or about to be cut: the copy stands either way. */
+	if (handover->has_copy) {
+		/* The first copy stands. */
 		handover->state = HANDOVER_COPIED;
-		handover->stop_at = USEC_NEVER;
-		handover->wake_at = USEC_NEVER;
+		handover->wake_at =
+		    MIN(handover->refresh_at, handover->stop_at);
 		return;
 	}
 	if (refusal == HANDOVER_NO_ROOM)
--- a/src/godwitvale/core/handover.h
+++ b/src/godwitvale/core/handover.h
@@ -3,10 +3,12 @@
  *
  * Load pattern: a leaving upstream runs several generations of several
  * instances, and all their memory goes over its one link within the second or
- * two until it is gone. Memory is copied while the generation runs, so that
- * stopping it moves only the last tokens and the caller sees no pause. If the
- * upstream is gone before that, the copy still serves: the other upstream
- * reads only what was generated since.
+ * two until it is gone. Memory is copied while the generation runs, and what
+ * is new is copied once more shortly before the end, when the first copies of
+ * the others are through. Then the run is stopped with a last copy of a few
+ * tokens, so that it goes on elsewhere without reading anything. Where the
+ * upstream is gone before that, the copy still serves, and what was generated
+ * since is read again.
  */
 #ifndef GODWITVALE_CORE_HANDOVER_H
 #define GODWITVALE_CORE_HANDOVER_H
@@ -23,10 +25,10 @@
 enum handover_step {
 	HANDOVER_WAIT = 1, /// until handover_wake() or the next input
 	HANDOVER_COPY,     /// find a target and copy while the run goes on
-	HANDOVER_STOP,     /// copy the rest to the same target and stop the run
+	HANDOVER_REFRESH,  /// copy what is new to the same target
+	HANDOVER_STOP,     /// stop the run and copy the rest
 	HANDOVER_RESUME,   /// go on at the target, from the copy
-	HANDOVER_RESUME_SOURCE, /// go on at the source, which has stopped
-	HANDOVER_BREAK,         /// it can't go on from memory
+	HANDOVER_BREAK,    /// it can't go on from memory
 };
 
 /// Why a copy was not made.
@@ -43,25 +45,27 @@
 	HANDOVER_NOTICED,
 	HANDOVER_COPYING,
 	HANDOVER_COPIED,
+	HANDOVER_REFRESHING,
 	HANDOVER_STOPPING,
-	HANDOVER_STOPPED,
-	HANDOVER_REFUSED_LAST, /// stopped at the source, not at the target
 };
 
 /// How handovers are timed.
 struct handover_options {
-	usec_t stop_delay;  /// from the notice to the stop
-	usec_t retry_span;  /// between tries for a copy
-	usec_t close_span;  /// for the stopped run's stream to end
-	usec_t answer_span; /// for a copy's answer once the stream was cut
-	unsigned max_tries; /// of copies, until a target has taken one
+	usec_t refresh_delay;  /// from the notice to the refresh
+	usec_t refresh_margin; /// from it to the upstream's end, if known
+	usec_t spread_span;    /// over which first tries for a copy are spread
+	usec_t stop_margin;    /// from the stop to the upstream's end
+	usec_t retry_span;     /// between tries for a copy
+	usec_t answer_span;    /// for a copy's answer after the cut
+	unsigned max_tries;    /// of copies, until a target has taken one
 };
 
 /// One generation's handover; embedded by value.
 struct handover {
 	struct handover_options options;
 	enum handover_state state;
-	usec_t stop_at;
+	usec_t refresh_at; /// USEC_NEVER: done
+	usec_t stop_at;    /// USEC_NEVER: done, or not known
 	usec_t wake_at;
 	usec_t cut_at; /// when the stream was cut; 0: it runs
 	unsigned tries;
@@ -72,14 +76,15 @@
 void handover_init(
     struct handover *handover, const struct handover_options *options);
 void handover_reset(struct handover *handover);
-void handover_notice(struct handover *handover, usec_t now, usec_t changed_at);
+void handover_notice(
+    struct handover *handover, usec_t now, usec_t leaves_at, double chance);
 enum handover_step handover_next(struct handover *handover, usec_t now);
 usec_t handover_wake(const struct handover *handover);
-void handover_began(struct handover *handover, bool stop);
+void handover_began(struct handover *handover, enum handover_step step);
 void handover_no_target(struct handover *handover, usec_t now);
 void handover_made(struct handover *handover, usec_t now, const char *handle);
-void handover_refused(struct handover *handover, usec_t now,
-    enum handover_refusal refusal, const char *handle);
+void handover_refused(
+    struct handover *handover, usec_t now, enum handover_refusal refusal);
 void handover_cut(struct handover *handover, usec_t now);
 bool handover_holds_copy(const struct handover *handover);
 const char *handover_step_name(enum handover_step step);
--- a/src/godwitvale/core/placement.c
+++ b/src/godwitvale/core/placement.c
@@ -2,11 +2,11 @@
 #include "godwitvale/core/placement.h"
 
 /// Share of an engine's memory that generations may fill once they have all
-/// ended; at any moment most of them are still shorter.
-#define PLACE_MEMORY_SHARE 1.1
+/// ended.
+#define PLACE_MEMORY_SHARE 1.0
 /// How much a token of a prompt still to be read weighs beside one that just
 /// takes memory: it holds up everything that runs there.
-#define PLACE_PROMPT_WEIGHT 1.0
+#define PLACE_PROMPT_WEIGHT 4.0
 /// Cost of leaving the zone, as a share of an upstream's capacity.
 #define PLACE_ZONE_COST 0.02
 /// The same for moving a running generation, whose memory takes twice as
@@ -15,6 +15,9 @@
 /// Span of the chance that tells near-equal upstreams apart, as a share of
 /// an upstream's capacity.
 #define PLACE_CHANCE 0.04
+/// The same for moves: all instances look for targets at the same moment,
+/// when an upstream's leaving is told.
+#define PLACE_MOVE_CHANCE 0.2
 /// Requests that may wait at a plain upstream, as a multiple of its slots.
 #define PLACE_PLAIN_DEPTH 2
 
@@ -69,6 +72,7 @@
 {
 	enum place_outcome outcome = PLACE_NONE;
 	double best = 0;
+	double chance = request->is_move ? PLACE_MOVE_CHANCE : PLACE_CHANCE;
 
 	for (size_t i = 0; i < n_candidates; i++) {
 		const struct place_candidate *candidate = &candidates[i];
@@ -81,8 +85,7 @@
 				outcome = PLACE_FULL;
 			continue;
 		}
-		cost = score(request, candidate) +
-		    PLACE_CHANCE * draw(draw_context);
+		cost = score(request, candidate) + chance * draw(draw_context);
 		if (outcome == PLACE_FOUND && cost >= best)
 			continue;
 		outcome = PLACE_FOUND;
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -13,6 +13,9 @@
 /// Bytes that a caller may leave untaken before its upstream is held back.
 #define ANSWER_AHEAD_BYTES (256 * 1024)
 
+/// Events after which the expected length of a generation is looked at anew.
+#define ANSWER_GROW_EVENTS 32
+
 /// Begins the answer to the caller.
 static void
 begin(struct entry_request *request)
@@ -162,7 +165,12 @@
 	if (event->has_id)
 		request->last_event = (int64_t)event->id;
 	request->events++;
+	if (request->last_event_at != 0)
+		request->longest_gap = MAX(request->longest_gap,
+		    g_get_monotonic_time() - request->last_event_at);
 	request->last_event_at = g_get_monotonic_time();
+	if (request->events % ANSWER_GROW_EVENTS == 0)
+		rq_grow(request);
 	return true;
 }
 
@@ -226,6 +234,8 @@
 		http_call_write(request->call, request->cutter.pending->str,
 		    request->cutter.pending->len);
 	}
+	if (request->is_stream && request->series != NULL)
+		estimate_add(request->series, rq_tokens_made(request));
 	sign(request,
 	    request->answer.status >= 500 ? OUTLIER_ERROR : OUTLIER_SERVED);
 	if (!request->begun && is_worth_repeating(request) &&
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -8,14 +8,25 @@
 #include "godwitvale/entry/rq_defs.h"
 #include "godwitvale/ops/log.h"
 
-/// From the notice to the stop: upstreams leave no sooner than a second and
-/// a half after it, and the first copies of all that runs there need most of
-/// the time before.
-#define CONTINUATION_STOP_DELAY (1200 * USEC_PER_MSEC)
+/// From the notice to the refresh of a copy: upstreams leave no sooner than a
+/// second and a half after it, and the first copies of all that runs there
+/// need most of the time before.
+#define CONTINUATION_REFRESH_DELAY (1100 * USEC_PER_MSEC)
+/// From the refresh to the moment at which the upstream is gone, if it says
+/// when that is: refreshes queue behind one another on its link.
+#define CONTINUATION_REFRESH_MARGIN (400 * USEC_PER_MSEC)
+/// From the stop to the moment at which the upstream is gone: for the last
+/// copies of all that runs there, a few tokens each.
+#define CONTINUATION_STOP_MARGIN (150 * USEC_PER_MSEC)
+/// Over which the first tries for copies are spread: an instance that looks
+/// for a target must have heard of those that others have chosen.
+#define CONTINUATION_SPREAD_SPAN (120 * USEC_PER_MSEC)
+/// Tokens that a generation which goes on reads again, as the last refresh
+/// leaves them. Its target is told of them as of a prompt, so that further
+/// ones and new prompts go elsewhere.
+#define CONTINUATION_REREAD_TOKENS 800
 /// Between tries for a copy: a target that was full may have room again.
 #define CONTINUATION_RETRY_SPAN (80 * USEC_PER_MSEC)
-/// For a stopped run's stream to end once its copy is complete.
-#define CONTINUATION_CLOSE_SPAN (60 * USEC_PER_MSEC)
 /// For a copy's answer once the stream was cut.
 #define CONTINUATION_ANSWER_SPAN (300 * USEC_PER_MSEC)
 /// Targets that are asked for one copy.
@@ -26,9 +37,11 @@
 #define CONTINUATION_DROP_SPAN (1 * USEC_PER_SEC)
 
 static const struct handover_options handover_options = {
-    .stop_delay = CONTINUATION_STOP_DELAY,
+    .refresh_delay = CONTINUATION_REFRESH_DELAY,
+    .refresh_margin = CONTINUATION_REFRESH_MARGIN,
+    .spread_span = CONTINUATION_SPREAD_SPAN,
+    .stop_margin = CONTINUATION_STOP_MARGIN,
     .retry_span = CONTINUATION_RETRY_SPAN,
-    .close_span = CONTINUATION_CLOSE_SPAN,
     .answer_span = CONTINUATION_ANSWER_SPAN,
     .max_tries = CONTINUATION_TRIES,
 };
@@ -46,13 +59,10 @@
 static void
 uncharge_copy(struct entry_request *request)
 {
-	struct load load;
-
 	if (!request->is_charged_copy)
 		return;
-	load = rq_load(request);
-	load.prompt = 0;
-	dispatch_charge(request->entry->dispatch, &request->copy, &load, -1);
+	dispatch_charge(request->entry->dispatch, &request->copy,
+	    &request->charged_copy, -1);
 	request->is_charged_copy = false;
 }
 
@@ -60,11 +70,12 @@
 static void
 charge_copy(struct entry_request *request)
 {
-	struct load load = rq_load(request);
-
-	load.prompt = 0;
-	dispatch_charge(request->entry->dispatch, &request->copy, &load, 1);
+	request->charged_copy = rq_load(request);
+	request->charged_copy.prompt = CONTINUATION_REREAD_TOKENS;
+	dispatch_charge(request->entry->dispatch, &request->copy,
+	    &request->charged_copy, 1);
 	request->is_charged_copy = true;
+	peers_hurry(request->entry->peers);
 }
 
 /// Fetch callback: a copy was freed, or will lapse.
@@ -115,8 +126,11 @@
 }
 
 /// Whether a request's service can move running generations.
-static bool
-can_move(const struct entry_request *request)
+///
+/// @param request  a request
+/// @return true when its memory can be copied
+bool
+continuation_can_move(const struct entry_request *request)
 {
 	const struct service *service = request->service == NULL
 	    ? NULL
@@ -126,19 +140,24 @@
 	    request->route->is_generation && request->facts.id != NULL;
 }
 
-/// Takes it that the upstream of a request leaves.
+/// Takes it that the upstream of a request leaves. May be told again once
+/// more is known.
 ///
-/// @param request     a request that was sent there
-/// @param changed_at  when it began to leave
+/// @param request    a request that was sent there
+/// @param leaves_at  when it will be gone; 0: not known
 void
-continuation_notice(struct entry_request *request, usec_t changed_at)
+continuation_notice(struct entry_request *request, usec_t leaves_at)
 {
-	if (!can_move(request) || request->resuming)
+	if (!continuation_can_move(request) || request->resuming)
 		return;
-	handover_notice(&request->handover, g_get_monotonic_time(), changed_at);
+	handover_notice(&request->handover, g_get_monotonic_time(), leaves_at,
+	    g_random_double());
 	log_event(LOG_LEVEL_INFO, "handover-noticed",
-	    "id=%s upstream=%s events=%u", request->facts.id,
-	    request->target.id, request->events);
+	    "id=%s upstream=%s events=%u leaves_ms=%" G_GINT64_FORMAT,
+	    request->facts.id, request->target.id, request->events,
+	    leaves_at == 0
+		? -1
+		: (leaves_at - g_get_monotonic_time()) / USEC_PER_MSEC);
 	continuation_run(request);
 	if (!request->done)
 		rq_set_timer(request);
@@ -172,18 +191,18 @@
 	request->entry->site->read_copy(
 	    answer->status, answer->body, answer->len, &copy);
 	log_event(LOG_LEVEL_INFO, "handover-copy",
-	    "id=%s source=%s target=%s stop=%d status=%u handle=%s "
+	    "id=%s source=%s target=%s state=%d status=%u handle=%s "
 	    "events_made=%" G_GINT64_FORMAT " events_passed=%u",
 	    request->facts.id, request->source.id, request->copy.id,
-	    request->handover.state == HANDOVER_STOPPING, answer->status,
+	    (int)request->handover.state, answer->status,
 	    copy.handle[0] == '\0' ? "-" : copy.handle, copy.events,
 	    request->events);
 	if (copy.outcome == SITE_COPY_MADE) {
+		request->events_copied = copy.events;
 		handover_made(&request->handover, now, copy.handle);
 	} else {
-		handover_refused(&request->handover, now,
-		    refusal_of(copy.outcome),
-		    copy.handle[0] == '\0' ? NULL : copy.handle);
+		handover_refused(
+		    &request->handover, now, refusal_of(copy.outcome));
 		if (request->handover.state == HANDOVER_NOTICED)
 			uncharge_copy(request);
 	}
@@ -195,7 +214,7 @@
 
 /// Asks the source for a copy.
 static void
-ask_copy(struct entry_request *request, bool stop)
+ask_copy(struct entry_request *request, enum handover_step step)
 {
 	struct fetch_options options = {
 	    .pool = request->entry->pool,
@@ -208,11 +227,11 @@
 	char *target;
 	char *body;
 
-	request->entry->site->write_copy(
-	    request->facts.id, request->copy.address, stop, &target, &body);
+	request->entry->site->write_copy(request->facts.id,
+	    request->copy.address, step == HANDOVER_STOP, &target, &body);
 	options.target = target;
 	options.body = body;
-	handover_began(&request->handover, stop);
+	handover_began(&request->handover, step);
 	request->copy_call = fetch_start(&options);
 	g_free(target);
 	g_free(body);
@@ -260,7 +279,7 @@
 	request->copy = found;
 	copy_target(&request->source, &request->target);
 	charge_copy(request);
-	ask_copy(request, false);
+	ask_copy(request, HANDOVER_COPY);
 }
 
 /// Goes on from a copy, at the upstream in `target`.
@@ -300,16 +319,6 @@
 	resume(request);
 }
 
-/// Goes on at the source, which has stopped and kept the memory.
-static void
-resume_at_source(struct entry_request *request)
-{
-	rq_drop_exchange(request);
-	uncharge_copy(request);
-	copy_target(&request->target, &request->source);
-	resume(request);
-}
-
 /// Generates a stream anew from its last event, where that is allowed.
 static void
 read_again(struct entry_request *request, const char *why)
@@ -341,15 +350,13 @@
 	case HANDOVER_COPY:
 		begin_copy(request);
 		break;
+	case HANDOVER_REFRESH:
 	case HANDOVER_STOP:
-		ask_copy(request, true);
+		ask_copy(request, step);
 		break;
 	case HANDOVER_RESUME:
 		resume_at_copy(request);
 		break;
-	case HANDOVER_RESUME_SOURCE:
-		resume_at_source(request);
-		break;
 	case HANDOVER_BREAK:
 		read_again(request, "stream-cut");
 		break;
@@ -388,6 +395,15 @@
 {
 	const struct upstream_record *record;
 
+	log_event(LOG_LEVEL_INFO, "handover-continued",
+	    "id=%s target=%s last_event=%" G_GINT64_FORMAT
+	    " events_copied=%" G_GINT64_FORMAT " silent_ms=%" G_GINT64_FORMAT,
+	    request->facts.id, request->target.id, request->last_event,
+	    request->events_copied,
+	    request->last_event_at == 0
+		? -1
+		: (g_get_monotonic_time() - request->last_event_at) /
+		    USEC_PER_MSEC);
 	request->resuming = false;
 	handover_reset(&request->handover);
 	dispatch_target_clear(&request->copy);
@@ -395,7 +411,7 @@
 	record = directory_find(
 	    view_directory(request->entry->view), request->target.id);
 	if (record != NULL && record->entry.state == UPSTREAM_DRAINING)
-		continuation_notice(request, record->draining_since);
+		continuation_notice(request, 0);
 }
 
 /// Takes it that the upstream refused to go on.
@@ -404,17 +420,9 @@
 void
 continuation_refused(struct entry_request *request)
 {
-	bool at_copy = request->copy.key == request->target.key;
-	bool stopped = request->handover.state == HANDOVER_STOPPED;
-
 	request->resuming = false;
-	log_event(LOG_LEVEL_WARN, "handover-refused",
-	    "id=%s target=%s at_copy=%d stopped=%d", request->facts.id,
-	    request->target.id, at_copy, stopped);
-	if (at_copy && stopped) {
-		resume_at_source(request);
-		return;
-	}
+	log_event(LOG_LEVEL_WARN, "handover-refused", "id=%s target=%s",
+	    request->facts.id, request->target.id);
 	handover_reset(&request->handover);
 	read_again(request, "resume-refused");
 }
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -34,6 +34,7 @@
 	struct fleet_share cold;
 	usec_t full_until;
 	bool misdirected; /// its address belongs to another one
+	bool leaving;     /// it has said so itself, before the store did
 };
 
 /// Candidates of one placement.
@@ -164,6 +165,7 @@
     const struct upstream_record *record, const struct state *state)
 {
 	return record->entry.state == UPSTREAM_READY && !state->misdirected &&
+	    !state->leaving &&
 	    !view_is_evacuated(dispatch->options.view, record->entry.zone);
 }
 
@@ -414,6 +416,22 @@
 	pool_forget(dispatch->options.pool, target->address);
 }
 
+/// Takes it that an upstream says itself that it leaves.
+///
+/// @param dispatch  the dispatch
+/// @param id        the upstream's
+/// @return false when that was known
+bool
+dispatch_set_leaving(struct dispatch *dispatch, const char *id)
+{
+	struct state *state = state_of(dispatch, id);
+
+	if (state->leaving)
+		return false;
+	state->leaving = true;
+	return true;
+}
+
 /// Adds work at an upstream, or takes it away.
 ///
 /// @param dispatch  the dispatch
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -60,6 +60,7 @@
     struct dispatch *dispatch, const struct dispatch_target *target);
 void dispatch_misdirected(
     struct dispatch *dispatch, const struct dispatch_target *target);
+bool dispatch_set_leaving(struct dispatch *dispatch, const char *id);
 void dispatch_charge(struct dispatch *dispatch,
     const struct dispatch_target *target, const struct load *load, int sign);
 const char *dispatch_outcome_name(enum place_outcome outcome);
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -7,6 +7,7 @@
 #include <glib-unix.h>
 
 #include "godwitvale/entry/admin.h"
+#include "godwitvale/entry/reports.h"
 #include "godwitvale/entry/rq.h"
 #include "godwitvale/ops/cmd.h"
 #include "godwitvale/ops/log.h"
@@ -47,6 +48,53 @@
     .refused = on_refused,
 };
 
+/// Acts on the upstreams that leave, once all that have begun to are known:
+/// none of them is a target for another's generations.
+static void
+hand_over(struct entry *entry)
+{
+	GHashTableIter iter;
+	void *id;
+	void *address;
+
+	g_hash_table_iter_init(&iter, entry->left);
+	while (g_hash_table_iter_next(&iter, &id, &address)) {
+		if (rq_upstream_leaves(entry, id, 0) > 0)
+			reports_ask_later(entry->reports, id, address);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/// Loop callback: acts on what has changed, places what waits.
+static gboolean
+on_settle(gpointer data)
+{
+	struct entry *entry = data;
+
+	entry->settle = 0;
+	hand_over(entry);
+	rq_run_waiting(entry);
+	return G_SOURCE_REMOVE;
+}
+
+/// Has the loop act on what has changed.
+static void
+settle_soon(struct entry *entry)
+{
+	if (entry->settle == 0)
+		entry->settle = g_idle_add(on_settle, entry);
+}
+
+/// Takes it that there may be room for what waits.
+///
+/// @param entry  the instance
+void
+entry_room_made(struct entry *entry)
+{
+	if (wait_queue_length(entry->waiting) > 0)
+		settle_soon(entry);
+}
+
 /// View callback: another configuration is in force.
 static void
 on_config(void *owner, struct deployment *deployment)
@@ -97,10 +145,11 @@
 	    record->entry.cold_left / USEC_PER_MSEC);
 	if (entry->dispatch == NULL)
 		return;
-	if (change == DIRECTORY_DRAINING || change == DIRECTORY_REMOVED)
-		rq_upstream_leaves(entry, record);
 	dispatch_on_upstream(entry->dispatch, change, record);
-	entry_room_made(entry);
+	if (change == DIRECTORY_DRAINING || change == DIRECTORY_REMOVED)
+		g_hash_table_replace(entry->left, g_strdup(record->entry.id),
+		    g_strdup(record->entry.address));
+	settle_soon(entry);
 }
 
 static const struct view_vtable view_vtable = {
@@ -157,27 +206,6 @@
     .loads_changed = on_loads_changed,
 };
 
-/// Loop callback: places what waits.
-static gboolean
-on_settle(gpointer data)
-{
-	struct entry *entry = data;
-
-	entry->settle = 0;
-	rq_run_waiting(entry);
-	return G_SOURCE_REMOVE;
-}
-
-/// Takes it that there may be room for what waits.
-///
-/// @param entry  the instance
-void
-entry_room_made(struct entry *entry)
-{
-	if (entry->settle == 0 && wait_queue_length(entry->waiting) > 0)
-		entry->settle = g_idle_add(on_settle, entry);
-}
-
 /// @return how far the clock that counts pauses is ahead of the one that
 ///         doesn't
 static usec_t
@@ -233,6 +261,7 @@
 
 	check_pause(entry);
 	view_tick(entry->view, now);
+	reports_tick(entry->reports, now);
 	pool_sweep(entry->pool, now);
 	rq_run_waiting(entry);
 	check_leaving(entry, now);
@@ -347,6 +376,7 @@
 	};
 
 	entry->dispatch = dispatch_new(&dispatch);
+	entry->reports = reports_new(entry);
 	entry->store = store_new(&store);
 }
 
@@ -364,7 +394,10 @@
 	entry->pool = pool_new();
 	entry->loads = loads_new();
 	entry->waiting = wait_queue_new();
+	entry->estimate = estimate_new();
 	entry->requests = g_hash_table_new(NULL, NULL);
+	entry->left =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	entry->boot_ahead = boot_ahead();
 	entry->view = view_new(&view);
 	if (!open_callers(entry, error) || !open_peers(entry, error))
@@ -392,10 +425,13 @@
 	g_clear_pointer(&entry->store, store_free);
 	g_clear_pointer(&entry->callers, http_server_free);
 	g_clear_pointer(&entry->peers, peers_free);
+	g_clear_pointer(&entry->reports, reports_free);
 	g_clear_pointer(&entry->dispatch, dispatch_free);
 	g_clear_pointer(&entry->view, view_free);
 	g_clear_pointer(&entry->waiting, wait_queue_free);
+	g_clear_pointer(&entry->estimate, estimate_free);
 	g_clear_pointer(&entry->requests, g_hash_table_unref);
+	g_clear_pointer(&entry->left, g_hash_table_unref);
 	g_clear_pointer(&entry->loads, loads_free);
 	g_clear_pointer(&entry->loop, g_main_loop_unref);
 }
--- a/src/godwitvale/entry/rq.c
+++ b/src/godwitvale/entry/rq.c
@@ -15,6 +15,11 @@
 /// Longest wait for room, as a part of the route's target latency: what
 /// waits longer is better off being told when to come back.
 #define REQUEST_WAIT_PARTS 2
+/// Usual time to a generation's first token, and to each further one, on a
+/// loaded engine; with what these give, an instance that leaves tells what it
+/// can still finish.
+#define REQUEST_PROMPT_SPAN (800 * USEC_PER_MSEC)
+#define REQUEST_TOKEN_SPAN (11 * USEC_PER_MSEC)
 /// An upstream that takes no connection for this long can't be reached.
 #define REQUEST_CONNECT_SPAN (600 * USEC_PER_MSEC)
 
@@ -55,6 +60,68 @@
 	return request->deadline - g_get_monotonic_time();
 }
 
+/// Says how many tokens of a request's output have been passed on.
+///
+/// @param request  a request
+/// @return tokens
+uint32_t
+rq_tokens_made(const struct entry_request *request)
+{
+	const struct service *service =
+	    deployment_service(request->deployment, request->service);
+
+	if (service == NULL || !service->has_engine)
+		return 0;
+	return request->events * service->engine.tokens_per_event;
+}
+
+/// Says how many tokens a request's output is expected to have in the end:
+/// what outputs of its route had that were at least as long. Callers' own
+/// estimates are off by more than the lengths of a route vary.
+///
+/// @param request  a request
+/// @return tokens
+int32_t
+rq_expected_output(const struct entry_request *request)
+{
+	uint32_t made;
+
+	if (request->series == NULL)
+		return request->facts.max_output_tokens;
+	made = rq_tokens_made(request);
+	return MIN((int32_t)estimate_mean(request->series, made),
+	    request->facts.max_output_tokens);
+}
+
+/// Finds the lengths of outputs of a request's route.
+static struct estimate_series *
+series_of(const struct entry_request *request)
+{
+	const struct estimate_key key = {
+	    .organisation = ESTIMATE_ALL,
+	    .service = (uint32_t)hash_name(request->service),
+	    .class_id = (uint32_t)hash_name(request->route->name),
+	};
+
+	return estimate_series_of(request->entry->estimate, &key);
+}
+
+/// Brings the load up to date that a generation is charged with: the longer
+/// it is, the longer it will be.
+///
+/// @param request  a request that runs
+void
+rq_grow(struct entry_request *request)
+{
+	struct load more = {0};
+
+	if (!request->is_charged || !request->route->is_generation)
+		return;
+	more.tokens = rq_size(request).tokens - request->charged.tokens;
+	request->charged.tokens += more.tokens;
+	dispatch_charge(request->entry->dispatch, &request->target, &more, 1);
+}
+
 /// Says how large a request is, for placement.
 ///
 /// @param request  a request
@@ -63,13 +130,10 @@
 rq_size(const struct entry_request *request)
 {
 	const struct site_request *facts = &request->facts;
-	int32_t output = facts->output_hint > 0
-	    ? MIN(facts->output_hint, facts->max_output_tokens)
-	    : facts->max_output_tokens;
 	struct place_request size = {
 	    .is_generation = request->route->is_generation,
 	    .prompt = facts->prompt_tokens,
-	    .tokens = facts->prompt_tokens + output,
+	    .tokens = facts->prompt_tokens + rq_expected_output(request),
 	};
 
 	return size;
@@ -147,8 +211,8 @@
 	    "request-ended",
 	    "id=%s route=%s upstream=%s status=%u outcome=%s verdict=%s "
 	    "attempts=%u handovers=%u events=%u last_event=%" G_GINT64_FORMAT
-	    " first_ms=%" G_GINT64_FORMAT " total_ms=%" G_GINT64_FORMAT
-	    " prompt=%d output=%d hint=%d",
+	    " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
+	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d",
 	    request->facts.id == NULL ? "-" : request->facts.id,
 	    request->route == NULL ? "-" : request->route->name,
 	    request->target.id == NULL ? "-" : request->target.id, status,
@@ -158,6 +222,7 @@
 		? -1
 		: (request->first_event_at - request->arrived_at) /
 		    USEC_PER_MSEC,
+	    request->longest_gap / USEC_PER_MSEC,
 	    (now - request->arrived_at) / USEC_PER_MSEC,
 	    request->facts.prompt_tokens, request->facts.max_output_tokens,
 	    request->facts.output_hint);
@@ -347,6 +412,8 @@
 	request->is_charged = true;
 	dispatch_charge(
 	    entry->dispatch, &request->target, &request->charged, 1);
+	if (request->route->is_generation)
+		peers_hurry(entry->peers);
 	event_cutter_restart(&request->cutter);
 	request->exchange = exchange_start(&options);
 	http_head_clear(&head);
@@ -498,6 +565,23 @@
 	return deadline;
 }
 
+/// Whether a request can be expected to end before this process does. Its
+/// caller is served by another instance otherwise.
+static bool
+ends_before_leaving(const struct entry_request *request)
+{
+	const struct entry *entry = request->entry;
+	usec_t left;
+
+	if (!entry->leaving)
+		return true;
+	left = entry->leave_deadline - g_get_monotonic_time();
+	if (request->route->is_generation)
+		return left > REQUEST_PROMPT_SPAN +
+		    rq_expected_output(request) * REQUEST_TOKEN_SPAN;
+	return left > request->route->target_latency;
+}
+
 /// Makes the request of a call.
 static struct entry_request *
 rq_new(struct entry *entry, struct http_call *call)
@@ -553,6 +637,12 @@
 		rq_refuse(request, COMEBACK_NOBODY, "no-service");
 		goto out;
 	}
+	if (request->route->is_generation)
+		request->series = series_of(request);
+	if (!ends_before_leaving(request)) {
+		rq_refuse(request, COMEBACK_LEAVING, "leaving");
+		goto out;
+	}
 	dispatch_first_arrival(entry->dispatch, request->service);
 	rq_place(request);
 out:
@@ -562,22 +652,66 @@
 /// Takes it that an upstream leaves: generations that run there are handed
 /// over.
 ///
-/// @param entry   the instance
-/// @param record  of the upstream
-void
-rq_upstream_leaves(struct entry *entry, const struct upstream_record *record)
+/// @param entry      the instance
+/// @param id         the upstream's
+/// @param leaves_at  when it will be gone; 0: not known
+/// @return how many generations run there
+unsigned
+rq_upstream_leaves(struct entry *entry, const char *id, usec_t leaves_at)
 {
 	GList *requests = g_hash_table_get_keys(entry->requests);
+	unsigned n = 0;
 
 	for (GList *l = requests; l != NULL; l = l->next) {
 		struct entry_request *request = l->data;
 
-		if (!request->done && request->exchange != NULL &&
-		    request->target.id != NULL &&
-		    strcmp(request->target.id, record->entry.id) == 0)
-			continuation_notice(request, g_get_monotonic_time());
+		if (request->done || request->exchange == NULL ||
+		    request->target.id == NULL ||
+		    strcmp(request->target.id, id) != 0)
+			continue;
+		continuation_notice(request, leaves_at);
+		n++;
 	}
 	g_list_free(requests);
+	return n;
+}
+
+/// Whether an upstream's entry is missing and the upstream still kept.
+static bool
+is_held(const struct entry *entry, const char *id)
+{
+	const struct upstream_record *record =
+	    directory_find(view_directory(entry->view), id);
+
+	return record != NULL && record->missing_deadline != 0;
+}
+
+/// Lists the engines that run generations of this instance which could be
+/// handed over.
+///
+/// @param entry      the instance
+/// @param held_only  only those whose entries are missing around an outage
+/// @return id -> address; free with g_hash_table_unref()
+GHashTable *
+rq_engines(struct entry *entry, bool held_only)
+{
+	GHashTable *engines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, entry->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct entry_request *request = key;
+
+		if (request->exchange != NULL &&
+		    continuation_can_move(request) &&
+		    (!held_only || is_held(entry, request->target.id)))
+			g_hash_table_replace(engines,
+			    g_strdup(request->target.id),
+			    g_strdup(request->target.address));
+	}
+	return engines;
 }
 
 /// Breaks off every request: the process ends.
--- a/src/godwitvale/entry/rq_defs.h
+++ b/src/godwitvale/entry/rq_defs.h
@@ -24,6 +24,7 @@
 	const struct route *route;
 	const struct organisation *organisation;
 	const char *service;
+	struct estimate_series *series; /// output lengths of its route
 	usec_t arrived_at;
 	usec_t deadline; /// of the final answer
 
@@ -51,13 +52,16 @@
 	unsigned events;
 	usec_t first_event_at;
 	usec_t last_event_at;
+	usec_t longest_gap; /// between two events
 
 	/* Its handover to another upstream. */
 	struct handover handover;
 	struct dispatch_target copy;   /// the upstream that gets a copy
 	struct dispatch_target source; /// the upstream it was copied from
+	struct load charged_copy;
 	bool is_charged_copy;
-	bool resuming; /// sent to go on, no event yet
+	int64_t events_copied; /// made before the last copy
+	bool resuming;         /// sent to go on, no event yet
 	struct fetch *copy_call;
 	unsigned handovers;
 };
@@ -76,17 +80,21 @@
 void rq_drop_exchange(struct entry_request *request);
 void rq_note_tried(struct entry_request *request, uint64_t key);
 bool rq_may_repeat(const struct entry_request *request);
+uint32_t rq_tokens_made(const struct entry_request *request);
+int32_t rq_expected_output(const struct entry_request *request);
 struct place_request rq_size(const struct entry_request *request);
+void rq_grow(struct entry_request *request);
 struct load rq_load(const struct entry_request *request);
 
 /* continuation.c */
 void continuation_init(struct entry_request *request);
 void continuation_clear(struct entry_request *request);
-void continuation_notice(struct entry_request *request, usec_t changed_at);
+void continuation_notice(struct entry_request *request, usec_t leaves_at);
 void continuation_run(struct entry_request *request);
 void continuation_cut(struct entry_request *request, const char *why);
 void continuation_resumed(struct entry_request *request);
 void continuation_refused(struct entry_request *request);
+bool continuation_can_move(const struct entry_request *request);
 bool continuation_is_possible(const struct entry_request *request);
 
 /* answer.c */
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -18,6 +18,9 @@
 
 /// Interval of heartbeats, in milliseconds.
 #define PEERS_BEAT_MS 200
+/// A heartbeat is sent this long after new work was placed, in milliseconds:
+/// others that place work at the same time must not choose the same upstream.
+#define PEERS_HURRY_MS 10
 /// Silence after which an instance counts as lost: several heartbeats, so
 /// that a few lost datagrams tell nothing.
 #define PEERS_LOST_SPAN (1200 * USEC_PER_MSEC)
@@ -44,6 +47,7 @@
 	int fd;
 	guint source;
 	guint timer;
+	guint hurry; /// a heartbeat out of turn is due
 	bool leaving;
 	usec_t behind_since; /// a peer has known more since; 0: none does
 	struct fetch *snapshot;
@@ -267,6 +271,27 @@
 		send_to_all(peers, bytes, len);
 }
 
+/// Loop callback: new work was placed.
+static gboolean
+on_hurry(gpointer data)
+{
+	struct peers *peers = data;
+
+	peers->hurry = 0;
+	send_beat(peers);
+	return G_SOURCE_REMOVE;
+}
+
+/// Has the others told soon of this instance's work.
+///
+/// @param peers  the peers
+void
+peers_hurry(struct peers *peers)
+{
+	if (peers->hurry == 0)
+		peers->hurry = g_timeout_add(PEERS_HURRY_MS, on_hurry, peers);
+}
+
 /// Sends what was read of the upstreams' changes to all instances, in
 /// datagrams that follow one another.
 ///
@@ -512,6 +537,8 @@
 		g_source_remove(peers->source);
 	if (peers->timer != 0)
 		g_source_remove(peers->timer);
+	if (peers->hurry != 0)
+		g_source_remove(peers->hurry);
 	g_clear_pointer(&peers->snapshot, fetch_cancel);
 	if (peers->fd >= 0)
 		close(peers->fd);
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -41,6 +41,7 @@
 struct peers *peers_new(const struct peers_options *options, GError **error);
 void peers_free(struct peers *peers);
 void peers_set_seeds(struct peers *peers, const char *seeds);
+void peers_hurry(struct peers *peers);
 void peers_set_leaving(struct peers *peers);
 void peers_send_news(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -8,18 +8,26 @@
 /// gone silent is noticed soon after it.
 #define STORE_OPERATOR_WAIT (4 * USEC_PER_SEC)
 /// Longest wait of a watch for changes of upstreams.
-#define STORE_UPSTREAM_WAIT (1 * USEC_PER_SEC)
-/// Pause between two watches for changes of upstreams: they come many times
-/// a second, and each call takes all that have come.
-#define STORE_UPSTREAM_PAUSE (200 * USEC_PER_MSEC)
+#define STORE_UPSTREAM_WAIT (500 * USEC_PER_MSEC)
+/// Pause between two watches for changes of upstreams: changes that belong
+/// together come within it, and are taken by one call.
+#define STORE_NEWS_PAUSE (20 * USEC_PER_MSEC)
+/// The same when the last changes told nothing new, as where every heartbeat
+/// of an upstream is a change.
+#define STORE_IDLE_PAUSE (200 * USEC_PER_MSEC)
 /// An answer is awaited for this long beside the wait that was asked for.
 #define STORE_ANSWER_SPAN (1 * USEC_PER_SEC)
+/// After a failure the store is asked without a wait, so that its return is
+/// noticed soon: the first answer is awaited for this long, each further one
+/// for as long again, up to STORE_PROBE_LAST.
+#define STORE_PROBE_FIRST (400 * USEC_PER_MSEC)
+#define STORE_PROBE_LAST (1200 * USEC_PER_MSEC)
 /// Pauses after failures: doubled from the first to the last.
 #define STORE_RETRY_FIRST (100 * USEC_PER_MSEC)
 #define STORE_RETRY_LAST (500 * USEC_PER_MSEC)
 /// An instance that reads nothing for the others reads for itself once
 /// nobody has told it anything for this long.
-#define STORE_FRESH_SPAN (700 * USEC_PER_MSEC)
+#define STORE_FRESH_SPAN (1000 * USEC_PER_MSEC)
 /// Interval at which an instance that is told looks whether it still is.
 #define STORE_TOLD_CHECK (100 * USEC_PER_MSEC)
 
@@ -29,12 +37,13 @@
 	enum site_scope scope;
 	struct fetch *fetch;
 	guint timer;
-	usec_t pause;     /// after the last failure; 0: none
-	bool listed;      /// a whole list was read in this process
-	bool is_list;     /// the call under way reads a list
-	uint64_t after;   /// revision that the watch under way follows
-	GPtrArray *pages; /// struct site_reply * of the list under way
-	bool reachable;   /// the last call was answered
+	usec_t pause;      /// after the last failure; 0: none
+	unsigned failures; /// in a row
+	bool listed;       /// a whole list was read in this process
+	bool is_list;      /// the call under way reads a list
+	uint64_t after;    /// revision that the watch under way follows
+	GPtrArray *pages;  /// struct site_reply * of the list under way
+	bool reachable;    /// the last call was answered
 };
 
 struct store {
@@ -89,6 +98,7 @@
 	    scope_name(loop->scope), reason, status,
 	    view_revision(loop->store->options.view, loop->scope));
 	loop->reachable = false;
+	loop->failures++;
 	g_clear_pointer(&loop->pages, g_ptr_array_unref);
 	loop->pause = loop->pause == 0 ? STORE_RETRY_FIRST
 				       : MIN(2 * loop->pause, STORE_RETRY_LAST);
@@ -127,11 +137,23 @@
 	ask(loop);
 }
 
+/// Whether any of the changes tells something new.
+static bool
+has_any_news(const struct view *view, const GPtrArray *items)
+{
+	for (guint i = 0; i < items->len; i++)
+		if (view_is_news(view, items->pdata[i]))
+			return true;
+	return false;
+}
+
 /// Takes the changes that a watch answered.
 static void
 take_changes(struct loop *loop, struct site_reply *reply)
 {
 	struct store *store = loop->store;
+	bool has_news = has_any_news(store->options.view, reply->items);
+	bool is_empty = reply->items->len == 0;
 
 	if (loop->scope == SITE_SCOPE_UPSTREAMS)
 		store->options.vtable->news(store->options.owner, reply->items,
@@ -139,8 +161,8 @@
 	view_take_changes(store->options.view, g_get_monotonic_time(),
 	    loop->scope, reply->items, reply->as_of);
 	site_reply_free(reply);
-	if (loop->scope == SITE_SCOPE_UPSTREAMS)
-		ask_after(loop, STORE_UPSTREAM_PAUSE);
+	if (loop->scope == SITE_SCOPE_UPSTREAMS && !is_empty)
+		ask_after(loop, has_news ? STORE_NEWS_PAUSE : STORE_IDLE_PAUSE);
 	else
 		ask(loop);
 }
@@ -182,6 +204,7 @@
 		    scope_name(loop->scope));
 	loop->reachable = true;
 	loop->pause = 0;
+	loop->failures = 0;
 	if (loop->is_list)
 		take_page(loop, reply);
 	else
@@ -208,8 +231,10 @@
 		}
 		return site->list_target(loop->scope, after, false);
 	}
-	*wait = loop->scope == SITE_SCOPE_UPSTREAMS ? STORE_UPSTREAM_WAIT
-						    : STORE_OPERATOR_WAIT;
+	if (loop->failures == 0)
+		*wait = loop->scope == SITE_SCOPE_UPSTREAMS
+		    ? STORE_UPSTREAM_WAIT
+		    : STORE_OPERATOR_WAIT;
 	loop->after = view_revision(loop->store->options.view, loop->scope);
 	return site->watch_target(loop->scope, loop->after, *wait);
 }
@@ -228,6 +253,15 @@
 	    view_confirmed_at(options->view, loop->scope) + STORE_FRESH_SPAN;
 }
 
+/// @return how long an answer is awaited beside the wait that is asked for
+static usec_t
+answer_span(const struct loop *loop)
+{
+	if (loop->failures == 0)
+		return STORE_ANSWER_SPAN;
+	return MIN(loop->failures * STORE_PROBE_FIRST, STORE_PROBE_LAST);
+}
+
 /// Makes the call that is due.
 static void
 ask(struct loop *loop)
@@ -251,7 +285,7 @@
 	}
 	target = next_target(loop, &wait);
 	options.target = target;
-	options.deadline = g_get_monotonic_time() + wait + STORE_ANSWER_SPAN;
+	options.deadline = g_get_monotonic_time() + wait + answer_span(loop);
 	store->calls++;
 	loop->fetch = fetch_start(&options);
 	g_free(target);
--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -27,7 +27,8 @@
 	usec_t keep_span; /// how long the upstream keeps it open when idle
 	unsigned skips;
 	bool reused;
-	bool skipping; /// the current answer isn't ours
+	bool asks_head; /// answers have no body
+	bool skipping;  /// the current answer isn't ours
 	bool has_head;
 	bool dirty; /// more came than one answer
 	bool dead;  /// cancelled from inside a callback
@@ -187,8 +188,7 @@
 		return false;
 	}
 	http_reader_next(&exchange->reader);
-	exchange->reader.no_body =
-	    strcmp(exchange->options.head->method, "HEAD") == 0;
+	exchange->reader.no_body = exchange->asks_head;
 	return true;
 }
 
@@ -267,7 +267,8 @@
 	exchange->address = g_strdup(options->address);
 	exchange->echo_value = g_strdup(options->echo_value);
 	http_reader_init(&exchange->reader, &reader_options);
-	exchange->reader.no_body = strcmp(options->head->method, "HEAD") == 0;
+	exchange->asks_head = strcmp(options->head->method, "HEAD") == 0;
+	exchange->reader.no_body = exchange->asks_head;
 	lease =
 	    pool_take(options->pool, options->address, &conn_vtable, exchange);
 	exchange->conn = lease.conn;
--- a/src/godwitvale/http/reader.c
+++ b/src/godwitvale/http/reader.c
@@ -261,7 +261,8 @@
 	bool is_first = true;
 
 	while (line < end) {
-		const char *stop = g_strstr_len(line, end - line + 2, "\r\n");
+		const char *stop =
+		    memmem(line, (size_t)(end - line) + 2, "\r\n", 2);
 		size_t len = (size_t)(stop - line);
 
 		if (is_first ? !line_is_start(line, len)
@@ -288,8 +289,8 @@
 	reader->progress = HTTP_IN_HEAD;
 	g_string_append_len(bytes, data, (gssize)MIN(len, room));
 	from = old < HEAD_END_LEN ? 0 : old - (HEAD_END_LEN - 1);
-	end = g_strstr_len(
-	    bytes->str + from, (gssize)(bytes->len - from), HEAD_END);
+	end = memmem(
+	    bytes->str + from, bytes->len - from, HEAD_END, HEAD_END_LEN);
 	if (end == NULL) {
 		if (bytes->len >= reader->options.max_head)
 			reader_break(reader, HTTP_FAULT_HEAD_TOO_BIG);
@@ -310,6 +311,26 @@
 	return bytes->len - old;
 }
 
+/// Skips empty lines before a request, which may come apart anywhere.
+///
+/// @return bytes taken
+static size_t
+skip_empty_lines(struct http_reader *reader, const char *data, size_t len)
+{
+	GString *bytes = reader->head_bytes;
+	size_t taken = 0;
+
+	for (; taken < len; taken++) {
+		if (bytes->len == 0 && data[taken] == '\r')
+			g_string_append_c(bytes, '\r');
+		else if (bytes->len == 1 && data[taken] == '\n')
+			g_string_truncate(bytes, 0);
+		else
+			break;
+	}
+	return taken;
+}
+
 /// Takes bytes from the connection, up to the end of the current message.
 ///
 /// @param reader  the reader
@@ -321,11 +342,8 @@
 {
 	size_t taken = 0;
 
-	if (reader->progress == HTTP_AT_START)
-		while (taken < len && !reader->options.responses &&
-		    reader->head_bytes->len == 0 && data[taken] == '\r' &&
-		    taken + 1 < len && data[taken + 1] == '\n')
-			taken += 2; /* empty lines before a request */
+	if (!reader->options.responses && reader->progress == HTTP_AT_START)
+		taken = skip_empty_lines(reader, data, len);
 	if (taken < len &&
 	    (reader->progress == HTTP_AT_START ||
 		reader->progress == HTTP_IN_HEAD))
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -94,6 +94,12 @@
 	int64_t events;             /// made before the copy; SITE_NO_EVENT
 };
 
+/// What an engine says of itself when it is asked.
+struct site_report {
+	bool leaving;
+	usec_t leaves_in; /// span until it is gone; negative: not said
+};
+
 /// The adapter's calls.
 struct site {
 	/// Field by which answers name the request that they belong to.
@@ -135,6 +141,10 @@
 	    struct site_copy *copy);
 	/// @return target of a DELETE that frees a copy
 	char *(*drop_copy_target)(const char *handle);
+	/// Target of a GET for an engine's report.
+	const char *report_target;
+	bool (*read_report)(
+	    const char *body, size_t len, struct site_report *report);
 };
 
 void site_item_free(void *item);
