--- /dev/null
+++ b/test/unit/platform_test.c
@@ -0,0 +1,367 @@
+/* Unit tests of the adapter to the users' platform: its formats both ways. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "godwitvale/core/deployment.h"
+#include "platform/platform.h"
+
+/// A configuration as the platform writes it.
+static const char config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"A.example\","
+    "\"prefix\":\"/lo/\",\"route_kind\":\"streaming\",\"timeout_ms\":39000,"
+    "\"target_latency_ms\":1800,\"priority\":1,\"weighted_split\":[{"
+    "\"service\":\"lm\",\"weight\":90},{\"service\":\"lm2\",\"weight\":10}],"
+    "\"max_attempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,"
+    "\"target_gap_ms\":180},{\"name\":\"r-2\",\"host\":\"a.example\","
+    "\"prefix\":\"/lo/deep/\",\"route_kind\":\"idempotent\","
+    "\"timeout_ms\":2000,\"service\":\"shop\",\"max_attempts\":2,"
+    "\"public\":true}],\"services\":[{\"name\":\"lm\",\"health_path\":"
+    "\"/healthz\",\"max_conns\":282,\"cold_s\":1.0,\"cold_per_s\":26.0,"
+    "\"engine\":{\"slots\":24,\"kv_capacity\":34424,\"kv_bytes\":18432,"
+    "\"link_mbps\":2700.0,\"moves\":true,\"backups\":true,\"stride\":4,"
+    "\"handle_s\":5.0}},{\"name\":\"shop\",\"max_conns\":110}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],"
+    "\"priority\":1}]}";
+
+static void
+configurations_are_read(void **state)
+{
+	GError *error = NULL;
+	struct deployment *deployment =
+	    platform_read_config(config, strlen(config), 99, &error);
+	const struct route *route;
+	const struct service *service;
+
+	(void)state;
+	assert_non_null(deployment);
+	assert_int_equal(deployment->version, 7);
+	assert_int_equal(deployment->revision, 99);
+	assert_true(deployment->needs_keys);
+	assert_int_equal(deployment->limits.idle_timeout, 15 * USEC_PER_SEC);
+	/* The longest prefix counts, a host's case and port don't. */
+	route = deployment_route(deployment, "a.EXAMPLE:80", "/lo/deep/x");
+	assert_string_equal(route->name, "r-2");
+	assert_int_equal(route->kind, ROUTE_IDEMPOTENT);
+	assert_true(route->is_public);
+	route = deployment_route(deployment, "a.example", "/lo/x");
+	assert_string_equal(route->name, "r-1");
+	assert_int_equal(route->kind, ROUTE_STREAM);
+	assert_true(route->is_generation);
+	assert_false(route->resumable);
+	assert_int_equal(route->target_gap, 180 * USEC_PER_MSEC);
+	assert_null(deployment_route(deployment, "a.example", "/l"));
+	assert_null(deployment_route(deployment, "b.example", "/lo/"));
+	assert_string_equal(route_service_for(route, 89), "lm");
+	assert_string_equal(route_service_for(route, 90), "lm2");
+	service = deployment_service(deployment, "lm");
+	assert_int_equal(service->engine.memory_tokens, 34424);
+	assert_true(service->engine.moves);
+	assert_false(deployment_service(deployment, "shop")->has_engine);
+	assert_string_equal(
+	    deployment_organisation(deployment, "k2")->name, "t1");
+	assert_null(deployment_organisation(deployment, "k3"));
+	deployment_unref(deployment);
+}
+
+static void
+broken_configurations_are_refused(void **state)
+{
+	static const char *const texts[] = {
+	    "", "[]", "{\"version\":1}", "{\"version\":\"1\",\"routes\":[],"
+	    "\"services\":[]}",
+	    "{\"version\":1,\"routes\":[{\"host\":\"a\",\"prefix\":\"/\","
+	    "\"route_kind\":\"streaming\",\"timeout_ms\":1}],\"services\":[]}",
+	    "{\"version\":1,\"routes\":[{\"host\":1}],\"services\":[]}"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		GError *error = NULL;
+
+		assert_null(platform_read_config(
+		    texts[i], strlen(texts[i]), 1, &error));
+		assert_non_null(error);
+		g_error_free(error);
+	}
+}
+
+static void
+entries_are_read_or_name_nobody(void **state)
+{
+	static const char good[] =
+	    "{\"service\":\"lm\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":24,\"state\":\"draining\","
+	    "\"cold_left_ms\":250,\"sequence\":4,\"born\":1765000000000}";
+	static const char *const bad[] = {"", "null", "{}",
+	    "{\"service\":\"lm\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	    "\"slots\":24,\"state\":\"asleep\",\"cold_left_ms\":0,"
+	    "\"sequence\":4}",
+	    "{\"service\":\"lm\",\"address\":\"host:80\",\"zone\":\"z\","
+	    "\"slots\":24,\"state\":\"ready\",\"cold_left_ms\":0,"
+	    "\"sequence\":4}",
+	    "{\"service\":7,\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	    "\"slots\":24,\"state\":\"ready\",\"cold_left_ms\":0,"
+	    "\"sequence\":4}",
+	    "{\"service\":\"lm\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	    "\"slots\":\"24\",\"state\":\"ready\",\"cold_left_ms\":0,"
+	    "\"sequence\":4}"};
+	struct upstream_entry *entry =
+	    platform_read_upstream("i-1", good, strlen(good), NULL);
+
+	(void)state;
+	assert_string_equal(entry->id, "i-1");
+	assert_int_equal(entry->state, UPSTREAM_DRAINING);
+	assert_int_equal(entry->cold_left, 250 * USEC_PER_MSEC);
+	assert_int_equal(entry->incarnation, 1765000000000);
+	site_entry_free(entry);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		assert_null(platform_read_upstream(
+		    "i-1", bad[i], strlen(bad[i]), &error));
+		assert_non_null(error);
+		g_error_free(error);
+	}
+}
+
+static void
+replies_of_the_store_are_read(void **state)
+{
+	static const char watch[] =
+	    "{\"events\":[{\"key\":\"op/config\",\"value\":\"e30=\","
+	    "\"revision\":412,\"created\":1,\"lease\":0},{\"key\":"
+	    "\"servers/i-1\",\"revision\":413,\"deleted\":true},{\"key\":"
+	    "\"op/evacuate/z1\",\"value\":\"e30=\",\"revision\":414},7],"
+	    "\"as_of\":415}";
+	static const char page[] =
+	    "{\"entries\":[],\"truncated\":true,\"as_of\":9}";
+	struct site_reply *reply =
+	    platform_read_reply(watch, strlen(watch), NULL);
+	const struct site_item *item;
+	char *target;
+
+	(void)state;
+	assert_int_equal(reply->as_of, 415);
+	assert_int_equal(reply->items->len, 3);
+	item = reply->items->pdata[0];
+	assert_int_equal(item->kind, SITE_ITEM_CONFIG);
+	assert_int_equal(g_bytes_get_size(item->value), 2);
+	item = reply->items->pdata[1];
+	assert_int_equal(item->kind, SITE_ITEM_UPSTREAM);
+	assert_string_equal(item->name, "i-1");
+	assert_null(item->value);
+	item = reply->items->pdata[2];
+	assert_int_equal(item->kind, SITE_ITEM_EVACUATION);
+	assert_string_equal(item->name, "z1");
+	site_reply_free(reply);
+	reply = platform_read_reply(page, strlen(page), NULL);
+	assert_true(reply->has_more);
+	site_reply_free(reply);
+	assert_null(platform_read_reply("{}", 2, NULL));
+	target = platform_watch_target(
+	    SITE_SCOPE_OPERATOR, 411, 4 * USEC_PER_SEC);
+	assert_string_equal(
+	    target, "/v1/kv-watch?prefix=op/&after=411&wait_ms=4000");
+	g_free(target);
+	target = platform_list_target(SITE_SCOPE_UPSTREAMS, "servers/a&b", true);
+	assert_string_equal(target,
+	    "/v1/kv-range?prefix=servers/&after=servers/a%26b&allow_stale=1");
+	g_free(target);
+}
+
+/// What only the system may set is dropped, whatever a caller sent.
+static void
+requests_are_written_without_what_is_not_the_callers(void **state)
+{
+	static const char *const fields[][2] = {{"Host", "h"},
+	    {"Attempt-Id", "a1"}, {"Model", "m"}, {"Token-Usage", "1460,80"},
+	    {"Prefix-Hash", "5c:800"}, {"Deadline-Ms", "39000"},
+	    {"Authorization", "Token k1"}, {"Tenant", "other"}, {"hold", "x"},
+	    {"Pin-Ms", "9"}, {"KV-BACKUP", "x"}, {"Kv-From", "x"},
+	    {"Kv-Fetch", "x"}, {"Request-Urgency", "0"},
+	    {"Expect-Instance", "x"}, {"Expect-Version", "3"},
+	    {"Last-Event-Id", "5"}, {"Connection", "keep-alive, X-Hop"},
+	    {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"}, {"X-Own", "kept"},
+	    {"Length-Hint", "20"}};
+	const struct site_send send = {.patience = 1500 * USEC_PER_MSEC,
+	    .instance = "i-1",
+	    .organisation = "t1",
+	    .last_event = 41,
+	    .copy_source = "10.0.0.1:80",
+	    .copy_handle = "h7"};
+	struct site_request request;
+	struct http_head from;
+	struct http_head to;
+	GString *text = g_string_new(NULL);
+
+	(void)state;
+	http_head_init(&from);
+	http_head_init(&to);
+	from.method = g_strdup("POST");
+	from.target = g_strdup("/lo/2f?q=1");
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
+		http_head_add(&from, fields[i][0], fields[i][1]);
+	platform_read_request(&from, &request);
+	assert_string_equal(request.id, "a1");
+	assert_string_equal(request.key, "k1");
+	assert_int_equal(request.patience, 39 * USEC_PER_SEC);
+	assert_int_equal(request.prompt_tokens, 1460);
+	assert_int_equal(request.max_output_tokens, 80);
+	assert_int_equal(request.output_hint, 20);
+	assert_int_equal(request.last_event, 5);
+	platform_write_request(&from, &send, &to);
+	http_head_write(&to, text);
+	assert_string_equal(text->str,
+	    "POST /lo/2f?q=1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"
+	    "Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: 5c:800\r\n"
+	    "X-Own: kept\r\nLength-Hint: 20\r\nDeadline-Ms: 1500\r\n"
+	    "Expect-Instance: i-1\r\nTenant: t1\r\nLast-Event-Id: 41\r\n"
+	    "Kv-From: 10.0.0.1:80/h7\r\n\r\n");
+	g_string_free(text, TRUE);
+	http_head_clear(&from);
+	http_head_clear(&to);
+}
+
+static void
+odd_requests_are_read_as_far_as_they_go(void **state)
+{
+	struct site_request request;
+	struct http_head from;
+
+	(void)state;
+	http_head_init(&from);
+	http_head_add(&from, "Authorization", "Bearer k1");
+	http_head_add(&from, "Deadline-Ms", "soon");
+	http_head_add(&from, "Token-Usage", "99999999999999,x");
+	platform_read_request(&from, &request);
+	assert_null(request.key);
+	assert_null(request.id);
+	assert_string_equal(request.host, "");
+	assert_int_equal(request.patience, 0);
+	assert_int_equal(request.prompt_tokens, G_MAXINT32);
+	assert_int_equal(request.last_event, SITE_NO_EVENT);
+	http_head_clear(&from);
+}
+
+static void
+answers_are_judged(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *field;
+		const char *value;
+		const char *expected;
+	} rows[] = {
+	    {200, "Response-Seal", "s", "signed"},
+	    {200, "X", "1", ""},
+	    {503, "Not-Executed", "1", "not-run"},
+	    {503, "X", "1", ""},
+	    {421, "Instance-Id", "i-2", "not-run misdirected"},
+	    {200, "Content-Type", "text/event-stream; charset=utf-8", "stream"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct site_answer answer;
+		struct http_head head;
+		char text[64];
+
+		http_head_init(&head);
+		head.status = rows[i].status;
+		http_head_add(&head, rows[i].field, rows[i].value);
+		platform_read_answer(&head, &answer);
+		g_snprintf(text, sizeof(text), "%s%s%s%s",
+		    answer.not_run ? "not-run" : "",
+		    answer.misdirected ? " misdirected" : "",
+		    answer.is_signed ? "signed" : "",
+		    answer.is_stream ? "stream" : "");
+		assert_string_equal(text, rows[i].expected);
+		http_head_clear(&head);
+	}
+}
+
+static void
+copies_are_asked_for_and_answered(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *body;
+		enum site_copy_outcome outcome;
+		const char *handle;
+		int64_t events;
+	} rows[] = {
+	    {200, "{\"handle\":\"h1\",\"created\":21}", SITE_COPY_MADE, "h1",
+		21},
+	    {200, "{}", SITE_COPY_UNKNOWN, "", SITE_NO_EVENT},
+	    {404, "", SITE_COPY_NOT_RUNNING, "", SITE_NO_EVENT},
+	    {409, "", SITE_COPY_IN_PROGRESS, "", SITE_NO_EVENT},
+	    {503, "{\"handle\":\"h1\"}", SITE_COPY_NO_ROOM, "h1",
+		SITE_NO_EVENT},
+	    {0, "", SITE_COPY_UNKNOWN, "", SITE_NO_EVENT},
+	};
+	char *target;
+	char *body;
+
+	(void)state;
+	platform_write_copy("a1", "10.0.0.2:80", true, &target, &body);
+	assert_string_equal(target, "/v1/kv-move");
+	assert_string_equal(
+	    body, "{\"id\":\"a1\",\"to\":\"10.0.0.2:80\",\"last\":true}");
+	g_free(target);
+	g_free(body);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct site_copy copy;
+
+		platform_read_copy(rows[i].status, rows[i].body,
+		    strlen(rows[i].body), &copy);
+		assert_int_equal(copy.outcome, rows[i].outcome);
+		assert_string_equal(copy.handle, rows[i].handle);
+		assert_int_equal(copy.events, rows[i].events);
+	}
+}
+
+static void
+reports_tell_who_leaves(void **state)
+{
+	static const char leaving[] =
+	    "{\"state\":\"draining\",\"leaves_ms\":1586,\"queued\":1}";
+	static const char staying[] = "{\"state\":\"ready\"}";
+	struct site_report report;
+
+	(void)state;
+	assert_true(
+	    platform_read_report(leaving, strlen(leaving), &report));
+	assert_true(report.leaving);
+	assert_int_equal(report.leaves_in, 1586 * USEC_PER_MSEC);
+	assert_true(
+	    platform_read_report(staying, strlen(staying), &report));
+	assert_false(report.leaving);
+	assert_true(report.leaves_in < 0);
+	assert_false(platform_read_report("x", 1, &report));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(configurations_are_read),
+	    cmocka_unit_test(broken_configurations_are_refused),
+	    cmocka_unit_test(entries_are_read_or_name_nobody),
+	    cmocka_unit_test(replies_of_the_store_are_read),
+	    cmocka_unit_test(
+		requests_are_written_without_what_is_not_the_callers),
+	    cmocka_unit_test(odd_requests_are_read_as_far_as_they_go),
+	    cmocka_unit_test(answers_are_judged),
+	    cmocka_unit_test(copies_are_asked_for_and_answered),
+	    cmocka_unit_test(reports_tell_who_leaves),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
