Logs as JSON lines, labelled counters, stories, and tests over a stand-in

Cause: logs were key=value on standard error and could hold the process up; counters had no latency and no labels; nothing led from a request's id to its cause. Nothing of the entry role was tested without the bench.

Change: an entry instance writes a JSON object a line to standard output, through a bounded sink that never waits (a budget a second with a reserve for warnings, drops counted and told); counters and histograms by route and service at the metrics address, with the state of the instance; godwitvale explain reads the logs of all instances and tells one request's story with what was believed of its upstreams. test/site is a stand-in of the platform's store and workers with faults; three scripted runs use it.

Tests: a reader that never reads delays nobody; the scripted runs pass.

--- /dev/null
+++ b/scripts/site.sh
@@ -0,0 +1,174 @@
+# The stand-in of the users' platform and entry instances on loopback, for the
+# functional tests. Sourced after test/functional/lib.sh.
+
+declare -A entry_caller entry_ready entry_control entry_metrics entry_pid
+site_version=1
+site_routes=
+n_entries=0
+fleet_ports=
+
+# start_site ID,SERVICE,ZONE...: the store and workers; sets $site and
+# $site_log.
+start_site()
+{
+	local specs=() spec
+	free_port
+	site=127.0.0.1:$port
+	site_port=$port
+	for spec in "$@"; do
+		free_port
+		specs+=("$spec,$port")
+	done
+	run_program "$BINDIR/site" "$site_port" "${specs[@]}"
+	site_log=$workdir/$program.log
+	wait_for "the site" grep -q '^ready' "$site_log"
+}
+
+# ctl PATH [BODY]: the test's own call to the stand-in.
+ctl()
+{
+	get "$site/ctl/$1" -d "${2:-}"
+}
+
+# route NAME PREFIX KIND SERVICE EXTRA: adds a route to the next configuration.
+route()
+{
+	[ -z "$site_routes" ] || site_routes+=,
+	site_routes+="{\"name\":\"$1\",\"host\":\"a.example\",\"prefix\":\"$2\",
+	    \"route_kind\":\"$3\",\"service\":\"$4\",\"priority\":0,
+	    \"target_latency_ms\":1500,\"target_gap_ms\":180$5}"
+}
+
+# configure: writes the routes as the next version of the configuration.
+configure()
+{
+	site_version=$((site_version + 1))
+	ctl put/op/config "{\"version\":$site_version,
+	    \"routes\":[$site_routes],
+	    \"services\":[{\"name\":\"lm\",\"max_conns\":200,\"cold_per_s\":20,
+	    \"engine\":{\"slots\":24,\"kv_capacity\":34000,\"kv_bytes\":18432,
+	    \"link_mbps\":2700,\"stride\":4,\"handle_s\":5,\"moves\":true}},
+	    {\"name\":\"shop\",\"max_conns\":100}],
+	    \"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,
+	    \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
+	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"]}]}"
+}
+
+# usual_routes: one of each kind.
+usual_routes()
+{
+	route draft /draft/ streaming lm \
+	    ',"timeout_ms":30000,"max_attempts":1,"sticky":true'
+	route hint /hint/ streaming lm \
+	    ',"timeout_ms":6000,"max_attempts":2,"sticky":true,"resumable":true'
+	route order /order/ non_idempotent shop \
+	    ',"timeout_ms":2000,"max_attempts":1'
+	route check /check/ idempotent shop \
+	    ',"timeout_ms":2000,"max_attempts":2'
+}
+
+# settings_entry NAME [SEEDS]: writes the instance's settings. Each instance
+# has an address of its own on loopback; the ports are the same at all.
+settings_entry()
+{
+	local name=$1 p
+	if [ -z "$fleet_ports" ]; then
+		for p in caller ready control metrics peer; do
+			free_port
+			eval "${p}_port=$port"
+		done
+		fleet_ports=set
+	fi
+	n_entries=$((n_entries + 1))
+	entry_ip=127.0.1.$n_entries
+	entry_caller[$name]=$entry_ip:$caller_port
+	entry_ready[$name]=$entry_ip:$ready_port
+	entry_control[$name]=$entry_ip:$control_port
+	entry_metrics[$name]=$entry_ip:$metrics_port
+	cat >"$workdir/$name.json" <<-END
+	{
+		"instance": "$name", "zone": "z1",
+		"listen": {
+			"caller": "${entry_caller[$name]}",
+			"ready": "${entry_ready[$name]}",
+			"control": "${entry_control[$name]}",
+			"peer_port": $peer_port,
+			"metrics_port": ${entry_metrics[$name]#*:}
+		},
+		"seeds": "${2:-}",
+		"store": { "address": "$site" },
+		"leaving": { "grace_ms": 4000 }
+	}
+	END
+}
+
+# start_instance NAME: runs it and waits until it is ready.
+start_instance()
+{
+	"$BINDIR/godwitvale" entry --settings "$workdir/$1.json" \
+	    >>"$workdir/$1.log" 2>>"$workdir/$1.err" &
+	entry_pid[$1]=$!
+	pids+=($!)
+	wait_for "$1 to be ready" is_ready "$1"
+}
+
+# is_ready NAME
+is_ready()
+{
+	[ "$(status "${entry_ready[$1]}/")" = 200 ]
+}
+
+# status_is ADDRESS/PATH STATUS
+status_is()
+{
+	[ "$(status "$1")" = "$2" ]
+}
+
+# call_is NAME PATH ID STATUS: whether a request gets that status.
+call_is()
+{
+	[ "$(call "$1" "$2" "$3" | tail -1)" = "$4" ]
+}
+
+# answers ADDRESS/PATH: whether anybody answers.
+answers()
+{
+	! status_is "$1" 000
+}
+
+# call NAME PATH ID [CURL OPTION...]: a request of a caller; status and body.
+call()
+{
+	curl -sS -N -m "$CURL_CAP" "http://${entry_caller[$1]}$2" \
+	    -H 'Host: a.example' -H 'Authorization: Token k1' \
+	    -H "Attempt-Id: $3" -H 'Deadline-Ms: 20000' \
+	    -w '%{http_code}\n' "${@:4}" 2>>"$workdir/curl.err"
+}
+
+# draft NAME ID EVENTS [CURL OPTION...]: a generation of so many events.
+draft()
+{
+	call "$1" /draft/x "$2" -H "Token-Usage: 100,$(($3 * 4))" \
+	    -H 'Model: m' -X POST "${@:4}"
+}
+
+# event_ids FILE: the ids of a stream's events, first and last and how many.
+event_ids()
+{
+	sed -n 's/^id: //p' "$1" | awk 'NR == 1 { first = $1; next_id = $1 }
+	    $1 != next_id { print "GAP at", next_id; exit }
+	    { last = $1; next_id++ }
+	    END { print "events", first, "to", last }'
+}
+
+# runs ID: how often a request was begun by a worker.
+runs()
+{
+	ctl "runs/$1"
+}
+
+# logged NAME PATTERN: whether an instance's log has a line like that.
+logged()
+{
+	grep -qE "$2" "$workdir/$1.log"
+}
--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -402,3 +402,20 @@
 {
 	return g_hash_table_size(directory->records);
 }
+
+/// @param directory  the directory
+/// @return its records (struct upstream_record *), by id; free with
+///         g_ptr_array_unref()
+GPtrArray *
+directory_list(const struct directory *directory)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GList *ids = g_list_sort(
+	    g_hash_table_get_keys(directory->records), (GCompareFunc)strcmp);
+
+	for (GList *l = ids; l != NULL; l = l->next)
+		g_ptr_array_add(
+		    list, g_hash_table_lookup(directory->records, l->data));
+	g_list_free(ids);
+	return list;
+}
--- a/src/godwitvale/core/directory.h
+++ b/src/godwitvale/core/directory.h
@@ -64,6 +64,7 @@
     const struct directory *directory, uint32_t handle);
 const GPtrArray *directory_of_service(
     const struct directory *directory, const char *service);
+GPtrArray *directory_list(const struct directory *directory);
 guint directory_size(const struct directory *directory);
 
 #endif
--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -3,11 +3,16 @@
 
 #include <string.h>
 
+#include <json-c/json.h>
+
+#include "godwitvale/core/hash.h"
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/ops/log.h"
-#include "godwitvale/ops/metrics.h"
 
 /// Target of a GET for the counters.
 #define ADMIN_METRICS_TARGET "/metrics"
+/// Target of a GET for the state of this instance.
+#define ADMIN_STATUS_TARGET "/status"
 /// Bounds on what these addresses take: questions without a body.
 #define ADMIN_HEAD_BYTES 8192
 #define ADMIN_BODY_BYTES 1024
@@ -81,20 +86,134 @@
 	g_bytes_unref(snapshot);
 }
 
-/// Server callback: the counters.
+/// Writes the gauges of this instance.
+static void
+write_gauges(const struct entry *entry, GString *out)
+{
+	const struct {
+		const char *name;
+		const char *help;
+		uint64_t value;
+	} gauges[] = {
+	    {"entry_waiting", "Requests that wait for room.",
+		wait_queue_length(entry->waiting)},
+	    {"entry_open_requests", "Requests that are being answered.",
+		http_server_open_calls(entry->callers)},
+	    {"entry_callers", "Connections of callers.",
+		http_server_callers(entry->callers)},
+	    {"entry_config_version", "Configuration in force; 0: none.",
+		view_deployment(entry->view) == NULL
+		    ? 0
+		    : view_deployment(entry->view)->version},
+	    {"entry_upstreams", "Upstreams known.",
+		directory_size(view_directory(entry->view))},
+	    {"entry_peers", "Other instances alive.",
+		membership_size(peers_membership(entry->peers)) - 1},
+	    {"entry_store_reachable", "Whether the store answers.",
+		store_is_reachable(entry->store)},
+	    {"entry_ready", "Whether callers may be sent here.",
+		admin_is_ready(entry)},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(gauges); i++)
+		g_string_append_printf(out,
+		    "# HELP godwitvale_%s %s\n"
+		    "# TYPE godwitvale_%s gauge\n"
+		    "godwitvale_%s %" G_GUINT64_FORMAT "\n",
+		    gauges[i].name, gauges[i].help, gauges[i].name,
+		    gauges[i].name, gauges[i].value);
+	g_string_append_printf(out,
+	    "# HELP godwitvale_entry_store_calls_total Calls to the store.\n"
+	    "# TYPE godwitvale_entry_store_calls_total counter\n"
+	    "godwitvale_entry_store_calls_total %" G_GUINT64_FORMAT "\n",
+	    store_calls(entry->store));
+}
+
+/// Describes the upstreams, as this instance believes them to be.
+static json_object *
+describe_upstreams(const struct entry *entry)
+{
+	GPtrArray *records = directory_list(view_directory(entry->view));
+	json_object *list = json_object_new_array();
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct upstream_record *record = records->pdata[i];
+		struct load load =
+		    loads_total(entry->loads, hash_name(record->entry.id));
+		json_object *row = json_object_new_object();
+
+		json_object_object_add(
+		    row, "id", json_object_new_string(record->entry.id));
+		json_object_object_add(row, "service",
+		    json_object_new_string(record->entry.service));
+		json_object_object_add(
+		    row, "zone", json_object_new_string(record->entry.zone));
+		json_object_object_add(row, "ready",
+		    json_object_new_boolean(
+			record->entry.state == UPSTREAM_READY));
+		json_object_object_add(
+		    row, "requests", json_object_new_int(load.requests));
+		json_object_object_add(
+		    row, "tokens", json_object_new_int(load.tokens));
+		json_object_array_add(list, row);
+	}
+	g_ptr_array_unref(records);
+	return list;
+}
+
+/// Answers with the state of this instance.
+static void
+answer_status(struct entry *entry, struct http_call *call)
+{
+	const struct deployment *deployment = view_deployment(entry->view);
+	json_object *root = json_object_new_object();
+	const char *text;
+
+	json_object_object_add(root, "instance",
+	    json_object_new_string(entry->settings->instance));
+	json_object_object_add(
+	    root, "zone", json_object_new_string(entry->settings->zone));
+	json_object_object_add(
+	    root, "ready", json_object_new_boolean(admin_is_ready(entry)));
+	json_object_object_add(
+	    root, "leaving", json_object_new_boolean(entry->leaving));
+	json_object_object_add(root, "config_version",
+	    json_object_new_uint64(
+		deployment == NULL ? 0 : deployment->version));
+	json_object_object_add(root, "store_reachable",
+	    json_object_new_boolean(store_is_reachable(entry->store)));
+	json_object_object_add(root, "peers",
+	    json_object_new_int(
+		(int)membership_size(peers_membership(entry->peers)) - 1));
+	json_object_object_add(root, "open_requests",
+	    json_object_new_int((int)http_server_open_calls(entry->callers)));
+	json_object_object_add(root, "waiting",
+	    json_object_new_int((int)wait_queue_length(entry->waiting)));
+	json_object_object_add(root, "upstreams", describe_upstreams(entry));
+	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PRETTY);
+	answer(call, 200, "application/json", text, strlen(text));
+	json_object_put(root);
+}
+
+/// Server callback: the counters, or the state.
 static void
 on_metrics(void *owner, struct http_call *call)
 {
 	struct entry *entry = owner;
+	const char *target = http_call_head(call)->target;
 	GString *text;
 
-	if (strcmp(http_call_head(call)->target, ADMIN_METRICS_TARGET) != 0) {
+	if (strcmp(target, ADMIN_STATUS_TARGET) == 0) {
+		answer_status(entry, call);
+		return;
+	}
+	if (strcmp(target, ADMIN_METRICS_TARGET) != 0) {
 		answer(call, 404, NULL, "", 0);
 		return;
 	}
-	metrics_set(METRIC_QUEUE_LENGTH, wait_queue_length(entry->waiting));
-	metrics_set(METRIC_IN_FLIGHT, http_server_open_calls(entry->callers));
-	text = metrics_to_text();
+	text = g_string_new(NULL);
+	write_gauges(entry, text);
+	series_to_text(text);
 	answer(call, 200, "text/plain; version=0.0.4", text->str, text->len);
 	g_string_free(text, true);
 }
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/entry/rq_defs.h"
 #include "godwitvale/ops/log.h"
 
@@ -44,6 +45,13 @@
 static void
 sign(struct entry_request *request, enum outlier_sign what)
 {
+	static const char *const names[] = {
+	    [OUTLIER_SERVED] = "served",
+	    [OUTLIER_ERROR] = "error",
+	    [OUTLIER_BROKEN] = "broken",
+	};
+
+	series_add(&METER_ATTEMPTS, request->service, names[what], 1);
 	dispatch_sign(request->entry->dispatch, &request->target, what);
 }
 
@@ -70,6 +78,8 @@
 	    request->facts.id, request->target.id, facts->misdirected,
 	    request->attempts,
 	    (g_get_monotonic_time() - request->sent_at) / USEC_PER_MSEC);
+	series_add(&METER_ATTEMPTS, request->service,
+	    facts->misdirected ? "misdirected" : "refused", 1);
 	if (facts->misdirected) {
 		dispatch_misdirected(dispatch, &request->target);
 		/* It was meant for another one: no attempt was made. */
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/entry/rq_defs.h"
 #include "godwitvale/ops/log.h"
 
@@ -346,6 +347,8 @@
 	if (request->exchange == NULL && request->handover.cut_at == 0)
 		return;
 	step = handover_next(&request->handover, g_get_monotonic_time());
+	if (step != HANDOVER_WAIT)
+		series_add(&METER_HANDOVERS, handover_step_name(step), NULL, 1);
 	switch (step) {
 	case HANDOVER_COPY:
 		begin_copy(request);
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "godwitvale/core/fleet_share.h"
 #include "godwitvale/core/hash.h"
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/ops/log.h"
 
 /// An upstream that says it is full gets nothing for this long: other
@@ -377,12 +378,14 @@
 
 	if (state == NULL)
 		return;
-	if (outlier_sign(&state->outlier, g_get_monotonic_time(), sign))
-		log_event(LOG_LEVEL_WARN, "upstream-ejected",
-		    "upstream=%s ejections=%u for_ms=%" G_GINT64_FORMAT,
-		    target->id, state->outlier.ejections,
-		    (state->outlier.ejected_until - g_get_monotonic_time()) /
-			USEC_PER_MSEC);
+	if (!outlier_sign(&state->outlier, g_get_monotonic_time(), sign))
+		return;
+	series_add(&METER_EJECTIONS, target->id, NULL, 1);
+	log_event(LOG_LEVEL_WARN, "upstream-ejected",
+	    "upstream=%s ejections=%u for_ms=%" G_GINT64_FORMAT, target->id,
+	    state->outlier.ejections,
+	    (state->outlier.ejected_until - g_get_monotonic_time()) /
+		USEC_PER_MSEC);
 }
 
 /// Takes it that an upstream has no room.
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -7,6 +7,7 @@
 #include <glib-unix.h>
 
 #include "godwitvale/entry/admin.h"
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/entry/reports.h"
 #include "godwitvale/entry/rq.h"
 #include "godwitvale/ops/cmd.h"
@@ -39,7 +40,11 @@
 static void
 on_refused(void *owner, unsigned status)
 {
+	char text[16];
+
 	(void)owner;
+	g_snprintf(text, sizeof(text), "%u", status);
+	series_add(&METER_REFUSED_INPUT, text, NULL, 1);
 	log_event(LOG_LEVEL_WARN, "caller-input-refused", "status=%u", status);
 }
 
@@ -137,6 +142,7 @@
 	};
 	struct entry *entry = owner;
 
+	series_add(&METER_UPSTREAM_CHANGES, names[change], NULL, 1);
 	log_event(LOG_LEVEL_INFO, names[change],
 	    "upstream=%s service=%s address=%s zone=%s "
 	    "revision=%" G_GUINT64_FORMAT " cold_ms=%" G_GINT64_FORMAT,
@@ -456,7 +462,7 @@
 		goto out;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	log_open(entry.settings->instance,
+	log_open_json(entry.settings->instance,
 	    (enum log_level)entry.settings->log_level);
 	if (!entry_open(&entry, &error)) {
 		cmd_refuse(NULL, error);
--- a/src/godwitvale/entry/rq.c
+++ b/src/godwitvale/entry/rq.c
@@ -9,6 +9,7 @@
 
 #include "godwitvale/core/hash.h"
 #include "godwitvale/entry/entry.h"
+#include "godwitvale/entry/meters.h"
 #include "godwitvale/entry/rq_defs.h"
 #include "godwitvale/ops/log.h"
 
@@ -228,6 +229,26 @@
 	    request->facts.output_hint);
 }
 
+/// Counts a request that has ended, and how long it took.
+static void
+measure(const struct entry_request *request, const char *outcome)
+{
+	const char *route =
+	    request->route == NULL ? "none" : request->route->name;
+
+	series_add(&METER_ENDED, route, outcome, 1);
+	if (request->service == NULL)
+		return;
+	series_observe(&METER_WHOLE, route, request->service,
+	    g_get_monotonic_time() - request->arrived_at);
+	if (request->first_event_at != 0)
+		series_observe(&METER_FIRST, route, request->service,
+		    request->first_event_at - request->arrived_at);
+	if (request->events > 1)
+		series_observe(
+		    &METER_GAP, route, request->service, request->longest_gap);
+}
+
 /// Ends a request whose final answer is out.
 ///
 /// @param request  a request
@@ -237,6 +258,7 @@
 rq_done(struct entry_request *request, unsigned status, const char *outcome)
 {
 	log_end(request, status, outcome);
+	measure(request, outcome);
 	finish(request);
 }
 
@@ -449,6 +471,12 @@
 
 	if (request->is_waiting)
 		return;
+	log_event(LOG_LEVEL_INFO, "request-waits",
+	    "id=%s route=%s priority=%u waiting=%u until_ms=%" G_GINT64_FORMAT,
+	    request->facts.id == NULL ? "-" : request->facts.id,
+	    request->route->name, entry.priority,
+	    wait_queue_length(request->entry->waiting),
+	    (entry.deadline - now) / USEC_PER_MSEC);
 	request->is_waiting = true;
 	request->wait_deadline = entry.deadline;
 	wait_queue_add(request->entry->waiting, &entry);
@@ -464,11 +492,24 @@
 	wait_queue_remove(request->entry->waiting, request);
 	request->is_waiting = false;
 	request->attempts++;
+	log_event(LOG_LEVEL_INFO, "request-placed",
+	    "id=%s route=%s upstream=%s address=%s zone=%s attempt=%u "
+	    "config=%" G_GUINT64_FORMAT " view_age_ms=%" G_GINT64_FORMAT
+	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+	    request->facts.id == NULL ? "-" : request->facts.id,
+	    request->route->name, request->target.id, request->target.address,
+	    request->target.zone, request->attempts,
+	    request->deployment->version,
+	    (g_get_monotonic_time() -
+		view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS)) /
+		USEC_PER_MSEC,
+	    (g_get_monotonic_time() - request->arrived_at) / USEC_PER_MSEC,
+	    patience_left(request) / USEC_PER_MSEC);
+	if (request->attempts == 1)
+		series_observe(&METER_WAIT, request->route->name,
+		    request->service,
+		    g_get_monotonic_time() - request->arrived_at);
 	rq_note_tried(request, request->target.key);
-	if (request->attempts > 1)
-		log_event(LOG_LEVEL_INFO, "request-repeated",
-		    "id=%s upstream=%s attempt=%u", request->facts.id,
-		    request->target.id, request->attempts);
 	rq_send(request, &how);
 }
 
--- a/src/godwitvale/main.c
+++ b/src/godwitvale/main.c
@@ -12,6 +12,7 @@
 	    {"audit", "show an instance's audit trail", cmd_audit},
 	    {"metrics", "show an instance's counters", cmd_metrics},
 	    {"serve", "run an entry instance", cmd_serve},
+	    {"explain", "tell a request's story from log files", cmd_explain},
 	    {"entry", "run an entry instance on the platform", cmd_entry},
 	    {"version", "print the version", cmd_version},
 	};
--- a/src/godwitvale/ops/cmd.h
+++ b/src/godwitvale/ops/cmd.h
@@ -36,6 +36,7 @@
 int cmd_metrics(int argc, char **argv);
 int cmd_version(int argc, char **argv);
 int cmd_serve(int argc, char **argv);
+int cmd_explain(int argc, char **argv);
 int cmd_entry(int argc, char **argv);
 
 /// The daemon. It runs until it has been told to leave.
--- a/src/godwitvale/ops/log.c
+++ b/src/godwitvale/ops/log.c
@@ -1,17 +1,35 @@
-/* The structured log: formats events and hands them to log4c. */
+/*
+ * The structured log: formats events and hands them to log4c. Lines are
+ * key=value on standard error, or JSON objects on standard output, where no
+ * reader can hold the process up.
+ */
 #include "godwitvale/ops/log.h"
 
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <glib.h>
 #include <log4c.h>
 
+#include "godwitvale/ops/log_json.h"
+#include "godwitvale/ops/log_sink.h"
+
 /// Longest line, in bytes; what is longer is cut.
 #define LOG_LINE_BYTES 2048
 
+/// Bytes that wait for a slow reader of standard output at most.
+#define LOG_KEPT_BYTES (256 * 1024)
+/// Lines a second on average, and at a time beyond that: a busy instance
+/// writes some ten a request.
+#define LOG_LINES_A_SECOND 400
+#define LOG_LINES_BURST 800
+/// Share of the burst that only warnings and errors take.
+#define LOG_LINES_RESERVE 0.25
+
 static log4c_category_t *log_category;
+static struct log_sink *log_sink; /// of JSON lines; NULL: key=value
 static bool log_ready;
 static char log_instance[LOG_VALUE_BYTES];
 static char log_line[LOG_LINE_BYTES];
@@ -42,6 +60,19 @@
 	}
 }
 
+/// Writes when an event happened.
+static void
+format_time(const struct timeval *at, char *stamp, size_t size)
+{
+	time_t seconds = at->tv_sec;
+	struct tm parts;
+	size_t len;
+
+	gmtime_r(&seconds, &parts);
+	len = strftime(stamp, size, "%Y-%m-%dT%H:%M:%S", &parts);
+	snprintf(stamp + len, size - len, ".%03ldZ", (long)at->tv_usec / 1000);
+}
+
 /// Formats one event for log4c: time, level, instance, then the event.
 ///
 /// @param layout  unused
@@ -51,24 +82,56 @@
 log_format_line(
     const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
-	time_t seconds = event->evt_timestamp.tv_sec;
-	struct tm parts;
-	char stamp[32];
+	char stamp[40];
 
 	(void)layout;
-	gmtime_r(&seconds, &parts);
-	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-	snprintf(log_line, sizeof(log_line),
-	    "time=%s.%03ldZ level=%s instance=%s %s", stamp,
-	    (long)event->evt_timestamp.tv_usec / 1000,
-	    log_level_name(event->evt_priority), log_instance, event->evt_msg);
+	if (log_sink != NULL)
+		return event->evt_msg;
+	format_time(&event->evt_timestamp, stamp, sizeof(stamp));
+	snprintf(log_line, sizeof(log_line), "time=%s level=%s instance=%s %s",
+	    stamp, log_level_name(event->evt_priority), log_instance,
+	    event->evt_msg);
 	g_strdelimit(log_line, "\r\n", ' ');
 	g_strchomp(log_line);
 	return log_line;
 }
 
-/// Writes one event, as laid out, to standard error. log4c's own types for
-/// streams put the appender's name before each line.
+/// Writes one line of JSON.
+static void
+write_json(const struct timeval *at, int priority, const char *message)
+{
+	const char *event = message + strlen("event=");
+	size_t len = strcspn(event, " ");
+	char *name = g_strndup(event, len);
+	const char *fields = event + len + strspn(event + len, " ");
+	char stamp[40];
+	json_object *line;
+
+	format_time(at, stamp, sizeof(stamp));
+	line =
+	    log_json_new(stamp, log_level_name(priority), log_instance, name);
+	log_json_add_fields(line, fields);
+	log_sink_write(log_sink, log_json_text(line));
+	json_object_put(line);
+	g_free(name);
+}
+
+/// Tells how many lines were dropped, once there is room again.
+static void
+tell_dropped(const struct timeval *at)
+{
+	uint64_t dropped = log_sink_take_dropped(log_sink);
+	char message[64];
+
+	if (dropped == 0)
+		return;
+	snprintf(message, sizeof(message),
+	    "event=log-dropped lines=%" G_GUINT64_FORMAT, dropped);
+	write_json(at, LOG4C_PRIORITY_WARN, message);
+}
+
+/// Writes one event: as laid out to standard error, or as JSON. log4c's own
+/// types for streams put the appender's name before each line.
 ///
 /// @param appender  unused
 /// @param event     the event
@@ -77,7 +140,14 @@
 log_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
 	(void)appender;
-	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	if (log_sink == NULL)
+		return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	if (!log_sink_admit(log_sink, g_get_monotonic_time(),
+		event->evt_priority <= LOG4C_PRIORITY_WARN))
+		return 0;
+	tell_dropped(&event->evt_timestamp);
+	write_json(&event->evt_timestamp, event->evt_priority, event->evt_msg);
+	return 0;
 }
 
 static const log4c_appender_type_t log_appender_type = {
@@ -117,12 +187,38 @@
 	return true;
 }
 
+/// Opens the log on standard output, a JSON object a line.
+///
+/// @param instance  this instance's name, on every line
+/// @param level     the least severe level that is written
+/// @return false when log4c can't be set up
+bool
+log_open_json(const char *instance, enum log_level level)
+{
+	const struct log_sink_options options = {
+	    .fd = STDOUT_FILENO,
+	    .max_kept = LOG_KEPT_BYTES,
+	    .lines_a_second = LOG_LINES_A_SECOND,
+	    .burst = LOG_LINES_BURST,
+	    .reserve = LOG_LINES_RESERVE,
+	};
+
+	if (!log_open(instance, level))
+		return false;
+	g_strlcpy(log_instance, instance, sizeof(log_instance));
+	log_sink = log_sink_new(&options);
+	return true;
+}
+
 /// Closes the log; later events are dropped until it is opened again. log4c
 /// stays set up, because it can't be set up a second time.
 void
 log_close(void)
 {
 	log_category = NULL;
+	if (log_sink != NULL)
+		log_sink_free(log_sink);
+	log_sink = NULL;
 }
 
 /// Writes one event.
--- a/src/godwitvale/ops/log.h
+++ b/src/godwitvale/ops/log.h
@@ -1,4 +1,4 @@
-/* Structured log: one line an event, key=value, by log4c. */
+/* Structured log: one line an event, by log4c. */
 #ifndef GODWITVALE_OPS_LOG_H
 #define GODWITVALE_OPS_LOG_H
 
@@ -15,6 +15,7 @@
 #define LOG_VALUE_BYTES 512
 
 bool log_open(const char *instance, enum log_level level);
+bool log_open_json(const char *instance, enum log_level level);
 void log_close(void);
 void log_event(enum log_level level, const char *event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
--- /dev/null
+++ b/test/functional/entry_handover.sh
@@ -0,0 +1,79 @@
+#!/bin/bash
+# Generations whose engine leaves or vanishes: every event once and in order,
+# a cut stream never looks complete.
+# shellcheck source=test/functional/lib.sh
+. "$(dirname "$0")/lib.sh"
+# shellcheck source=scripts/site.sh
+. "$(dirname "$0")/../../scripts/site.sh"
+
+start_site lm1,lm,z1 lm2,lm,z1
+usual_routes
+settings_entry e1
+configure
+start_instance e1
+
+# engine_of ID: the engine that a generation began at.
+engine_of()
+{
+	sed -n "s/^run $1 \([a-z0-9]*\) begun$/\1/p" "$site_log"
+}
+
+# has_begun FILE: whether events have come.
+has_begun()
+{
+	grep -q '^id: 5$' "$1"
+}
+
+# start_draft ID EVENTS: in the background; its output in $workdir/ID.
+start_draft()
+{
+	draft e1 "$1" "$2" >"$workdir/$1" &
+	drafts[$1]=$!
+	wait_for "events of $1" has_begun "$workdir/$1"
+}
+
+# finish_draft ID
+finish_draft()
+{
+	wait "${drafts[$1]}" && ended=whole || ended="cut ($?)"
+	echo "$1: $ended, $(event_ids "$workdir/$1"), begun $(runs "$1") time"
+}
+declare -A drafts
+
+echo "== an engine leaves with a notice"
+start_draft g1 150
+engine=$(engine_of g1)
+ctl "worker/$engine/draining"
+wait_for "a copy" logged e1 'handover-copy.*"id":"g1".*"status":200'
+ctl "worker/$engine/leave"
+finish_draft g1
+logged e1 'handover-continued.*"id":"g1"' && echo "it went on from the copy"
+ctl "worker/$engine/back"
+wait_for "$engine again" logged e1 "upstream-added.*$engine"
+
+echo "== an engine vanishes without a word: the stream must not look complete"
+start_draft g2 150
+engine=$(engine_of g2)
+ctl "worker/$engine/gone"
+wait "${drafts[g2]}" && echo "WRONG: whole" || echo "cut"
+grep -q '^id: 150$' "$workdir/g2" && echo "WRONG: last event"
+ctl "worker/$engine/back"
+
+echo "== a stream that may be resumed goes on elsewhere"
+call e1 /hint/x h1 -X POST -H 'Token-Usage: 100,400' >"$workdir/h1" &
+drafts[h1]=$!
+wait_for "events of h1" has_begun "$workdir/h1"
+engine=$(engine_of h1)
+ctl "worker/$engine/gone"
+wait "${drafts[h1]}" && echo "whole, $(event_ids "$workdir/h1")"
+ctl "worker/$engine/back"
+
+echo "== the store is silent: the engine's own report tells of its leaving"
+start_draft g3 220
+engine=$(engine_of g3)
+ctl store/silent
+ctl "worker/$engine/draining"
+wait_for "a copy" logged e1 'handover-copy.*"id":"g3".*"status":200'
+ctl "worker/$engine/gone"
+finish_draft g3
+ctl store/up
--- a/test/unit/event_cutter_test.c
+++ b/test/unit/event_cutter_test.c
@@ -30,8 +30,8 @@
 
 	event_cutter_init(&cutter);
 	for (size_t at = 0; at < len; at += piece)
-		assert_true(event_cutter_feed(&cutter, text + at,
-		    MIN(piece, len - at), on_event, story));
+		assert_true(event_cutter_feed(
+		    &cutter, text + at, MIN(piece, len - at), on_event, story));
 	g_string_append_printf(story, "+%zu", event_cutter_rest(&cutter));
 	event_cutter_clear(&cutter);
 	return g_string_free(story, FALSE);
--- a/test/unit/handover_test.c
+++ b/test/unit/handover_test.c
@@ -35,8 +35,8 @@
 	else if (wake == USEC_NEVER)
 		g_strlcpy(text, "wait", sizeof(text));
 	else
-		g_snprintf(text, sizeof(text), "wait %" G_GINT64_FORMAT,
-		    wake / MS);
+		g_snprintf(
+		    text, sizeof(text), "wait %" G_GINT64_FORMAT, wake / MS);
 	assert_string_equal(text, expected);
 }
 
@@ -128,8 +128,7 @@
 	for (int i = 0; i < 10; i++) {
 		assert_step(&handover, i * 100, "copy");
 		handover_began(&handover, HANDOVER_COPY);
-		handover_refused(
-		    &handover, i * 100 * MS, HANDOVER_NOT_RUNNING);
+		handover_refused(&handover, i * 100 * MS, HANDOVER_NOT_RUNNING);
 		assert_step(&handover, i * 100,
 		    g_strdup_printf("wait %d", i * 100 + 80));
 	}
--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -88,8 +88,8 @@
 }
 
 static void
-upstream_open(struct upstream *upstream, const char *const *answers,
-    enum ending ending)
+upstream_open(
+    struct upstream *upstream, const char *const *answers, enum ending ending)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t len = sizeof(address);
@@ -106,8 +106,8 @@
 	assert_int_equal(listen(upstream->listener, 8), 0);
 	getsockname(upstream->listener, (struct sockaddr *)&address, &len);
 	upstream->port = ntohs(address.sin_port);
-	g_snprintf(upstream->address, sizeof(upstream->address),
-	    "127.0.0.1:%u", upstream->port);
+	g_snprintf(upstream->address, sizeof(upstream->address), "127.0.0.1:%u",
+	    upstream->port);
 	upstream->source =
 	    g_unix_fd_add(upstream->listener, G_IO_IN, on_accept, upstream);
 }
@@ -169,8 +169,8 @@
 ask(struct pool *pool, const char *address, const char *id, bool cancel)
 {
 	struct http_head head;
-	struct story story = {g_string_new(NULL),
-	    g_main_loop_new(NULL, FALSE), NULL, cancel};
+	struct story story = {
+	    g_string_new(NULL), g_main_loop_new(NULL, FALSE), NULL, cancel};
 	const struct exchange_options options = {
 	    .vtable = &vtable,
 	    .owner = &story,
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -83,8 +83,7 @@
 	http_reader_init(&reader, &options);
 	while (at < len && reader.progress != HTTP_BROKEN) {
 		size_t end = MIN(at + piece, len);
-		size_t taken =
-		    http_reader_feed(&reader, bytes + at, end - at);
+		size_t taken = http_reader_feed(&reader, bytes + at, end - at);
 
 		at += taken;
 		if (reader.progress == HTTP_COMPLETE) {
@@ -117,8 +116,8 @@
     const char *expected)
 {
 	for (size_t piece = 1; piece <= len; piece++) {
-		char *story = read_in_pieces(
-		    bytes, len, piece, responses, orderly_end);
+		char *story =
+		    read_in_pieces(bytes, len, piece, responses, orderly_end);
 		char *got = without_blanks(story);
 		char *wanted = without_blanks(expected);
 
@@ -165,8 +164,8 @@
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
-		assert_story(rows[i].bytes, strlen(rows[i].bytes), false,
-		    false, rows[i].expected);
+		assert_story(rows[i].bytes, strlen(rows[i].bytes), false, false,
+		    rows[i].expected);
 }
 
 static void
@@ -212,8 +211,8 @@
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
-		assert_story(rows[i].bytes, strlen(rows[i].bytes), false,
-		    false, rows[i].expected);
+		assert_story(rows[i].bytes, strlen(rows[i].bytes), false, false,
+		    rows[i].expected);
 }
 
 static void
@@ -244,8 +243,7 @@
 answers_end_as_they_are_framed(void **state)
 {
 	static const struct case_row rows[] = {
-	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
-		"200 keep ab;"},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", "200 keep ab;"},
 	    {"HTTP/1.1 204 No Content\r\n\r\n", "204 keep;"},
 	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	     "1\r\na\r\n0\r\n\r\n",
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -195,8 +195,9 @@
 	int fd = connect_to(rig);
 	size_t len;
 
-	say(fd, "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b "
-		"HTTP/1.1\r\nConnection: close\r\n\r\n");
+	say(fd,
+	    "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b "
+	    "HTTP/1.1\r\nConnection: close\r\n\r\n");
 	run(rig, 1, USEC_PER_SEC);
 	assert_int_equal(rig->calls->len, 1);
 	assert_string_equal(http_call_head(rig->calls->pdata[0])->target, "/a");
@@ -341,8 +342,9 @@
 	struct rig *rig = *state;
 	int fd = connect_to(rig);
 
-	say(fd, "POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
-		"Content-Length: 1\r\nConnection: close\r\n\r\n");
+	say(fd,
+	    "POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+	    "Content-Length: 1\r\nConnection: close\r\n\r\n");
 	run(rig, 0, 50 * USEC_PER_MSEC);
 	say(fd, "x");
 	run(rig, 1, USEC_PER_SEC);
--- a/test/unit/loads_test.c
+++ b/test/unit/loads_test.c
@@ -25,8 +25,7 @@
 own_and_peers_add_up(void **state)
 {
 	struct loads *loads = loads_new();
-	const struct load_entry told[] = {
-	    {1, {2, 200, 20}}, {2, {1, 100, 10}}};
+	const struct load_entry told[] = {{1, {2, 200, 20}}, {2, {1, 100, 10}}};
 	const struct load_entry later[] = {{2, {3, 300, 30}}};
 
 	(void)state;
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -45,9 +45,8 @@
 static enum place_outcome
 place(struct engines *engines, int32_t prompt, int32_t output, size_t *picked)
 {
-	const struct place_request request = {.is_generation = true,
-	    .tokens = prompt + output,
-	    .prompt = prompt};
+	const struct place_request request = {
+	    .is_generation = true, .tokens = prompt + output, .prompt = prompt};
 	enum place_outcome outcome = place_pick(&request, engines->candidates,
 	    N_ENGINES, draw, engines->rand, picked);
 
@@ -150,8 +149,8 @@
 			size_t picked = 0;
 
 			assert_int_equal(
-			    place_pick(&request, engines.candidates,
-				N_ENGINES, draw, engines.rand, &picked),
+			    place_pick(&request, engines.candidates, N_ENGINES,
+				draw, engines.rand, &picked),
 			    PLACE_FOUND);
 			assert_true(engines.candidates[picked].same_zone);
 			most = MAX(most, ++n[picked]);
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -74,8 +74,8 @@
 static void
 broken_configurations_are_refused(void **state)
 {
-	static const char *const texts[] = {
-	    "", "[]", "{\"version\":1}", "{\"version\":\"1\",\"routes\":[],"
+	static const char *const texts[] = {"", "[]", "{\"version\":1}",
+	    "{\"version\":\"1\",\"routes\":[],"
 	    "\"services\":[]}",
 	    "{\"version\":1,\"routes\":[{\"host\":\"a\",\"prefix\":\"/\","
 	    "\"route_kind\":\"streaming\",\"timeout_ms\":1}],\"services\":[]}",
@@ -165,12 +165,13 @@
 	assert_true(reply->has_more);
 	site_reply_free(reply);
 	assert_null(platform_read_reply("{}", 2, NULL));
-	target = platform_watch_target(
-	    SITE_SCOPE_OPERATOR, 411, 4 * USEC_PER_SEC);
+	target =
+	    platform_watch_target(SITE_SCOPE_OPERATOR, 411, 4 * USEC_PER_SEC);
 	assert_string_equal(
 	    target, "/v1/kv-watch?prefix=op/&after=411&wait_ms=4000");
 	g_free(target);
-	target = platform_list_target(SITE_SCOPE_UPSTREAMS, "servers/a&b", true);
+	target =
+	    platform_list_target(SITE_SCOPE_UPSTREAMS, "servers/a&b", true);
 	assert_string_equal(target,
 	    "/v1/kv-range?prefix=servers/&after=servers/a%26b&allow_stale=1");
 	g_free(target);
@@ -319,8 +320,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		struct site_copy copy;
 
-		platform_read_copy(rows[i].status, rows[i].body,
-		    strlen(rows[i].body), &copy);
+		platform_read_copy(
+		    rows[i].status, rows[i].body, strlen(rows[i].body), &copy);
 		assert_int_equal(copy.outcome, rows[i].outcome);
 		assert_string_equal(copy.handle, rows[i].handle);
 		assert_int_equal(copy.events, rows[i].events);
@@ -336,12 +337,10 @@
 	struct site_report report;
 
 	(void)state;
-	assert_true(
-	    platform_read_report(leaving, strlen(leaving), &report));
+	assert_true(platform_read_report(leaving, strlen(leaving), &report));
 	assert_true(report.leaving);
 	assert_int_equal(report.leaves_in, 1586 * USEC_PER_MSEC);
-	assert_true(
-	    platform_read_report(staying, strlen(staying), &report));
+	assert_true(platform_read_report(staying, strlen(staying), &report));
 	assert_false(report.leaving);
 	assert_true(report.leaves_in < 0);
 	assert_false(platform_read_report("x", 1, &report));
--- a/test/unit/pressure_test.c
+++ b/test/unit/pressure_test.c
@@ -32,8 +32,8 @@
 
 		for (usec_t now = SEC; now < 6 * SEC; now += 5 * MS)
 			for (unsigned i = 0; i < n; i++) {
-				fleet_share_cold(&shares[i], now, rate,
-				    overrun, slack, n);
+				fleet_share_cold(
+				    &shares[i], now, rate, overrun, slack, n);
 				in_second[now / SEC - 1] +=
 				    fleet_share_take(&shares[i], now);
 			}
@@ -61,8 +61,7 @@
 		usec_t now = SEC + step * 100 * MS;
 
 		for (unsigned i = 0; i < n; i++) {
-			fleet_share_retries(
-			    &shares[i], now, slack, window, n);
+			fleet_share_retries(&shares[i], now, slack, window, n);
 			fleet_share_earn(&shares[i], 0.7 * ratio);
 			first++;
 			while (fleet_share_take(&shares[i], now))
@@ -111,8 +110,8 @@
 
 		for (int i = 0; i < 60; i++)
 			ejections += outlier_sign(&outlier, i * SEC,
-			    g_rand_double(rand) < 0.14 ? OUTLIER_ERROR :
-							 OUTLIER_SERVED);
+			    g_rand_double(rand) < 0.14 ? OUTLIER_ERROR
+						       : OUTLIER_SERVED);
 	}
 	assert_int_equal(ejections, 0);
 	g_rand_free(rand);
@@ -139,8 +138,8 @@
 
 	(void)state;
 	for (int i = 0; i <= 100; i++) {
-		usec_t after = comeback_after(COMEBACK_FULL, 1800 * MS,
-		    39 * SEC, (double)i / 100);
+		usec_t after = comeback_after(
+		    COMEBACK_FULL, 1800 * MS, 39 * SEC, (double)i / 100);
 
 		first = MIN(first, after);
 		last = MAX(last, after);
@@ -150,7 +149,8 @@
 	/* Never later than the caller would take, never a busy loop. */
 	assert_int_equal(
 	    comeback_after(COMEBACK_FULL, 1800 * MS, 400 * MS, 1), 100 * MS);
-	assert_int_equal(comeback_after(COMEBACK_FULL, 1800 * MS, 0, 1), 50 * MS);
+	assert_int_equal(
+	    comeback_after(COMEBACK_FULL, 1800 * MS, 0, 1), 50 * MS);
 	assert_int_equal(
 	    comeback_after(COMEBACK_LEAVING, 1800 * MS, 39 * SEC, 0), 50 * MS);
 }
@@ -174,10 +174,9 @@
 static void
 the_urgent_go_first_and_a_full_service_holds_up_no_other(void **state)
 {
-	static const struct wait_entry entries[] = {
-	    {(void *)"d", 1, 1, 50}, {(void *)"c", 1, 1, 40},
-	    {(void *)"a", 1, 0, 90}, {(void *)"b", 2, 1, 30},
-	    {(void *)"e", 2, 1, 60}};
+	static const struct wait_entry entries[] = {{(void *)"d", 1, 1, 50},
+	    {(void *)"c", 1, 1, 40}, {(void *)"a", 1, 0, 90},
+	    {(void *)"b", 2, 1, 30}, {(void *)"e", 2, 1, 60}};
 	struct wait_queue *queue = wait_queue_new();
 	struct room room = {"c", g_string_new(NULL)};
 
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -85,8 +85,8 @@
 
 	add(items, kind, name, revision, value);
 	view_take_changes(view, now,
-	    kind == SITE_ITEM_UPSTREAM ? SITE_SCOPE_UPSTREAMS :
-					 SITE_SCOPE_OPERATOR,
+	    kind == SITE_ITEM_UPSTREAM ? SITE_SCOPE_UPSTREAMS
+				       : SITE_SCOPE_OPERATOR,
 	    items, revision);
 	g_ptr_array_unref(items);
 }
@@ -228,8 +228,7 @@
 	change(SEC, SITE_ITEM_UPSTREAM, "u2", 14, NULL);
 	bytes = peers_snapshot(view);
 	assert_true(fleet_snapshot_decode(
-	    g_bytes_get_data(bytes, &len), g_bytes_get_size(bytes),
-	    &snapshot));
+	    g_bytes_get_data(bytes, &len), g_bytes_get_size(bytes), &snapshot));
 	assert_int_equal(snapshot.directory_revision, 14);
 	assert_int_equal(snapshot.operator_revision, 11);
 	items = fleet_items_to_site(
@@ -296,8 +295,7 @@
 	    cmocka_unit_test_setup_teardown(
 		a_snapshot_holds_all_that_was_read, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
-		messages_survive_the_way_and_rubbish_does_not, setup,
-		teardown),
+		messages_survive_the_way_and_rubbish_does_not, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
