Callers that take their time hold their upstream back; slow engines come last

Change: the exchange is paused until the caller has taken what was written; a paused upstream connection is not taken for ended by its half close. What nothing used is gone.

--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -226,22 +226,6 @@
 	return newest;
 }
 
-/// @param membership  the membership
-/// @return the newest revision up to which a member has read the directory
-uint64_t
-membership_newest_directory(const struct membership *membership)
-{
-	uint64_t newest = 0;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, membership->members);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		newest = MAX(
-		    newest, ((const struct member *)value)->directory_revision);
-	return newest;
-}
-
 /// @param membership  the membership
 /// @return all members (struct member *); free with g_ptr_array_unref()
 GPtrArray *
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -69,7 +69,6 @@
     const struct membership *membership, bool reads_store);
 const struct member *membership_newest_config(
     const struct membership *membership);
-uint64_t membership_newest_directory(const struct membership *membership);
 GPtrArray *membership_list(const struct membership *membership);
 
 #endif
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -148,6 +148,24 @@
 		request->first_event_at = g_get_monotonic_time();
 }
 
+/// Takes the span since the last event.
+static void
+note_span(struct entry_request *request)
+{
+	usec_t now = g_get_monotonic_time();
+	usec_t span = now - request->last_event_at;
+
+	if (request->last_event_at != 0) {
+		request->longest_gap = MAX(request->longest_gap, span);
+		/* The first event of a run tells of its start. */
+		if (request->events_of_run > 0)
+			dispatch_event_span(request->entry->dispatch,
+			    request->service, &request->target, span);
+	}
+	request->events_of_run++;
+	request->last_event_at = now;
+}
+
 /// Cutter callback: one whole event.
 ///
 /// @return false when the stream can't go on
@@ -176,10 +194,7 @@
 	if (event->has_id)
 		request->last_event = (int64_t)event->id;
 	request->events++;
-	if (request->last_event_at != 0)
-		request->longest_gap = MAX(request->longest_gap,
-		    g_get_monotonic_time() - request->last_event_at);
-	request->last_event_at = g_get_monotonic_time();
+	note_span(request);
 	if (request->events % ANSWER_GROW_EVENTS == 0)
 		rq_grow(request);
 	return true;
@@ -201,6 +216,16 @@
 	g_string_truncate(request->body, 0);
 }
 
+/// Server callback: the caller has taken all, so that its upstream may go on.
+static void
+on_drained(void *owner)
+{
+	struct entry_request *request = owner;
+
+	if (request->exchange != NULL)
+		exchange_pause(request->exchange, false);
+}
+
 /// Exchange callback: bytes of an answer.
 static void
 on_body(void *owner, const char *data, size_t len)
@@ -217,10 +242,8 @@
 	}
 	if (!request->done && request->exchange != NULL &&
 	    http_call_unsent(request->call) > ANSWER_AHEAD_BYTES) {
-		log_event(LOG_LEVEL_WARN, "caller-too-slow",
-		    "id=%s unsent=%zu outcome=broken-off", request->facts.id,
-		    http_call_unsent(request->call));
-		rq_fail(request, 502, "caller-too-slow");
+		exchange_pause(request->exchange, true);
+		http_call_on_drained(request->call, on_drained, request);
 	}
 	rq_unref(request);
 }
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "godwitvale/core/fleet_share.h"
 #include "godwitvale/core/hash.h"
+#include "godwitvale/core/pace.h"
 #include "godwitvale/entry/meters.h"
 #include "godwitvale/ops/log.h"
 
@@ -33,12 +34,14 @@
 	struct dispatch_options options;
 	GHashTable *states;  /// hash of an id -> struct state *
 	GHashTable *repeats; /// service -> struct fleet_share *
+	GHashTable *paces;   /// service -> struct pace *
 	GRand *rand;
 };
 
 /// What this instance has learnt of an upstream.
 struct state {
 	struct outlier outlier;
+	struct pace pace;
 	struct fleet_share cold;
 	usec_t full_until;
 	usec_t gone_until;    /// it has refused a connection of this instance
@@ -68,6 +71,8 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	dispatch->repeats =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	dispatch->paces =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dispatch->rand = g_rand_new();
 	return dispatch;
 }
@@ -80,6 +85,7 @@
 {
 	g_hash_table_unref(dispatch->states);
 	g_hash_table_unref(dispatch->repeats);
+	g_hash_table_unref(dispatch->paces);
 	g_rand_free(dispatch->rand);
 	g_free(dispatch);
 }
@@ -182,6 +188,19 @@
 	    !view_is_evacuated(dispatch->options.view, record->entry.zone);
 }
 
+/// Finds the pace of a service's engines, making it.
+static struct pace *
+pace_of(struct dispatch *dispatch, const char *service)
+{
+	struct pace *pace = g_hash_table_lookup(dispatch->paces, service);
+
+	if (pace != NULL)
+		return pace;
+	pace = g_new0(struct pace, 1);
+	g_hash_table_insert(dispatch->paces, g_strdup(service), pace);
+	return pace;
+}
+
 /// Fills in one candidate.
 static void
 fill_candidate(struct dispatch *dispatch, usec_t now,
@@ -209,6 +228,8 @@
 		candidate->penalty += DISPATCH_TRIAL_PENALTY;
 	if (record->missing_deadline != 0)
 		candidate->penalty += DISPATCH_TRIAL_PENALTY;
+	candidate->penalty +=
+	    pace_penalty(&state->pace, pace_of(dispatch, service->name));
 	if (now < state->suspect_until)
 		candidate->penalty += DISPATCH_SUSPECT_PENALTY;
 	candidate->excluded = was_tried(request, hash_name(record->entry.id)) ||
@@ -497,6 +518,24 @@
 		    g_get_monotonic_time() + DISPATCH_SUSPECT_SPAN;
 }
 
+/// Takes the span between two events of a generation.
+///
+/// @param dispatch  the dispatch
+/// @param service   the engine's service
+/// @param target    the engine
+/// @param span      the span
+void
+dispatch_event_span(struct dispatch *dispatch, const char *service,
+    const struct dispatch_target *target, usec_t span)
+{
+	struct state *state =
+	    g_hash_table_lookup(dispatch->states, &target->key);
+
+	if (state != NULL)
+		pace_take(&state->pace, span);
+	pace_take(pace_of(dispatch, service), span);
+}
+
 /// Adds work at an upstream, or takes it away.
 ///
 /// @param dispatch  the dispatch
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -64,6 +64,8 @@
 size_t dispatch_list_gone(
     struct dispatch *dispatch, uint64_t *upstreams, size_t max);
 void dispatch_heard_gone(struct dispatch *dispatch, uint64_t upstream);
+void dispatch_event_span(struct dispatch *dispatch, const char *service,
+    const struct dispatch_target *target, usec_t span);
 void dispatch_charge(struct dispatch *dispatch,
     const struct dispatch_target *target, const struct load *load, int sign);
 const char *dispatch_outcome_name(enum place_outcome outcome);
--- a/src/godwitvale/entry/entry_settings.c
+++ b/src/godwitvale/entry/entry_settings.c
@@ -61,8 +61,6 @@
 	.doc = "least severe level that is logged"},
     NUMBER(JSON_UINT32, "limits.max_callers", max_callers, 16, 1000000, "2000",
 	"connections of callers at a time"),
-    NUMBER(JSON_UINT32, "limits.memory_mb", memory_mb, 16, 1048576, "512",
-	"memory that this process may use"),
     NUMBER(JSON_DOUBLE, "retries.ratio", retry_ratio, 0, 10, "0.1",
 	"repeats to a service, as a share of first requests, of all instances"),
     NUMBER(JSON_DOUBLE, "retries.slack", retry_slack, 0, 1000000, "10",
@@ -75,8 +73,6 @@
 	"requests in a second besides, of all instances"),
     NUMBER(JSON_SPAN_MS, "leaving.grace_ms", grace, 100, 600000, "8000",
 	"from SIGTERM to the end of the process"),
-    NUMBER(JSON_SPAN_MS, "contact_ms", contact, 100, 600000, "3000",
-	"silence of a peer or the store that counts as a cut"),
 };
 
 static const struct json_table table = {
--- a/src/godwitvale/entry/entry_settings.h
+++ b/src/godwitvale/entry/entry_settings.h
@@ -24,14 +24,12 @@
 	char *store;   /// "store.address": IP:PORT of the platform's store
 	int log_level; /// "log.level": error|warn|info|debug
 	uint32_t max_callers; /// "limits.max_callers": connections
-	uint32_t memory_mb;   /// "limits.memory_mb": of this process
 	double retry_ratio;   /// "retries.ratio": repeats by first requests
 	double retry_slack;   /// "retries.slack": repeats in a window, besides
 	usec_t retry_window;  /// "retries.window_ms"
 	double cold_overrun;  /// "cold.overrun": factor on what is borne
 	double cold_slack;    /// "cold.slack": requests a second, besides
 	usec_t grace;         /// "leaving.grace_ms": from SIGTERM to the end
-	usec_t contact;       /// "contact_ms": silence that counts as a cut
 };
 
 struct entry_settings *entry_settings_load(const char *path, GError **error);
--- a/src/godwitvale/entry/rq.c
+++ b/src/godwitvale/entry/rq.c
@@ -439,6 +439,7 @@
 	if (request->route->is_generation)
 		peers_hurry(entry->peers);
 	event_cutter_restart(&request->cutter);
+	request->events_of_run = 0;
 	request->exchange = exchange_start(&options);
 	http_head_clear(&head);
 	rq_set_timer(request);
--- a/src/godwitvale/entry/rq_defs.h
+++ b/src/godwitvale/entry/rq_defs.h
@@ -47,6 +47,7 @@
 	usec_t last_event_at;
 	usec_t longest_gap; /// between two events
 	unsigned events;
+	unsigned events_of_run; /// since it was last sent to an upstream
 
 	/* Its handover to another upstream. */
 	unsigned handovers;
--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -36,8 +36,9 @@
 	uint64_t sent; /// bytes handed to the kernel
 	bool opening;
 	bool paused;
-	bool closed; /// given back by its owner
-	bool ended;  /// the owner has been told
+	bool notes_half_close; /// also while it is paused
+	bool closed;           /// given back by its owner
+	bool ended;            /// the owner has been told
 };
 
 /// Drops a reference; the last one frees it.
@@ -75,8 +76,8 @@
 
 static gboolean on_ready(gint fd, GIOCondition condition, gpointer data);
 
-/// Watches for what the connection waits for now. While it is paused the
-/// peer's half close is still noticed.
+/// Watches for what the connection waits for now. While a caller's is paused
+/// its half close is still noticed.
 static void
 watch(struct conn *conn)
 {
@@ -84,7 +85,10 @@
 
 	if (conn->fd < 0)
 		return;
-	wanted |= conn->paused ? (GIOCondition)POLLRDHUP : G_IO_IN;
+	if (!conn->paused)
+		wanted |= G_IO_IN;
+	else if (conn->notes_half_close)
+		wanted |= (GIOCondition)POLLRDHUP;
 	if (conn->opening || conn->unsent->len > 0)
 		wanted |= G_IO_OUT;
 	if (conn->source != 0 && wanted == conn->watched)
@@ -227,6 +231,7 @@
 	conn->fd = fd;
 	conn->refs = 1;
 	conn->unsent = g_byte_array_new();
+	conn->notes_half_close = true;
 	set_options(fd);
 	watch(conn);
 	return conn;
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -30,6 +30,7 @@
 
 struct conn *conn_open(const char *ip, uint16_t port,
     const struct conn_vtable *vtable, void *owner);
+/// The peer of an adopted one is a caller: its half close ends it.
 struct conn *conn_adopt(int fd, const struct conn_vtable *vtable, void *owner);
 void conn_set_owner(
     struct conn *conn, const struct conn_vtable *vtable, void *owner);
--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -291,25 +291,6 @@
 	exchange_free(exchange);
 }
 
-/// Holds the answer back, or lets it go on.
-///
-/// @param exchange  the exchange
-/// @param paused    whether to read no more
-void
-exchange_pause(struct exchange *exchange, bool paused)
-{
-	if (exchange->conn != NULL)
-		conn_pause(exchange->conn, paused);
-}
-
-/// @param exchange  an exchange
-/// @return whether its connection had carried requests before
-bool
-exchange_reused(const struct exchange *exchange)
-{
-	return exchange->reused;
-}
-
 /// Whether a byte of the request may have left for the upstream.
 ///
 /// @param exchange  an exchange
@@ -320,3 +301,14 @@
 	return exchange->reused || exchange->conn == NULL ||
 	    conn_sent(exchange->conn) > 0;
 }
+
+/// Holds the answer back, or lets it go on.
+///
+/// @param exchange  the exchange
+/// @param paused    whether to read no more
+void
+exchange_pause(struct exchange *exchange, bool paused)
+{
+	if (exchange->conn != NULL)
+		conn_pause(exchange->conn, paused);
+}
--- a/src/godwitvale/http/exchange.h
+++ b/src/godwitvale/http/exchange.h
@@ -45,7 +45,6 @@
 struct exchange *exchange_start(const struct exchange_options *options);
 void exchange_cancel(struct exchange *exchange);
 void exchange_pause(struct exchange *exchange, bool paused);
-bool exchange_reused(const struct exchange *exchange);
 bool exchange_may_have_left(const struct exchange *exchange);
 
 const char *exchange_failure_name(enum exchange_failure failure);
--- a/src/godwitvale/http/head.c
+++ b/src/godwitvale/http/head.c
@@ -79,22 +79,6 @@
 	http_head_add(head, name, text);
 }
 
-/// Removes every field of a name.
-///
-/// @param head  the head
-/// @param name  the name, in any case
-void
-http_head_remove(struct http_head *head, const char *name)
-{
-	for (guint i = head->fields->len; i > 0; i--) {
-		const struct http_field *field =
-		    &g_array_index(head->fields, struct http_field, i - 1);
-
-		if (g_ascii_strcasecmp(field->name, name) == 0)
-			g_array_remove_index(head->fields, i - 1);
-	}
-}
-
 /// Looks a field up.
 ///
 /// @param head  the head
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -56,6 +56,8 @@
 	usec_t began_at;
 	http_gone gone;
 	void *gone_owner;
+	http_drained drained; /// NULL: nobody waits for it
+	void *drained_owner;
 	bool chunked;
 	bool close; /// the connection closes after the answer
 	bool headless;
@@ -118,8 +120,16 @@
 {
 	struct caller *caller = owner;
 
+	struct http_call *call = caller->call;
+	http_drained drained;
+
 	if (caller->lingering)
 		conn_finish(caller->conn);
+	if (call == NULL || call->drained == NULL)
+		return;
+	drained = call->drained;
+	call->drained = NULL;
+	drained(call->drained_owner);
 }
 
 /// Connection callback: it has ended.
@@ -486,6 +496,18 @@
 	call->gone_owner = owner;
 }
 
+/// Sets who is told when the caller has taken all that was written so far.
+///
+/// @param call     a call with bytes that the caller hasn't taken
+/// @param drained  told once, unless the caller goes
+/// @param owner    passed to it
+void
+http_call_on_drained(struct http_call *call, http_drained drained, void *owner)
+{
+	call->drained = drained;
+	call->drained_owner = owner;
+}
+
 /// Frees a call that was answered, or whose caller has gone.
 static void
 call_free(struct http_call *call)
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -26,6 +26,9 @@
 /// Told once when a caller has gone before its answer was complete.
 typedef void (*http_gone)(void *owner);
 
+/// Told once when a caller has taken all that was written.
+typedef void (*http_drained)(void *owner);
+
 /// Bounds on what a caller may send and how long it may take.
 struct http_limits {
 	size_t max_head;      /// bytes
@@ -56,6 +59,8 @@
 const struct http_head *http_call_head(const struct http_call *call);
 const char *http_call_body(const struct http_call *call, size_t *len);
 usec_t http_call_begun_at(const struct http_call *call);
+void http_call_on_drained(
+    struct http_call *call, http_drained drained, void *owner);
 void http_call_on_gone(struct http_call *call, http_gone gone, void *owner);
 void http_call_answer(struct http_call *call, const struct http_head *head,
     const char *body, size_t len);
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -60,7 +60,6 @@
     {"leaving", "the instance was leaving and could not have finished it"},
     {"process-ends", "the instance ended before the answer was complete"},
     {"caller-gone", "the caller closed its connection"},
-    {"caller-too-slow", "the caller did not take the answer"},
     {"no-route", "the configuration in force has no route for it"},
     {"unknown-key", "the configuration in force has no such key"},
 };
--- a/test/functional/entry_calm.sh
+++ b/test/functional/entry_calm.sh
@@ -40,6 +40,12 @@
 echo "order $(call e1 /order/1 order-3 -d '{}'), ran $(runs order-3) time"
 ctl worker/shop1/well
 
+echo "== a large answer and a caller that takes its time"
+ctl worker/shop1/big
+call e1 /check/1 check-2 --limit-rate 8M -o "$workdir/big"
+wc -c <"$workdir/big"
+ctl worker/shop1/well
+
 echo "== counters and status"
 get "${entry_metrics[e1]}/metrics" |
     grep -E '^godwitvale_entry_requests_ended_total.*(draft|no-route)'
--- a/test/fuzz/http_reader_fuzz.c
+++ b/test/fuzz/http_reader_fuzz.c
@@ -53,8 +53,8 @@
 	http_reader_init(&reader, &options);
 	while (at < size && reader.progress != HTTP_BROKEN) {
 		size_t len = MIN(piece, size - at);
-		size_t taken = http_reader_feed(
-		    &reader, (const char *)data + at, len);
+		size_t taken =
+		    http_reader_feed(&reader, (const char *)data + at, len);
 
 		g_assert(taken <= len);
 		at += taken;
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -8,6 +8,8 @@
 
 /// Interval of an engine's events, in milliseconds.
 #define EVENT_MS 20
+/// Bytes of a large answer.
+#define BIG_BYTES (16 * 1024 * 1024)
 /// Time of a plain request, in milliseconds.
 #define PLAIN_MS 5
 /// Tokens of an event.
@@ -108,6 +110,10 @@
 	fill_head(run, &head);
 	if (strcmp(run->worker->mode, "errors") == 0)
 		head.status = 500;
+	if (strcmp(run->worker->mode, "big") == 0) {
+		g_free(body);
+		body = g_strnfill(BIG_BYTES, 'x');
+	}
 	if (strcmp(run->worker->mode, "cut") == 0) {
 		http_call_begin(run->call, &head);
 		http_call_write(run->call, body, 3);
@@ -407,7 +413,8 @@
 }
 
 /// Switches a worker: ready, draining, gone (without a word), leave (entry
-/// deleted), back, or how it answers: well, shed, mute, reset, cut, errors.
+/// deleted), back, or how it answers: well, shed, mute, reset,
+/// cut, errors, big.
 ///
 /// @param worker  the worker
 /// @param mode    one of these
@@ -429,7 +436,8 @@
 	} else if (strcmp(mode, "back") == 0) {
 		if (worker_open(worker))
 			put_entry(worker);
-	} else if (strstr(" well shed mute reset cut errors ", mode) != NULL) {
+	} else if (strstr(" well shed mute reset cut errors big ", mode) !=
+	    NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
 		known = false;
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -118,16 +118,16 @@
 	call->kind =
 	    (enum call_kind)g_rand_int_range(soak->rand, 0, CALL_CHECK + 1);
 	call->entry = g_rand_int_range(soak->rand, 0, SOAK_ENTRIES);
-	call->total = call->kind == CALL_DRAFT ? LONG_EVENTS :
-	    call->kind == CALL_HINT	       ? SHORT_EVENTS :
-						 0;
+	call->total = call->kind == CALL_DRAFT ? LONG_EVENTS
+	    : call->kind == CALL_HINT          ? SHORT_EVENTS
+					       : 0;
 	call->body = g_string_new(NULL);
 	call->begun_at = g_get_monotonic_time();
 	event_cutter_init(&call->cutter);
-	g_snprintf(call->id, sizeof(call->id), "%s-%u",
-	    kind_names[call->kind], soak->calls->len);
-	address = g_strdup_printf("%s:%u", soak->entries[call->entry].ip,
-	    soak->ports[0]);
+	g_snprintf(call->id, sizeof(call->id), "%s-%u", kind_names[call->kind],
+	    soak->calls->len);
+	address = g_strdup_printf(
+	    "%s:%u", soak->entries[call->entry].ip, soak->ports[0]);
 	options.address = address;
 	http_head_init(&head);
 	head.method = g_strdup(call->kind == CALL_CHECK ? "GET" : "POST");
@@ -169,7 +169,8 @@
 			continue;
 		/* Callers of a paused or killed instance wait in vain. */
 		if (call->begun_at > soak->calm_from)
-			soak_fail(soak, "%s: no final answer in calm", call->id);
+			soak_fail(
+			    soak, "%s: no final answer in calm", call->id);
 		g_clear_pointer(&call->exchange, exchange_cancel);
 		call->ended_at = now;
 	}
@@ -198,8 +199,8 @@
 		soak_fail(soak, "%s ran %u times", call->id, call->runs);
 	if (once && (call->status == 503 || call->status == 429) &&
 	    call->runs > 0)
-		soak_fail(soak, "%s: %u, but it has run", call->id,
-		    call->status);
+		soak_fail(
+		    soak, "%s: %u, but it has run", call->id, call->status);
 	if (call->out_of_order || call->foreign)
 		soak_fail(soak, "%s: events %s", call->id,
 		    call->foreign ? "of another request" : "out of order");
--- a/test/soak/soak_link.c
+++ b/test/soak/soak_link.c
@@ -26,7 +26,7 @@
 struct pair {
 	struct soak_link *link;
 	struct conn *ends[2]; /// from the caller, to the target
-	bool lossy[2];	      /// bytes towards that end were lost
+	bool lossy[2];        /// bytes towards that end were lost
 	unsigned late[2];     /// parcels on their way to that end
 };
 
@@ -61,8 +61,7 @@
 	if (g_hash_table_contains(parcel->link->pairs, parcel->pair)) {
 		parcel->pair->late[parcel->to]--;
 		if (!parcel->pair->lossy[parcel->to])
-			conn_write(
-			    parcel->pair->ends[parcel->to], bytes, len);
+			conn_write(parcel->pair->ends[parcel->to], bytes, len);
 	}
 	g_bytes_unref(parcel->bytes);
 	g_free(parcel);
@@ -114,10 +113,10 @@
 	pair_end(owner, end != CONN_END_ORDERLY);
 }
 
-static const struct conn_vtable caller_vtable = {
-    .received = on_from_caller, .ended = on_ended};
-static const struct conn_vtable target_vtable = {
-    .received = on_from_target, .ended = on_ended};
+static const struct conn_vtable caller_vtable = {.received = on_from_caller,
+    .ended = on_ended};
+static const struct conn_vtable target_vtable = {.received = on_from_target,
+    .ended = on_ended};
 
 static gboolean
 on_accept(gint fd, GIOCondition condition, gpointer data)
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -67,8 +67,7 @@
 		int result;
 
 		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		result = bind(
-		    fd, (struct sockaddr *)&address, sizeof(address));
+		result = bind(fd, (struct sockaddr *)&address, sizeof(address));
 		close(fd);
 		if (result == 0)
 			return (uint16_t)first_port++;
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -8,13 +8,12 @@
 
 static const char *const worker_names[SOAK_WORKERS] = {
     "lm1", "lm2", "lm3", "shop1", "shop2"};
-static const char *const worker_modes[] = {"draining", "ready", "gone",
-    "leave", "back", "back", "back", "well", "well", "shed", "mute", "reset",
-    "cut", "errors"};
+static const char *const worker_modes[] = {"draining", "ready", "gone", "leave",
+    "back", "back", "back", "well", "well", "shed", "mute", "reset", "cut",
+    "errors"};
 static const char *const store_modes[] = {
     "busy", "silent", "forget", "up", "up", "up"};
-static const char *const link_names[] = {
-    "well", "slow", "one-way", "silent"};
+static const char *const link_names[] = {"well", "slow", "one-way", "silent"};
 
 /// Draws a number below another.
 static int
@@ -64,10 +63,8 @@
 hit_worker(struct soak *soak)
 {
 	int i = draw(soak, SOAK_WORKERS);
-	const char *mode =
-	    worker_modes[draw(soak, G_N_ELEMENTS(worker_modes))];
-	char *path =
-	    g_strdup_printf("worker/%s/%s", worker_names[i], mode);
+	const char *mode = worker_modes[draw(soak, G_N_ELEMENTS(worker_modes))];
+	char *path = g_strdup_printf("worker/%s/%s", worker_names[i], mode);
 
 	soak_note(soak, "%s %s", worker_names[i], mode);
 	soak_world_ctl(soak, path, "");
@@ -80,8 +77,8 @@
 {
 	int i = draw(soak, SOAK_WORKERS + 1);
 	int mode = draw(soak, 6);
-	struct soak_link *link = i == SOAK_WORKERS ? soak->store_link :
-						     soak->worker_links[i];
+	struct soak_link *link =
+	    i == SOAK_WORKERS ? soak->store_link : soak->worker_links[i];
 	const char *name = i == SOAK_WORKERS ? "store" : worker_names[i];
 
 	if (link == NULL)
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -10,8 +10,8 @@
 #include "godwitvale/http/fetch.h"
 
 /// Workers: three engines and two plain services.
-static const char *const worker_specs[SOAK_WORKERS] = {"lm1,lm,z1",
-    "lm2,lm,z2", "lm3,lm,z1", "shop1,shop,z1", "shop2,shop,z2"};
+static const char *const worker_specs[SOAK_WORKERS] = {
+    "lm1,lm,z1", "lm2,lm,z2", "lm3,lm,z1", "shop1,shop,z1", "shop2,shop,z2"};
 /// From SIGTERM until an instance must have ended, beyond its grace.
 #define LEAVE_SPAN (5 * USEC_PER_SEC)
 #define GRACE_MS 3000
@@ -79,8 +79,7 @@
 	    soak->ports[4], soak->entries[0].ip, soak->ports[2],
 	    soak->store_port + 1, GRACE_MS);
 
-	entry->settings =
-	    g_strdup_printf("%s/%s.json", soak->dir, entry->name);
+	entry->settings = g_strdup_printf("%s/%s.json", soak->dir, entry->name);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
 }
@@ -122,8 +121,8 @@
 	struct soak *soak = owner;
 
 	if (answer->status != 200)
-		soak_fail(soak, "the stand-in did not answer: %s",
-		    answer->failure);
+		soak_fail(
+		    soak, "the stand-in did not answer: %s", answer->failure);
 }
 
 /// Switches something at the stand-in.
--- a/test/unit/pressure_test.c
+++ b/test/unit/pressure_test.c
@@ -11,6 +11,7 @@
 #include "godwitvale/core/comeback.h"
 #include "godwitvale/core/fleet_share.h"
 #include "godwitvale/core/outlier.h"
+#include "godwitvale/core/pace.h"
 #include "godwitvale/core/wait_queue.h"
 
 #define SEC USEC_PER_SEC
@@ -140,6 +141,30 @@
 	assert_true(ejected);
 }
 
+/// Engines whose pace differs by their load are alike; one that makes its
+/// events four times as slow comes after all others.
+static void
+slow_engines_are_found_by_their_pace(void **state)
+{
+	struct pace all = {0};
+	struct pace engines[10] = {0};
+
+	(void)state;
+	for (int i = 0; i < 100; i++)
+		for (int e = 0; e < 10; e++) {
+			usec_t span = (e == 9 ? 140 : 30 + e) * MS;
+
+			pace_take(&engines[e], span);
+			pace_take(&all, span);
+		}
+	for (int e = 0; e < 9; e++)
+		assert_true(pace_penalty(&engines[e], &all) == 0);
+	assert_true(pace_penalty(&engines[9], &all) > 0.5);
+	/* Too little is known of a new one. */
+	engines[9].n = 5;
+	assert_true(pace_penalty(&engines[9], &all) == 0);
+}
+
 /// A burst is refused in one moment; its callers come back spread.
 static void
 refused_callers_come_back_spread(void **state)
@@ -214,6 +239,7 @@
 	    cmocka_unit_test(a_refused_connection_ejects_at_once),
 	    cmocka_unit_test(a_steady_share_of_errors_ejects_nobody),
 	    cmocka_unit_test(an_upstream_that_only_errs_is_ejected),
+	    cmocka_unit_test(slow_engines_are_found_by_their_pace),
 	    cmocka_unit_test(refused_callers_come_back_spread),
 	    cmocka_unit_test(
 		the_urgent_go_first_and_a_full_service_holds_up_no_other),
