--- a/src/godwitvale/core/pace.c
+++ b/src/godwitvale/core/pace.c
@@ -20,8 +20,8 @@
 void
 pace_take(struct pace *pace, usec_t span)
 {
-	double weight = pace->n < 1 / PACE_WEIGHT ? 1.0 / (pace->n + 1)
-						  : PACE_WEIGHT;
+	double weight =
+	    pace->n < 1 / PACE_WEIGHT ? 1.0 / (pace->n + 1) : PACE_WEIGHT;
 
 	pace->mean += weight * ((double)span - pace->mean);
 	pace->n++;
--- a/src/godwitvale/ops/log_sink.c
+++ b/src/godwitvale/ops/log_sink.c
@@ -103,6 +103,12 @@
 
 		if (n < 0 && errno == EINTR)
 			continue;
+		if (n < 0 && errno != EAGAIN) {
+			/* Nobody will ever read it. */
+			g_string_truncate(sink->kept, 0);
+			sink->dropped++;
+			return;
+		}
 		if (n <= 0)
 			return;
 		g_string_erase(sink->kept, 0, n);
--- a/test/fuzz/http_reader_fuzz.c
+++ b/test/fuzz/http_reader_fuzz.c
@@ -29,6 +29,8 @@
 
 static const struct http_reader_vtable vtable = {on_head, on_body};
 
+/* The name that libFuzzer calls. */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /// Reads one input.
--- a/test/unit/log_json_test.c
+++ b/test/unit/log_json_test.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include <fcntl.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include "godwitvale/ops/log_json.h"
@@ -102,6 +103,24 @@
 	close(fds[1]);
 }
 
+/// The reader is gone for good: nothing is kept for it, and the loop is not
+/// kept busy with it.
+static void
+a_reader_that_is_gone_costs_nothing(void **state)
+{
+	int fds[2];
+	struct log_sink *sink = blocked_sink(fds, 10000);
+
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	close(fds[0]);
+	log_sink_write(sink, "x");
+	assert_false(g_main_context_iteration(NULL, FALSE));
+	assert_int_equal(log_sink_take_dropped(sink), 1);
+	log_sink_free(sink);
+	close(fds[1]);
+}
+
 /// A storm of lines: the budget holds, and warnings still have room.
 static void
 the_budget_keeps_a_reserve_for_warnings(void **state)
@@ -132,6 +151,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(fields_keep_their_types),
 	    cmocka_unit_test(a_blocked_reader_delays_nobody),
+	    cmocka_unit_test(a_reader_that_is_gone_costs_nothing),
 	    cmocka_unit_test(the_budget_keeps_a_reserve_for_warnings),
 	};
 
