Handover: a copy that is asked for anew forgets the one before

The log of a crash ends with a handover-copy line of a request that is no more: its stream was cut while a copy was still asked of a worker that had gone dark, the stream was read again elsewhere, and the next copy took the place of the first question, whose deadline then found a freed request.

Change: whoever starts a handover anew cancels the question and gives back the copy's charge; asking twice is an assertion. An upstream that is ready again is used again, whatever its report said before.

Test: entry_handover, the last case, ended in a segmentation fault before and passes now.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -79,6 +79,16 @@
 	peers_hurry(request->entry->peers);
 }
 
+/// Starts a handover anew: what was asked of the former upstream is of no
+/// more use, and its answer must not come to the next.
+static void
+forget_copies(struct entry_request *request)
+{
+	g_clear_pointer(&request->copy_call, fetch_cancel);
+	uncharge_copy(request);
+	handover_reset(&request->handover);
+}
+
 /// Fetch callback: a copy was freed, or will lapse.
 static void
 on_dropped(void *owner, const struct fetch_answer *answer)
@@ -233,6 +243,7 @@
 	options.target = target;
 	options.body = body;
 	handover_began(&request->handover, step);
+	g_assert(request->copy_call == NULL);
 	request->copy_call = fetch_start(&options);
 	g_free(target);
 	g_free(body);
@@ -327,7 +338,7 @@
 	if (rq_may_repeat(request) &&
 	    request->attempts < request->route->max_attempts &&
 	    dispatch_take_repeat(request->entry->dispatch, request->service)) {
-		handover_reset(&request->handover);
+		forget_copies(request);
 		rq_place(request);
 		return;
 	}
@@ -380,7 +391,7 @@
 	if (request->resuming) {
 		/* What was copied was used up by the run that is cut now. */
 		request->resuming = false;
-		handover_reset(&request->handover);
+		forget_copies(request);
 		read_again(request, why);
 		return;
 	}
@@ -408,7 +419,7 @@
 		: (g_get_monotonic_time() - request->last_event_at) /
 		    USEC_PER_MSEC);
 	request->resuming = false;
-	handover_reset(&request->handover);
+	forget_copies(request);
 	dispatch_target_clear(&request->copy);
 	dispatch_target_clear(&request->source);
 	record = directory_find(
@@ -426,7 +437,7 @@
 	request->resuming = false;
 	log_event(LOG_LEVEL_WARN, "handover-refused", "id=%s target=%s",
 	    request->facts.id, request->target.id);
-	handover_reset(&request->handover);
+	forget_copies(request);
 	read_again(request, "resume-refused");
 }
 
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -113,9 +113,13 @@
 dispatch_on_upstream(struct dispatch *dispatch, enum directory_change change,
     const struct upstream_record *record)
 {
-	if (change == DIRECTORY_REMOVED || change == DIRECTORY_REBORN) {
-		uint64_t key = hash_name(record->entry.id);
+	uint64_t key = hash_name(record->entry.id);
+	struct state *state = g_hash_table_lookup(dispatch->states, &key);
 
+	/* It said itself that it leaves, and has thought better of it. */
+	if (change == DIRECTORY_READY && state != NULL)
+		state->leaving = false;
+	if (change == DIRECTORY_REMOVED || change == DIRECTORY_REBORN) {
 		g_hash_table_remove(dispatch->states, &key);
 		pool_forget(dispatch->options.pool, record->entry.address);
 	}
--- a/test/functional/entry_handover.sh
+++ b/test/functional/entry_handover.sh
@@ -77,3 +77,28 @@
 ctl "worker/$engine/gone"
 finish_draft g3
 ctl store/up
+
+echo "== a copy that is never answered, twice: nothing comes back to haunt"
+ctl worker/lm1/back
+ctl worker/lm2/back
+ctl worker/lm1/ready
+ctl worker/lm2/ready
+ctl worker/lm1/mutecopy
+ctl worker/lm2/mutecopy
+sleep 1
+call e1 /hint/x h2 -X POST -H 'Token-Usage: 100,800' >"$workdir/h2" &
+drafts[h2]=$!
+wait_for "events of h2" has_begun "$workdir/h2"
+engine=$(engine_of h2 | tail -1)
+ctl "worker/$engine/draining"
+wait_for "the notice" logged e1 'handover-noticed.*"id":"h2"'
+sleep 0.5
+ctl "worker/$engine/cutruns"
+wait_for "another attempt" logged e1 'request-placed.*"id":"h2".*"attempt":2'
+other=$([ "$engine" = lm1 ] && echo lm2 || echo lm1)
+ctl "worker/$engine/ready"
+ctl "worker/$other/draining"
+wait "${drafts[h2]}" && echo "whole, $(event_ids "$workdir/h2")"
+sleep 6
+grep -c 'handover-copy.*"status":0' "$workdir/e1.log"
+kill -0 "${entry_pid[e1]}" && echo "it lives"
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -303,6 +303,12 @@
 	g_free(text);
 }
 
+static void
+on_mute_gone(void *owner)
+{
+	http_call_abort(owner);
+}
+
 static void
 on_request(void *owner, struct http_call *call)
 {
@@ -316,7 +322,10 @@
 		site_answer(call, 200, text);
 		g_free(text);
 	} else if (strcmp(head->target, "/v1/kv-move") == 0) {
-		copy_run(worker, call);
+		if (strcmp(worker->mode, "mutecopy") == 0)
+			http_call_on_gone(call, on_mute_gone, call);
+		else
+			copy_run(worker, call);
 	} else if (strcmp(head->method, "DELETE") == 0) {
 		site_answer(call, 200, "{}");
 	} else {
@@ -372,15 +381,22 @@
 	return worker->server != NULL;
 }
 
-/// Ends a worker: every run is cut.
+/// Cuts every run of a worker.
 static void
-worker_close(struct worker *worker)
+cut_runs(struct worker *worker)
 {
 	GList *runs = g_hash_table_get_keys(worker->runs);
 
 	for (GList *l = runs; l != NULL; l = l->next)
 		run_abort(l->data);
 	g_list_free(runs);
+}
+
+/// Ends a worker: every run is cut.
+static void
+worker_close(struct worker *worker)
+{
+	cut_runs(worker);
 	g_clear_pointer(&worker->server, http_server_free);
 }
 
@@ -413,7 +429,7 @@
 }
 
 /// Switches a worker: ready, draining, gone (without a word), leave (entry
-/// deleted), back, or how it answers: well, shed, mute, reset,
+/// deleted), back, cutruns, or how it answers: well, shed, mute, reset,
 /// cut, errors, big.
 ///
 /// @param worker  the worker
@@ -433,11 +449,13 @@
 	} else if (strcmp(mode, "leave") == 0) {
 		worker_close(worker);
 		site_store_delete(worker->world->store, key);
+	} else if (strcmp(mode, "cutruns") == 0) {
+		cut_runs(worker);
 	} else if (strcmp(mode, "back") == 0) {
 		if (worker_open(worker))
 			put_entry(worker);
-	} else if (strstr(" well shed mute reset cut errors big ", mode) !=
-	    NULL) {
+	} else if (strstr(" well shed mute mutecopy reset cut errors big ",
+		       mode) != NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
 		known = false;
