Slots: a failed request keeps its slot while its run may last

Traced anew by the begins and grants of the run: an instance that had stood still let a request's bytes go and gave the same request up in one step; its slot went back to the fleet, the run it began came on top of the slots. Ruled out: unequal shares of the limit, the earlier explanation; no share is taken while slots are used. Change: the lease on the slot of a failed request is kept until a later report shows no run of others, the upstream is warm, has restarted or is removed.

--- a/src/godwitvale/core/router.c
+++ b/src/godwitvale/core/router.c
@@ -231,6 +231,7 @@
 	if (router == NULL)
 		return;
 	g_queue_clear_full(&router->outbox, g_free);
+	g_queue_clear_full(&router->slots_left, g_free);
 	g_sequence_free(router->delayed);
 	g_hash_table_destroy(router->all_requests);
 	g_hash_table_destroy(router->all_upstreams);
@@ -401,8 +402,10 @@
 		sent_request(router, request) == NULL))
 		return;
 	service = found->service;
-	if (end == ROUTER_END_FAILED && found->upstream != NULL)
+	if (end == ROUTER_END_FAILED && found->upstream != NULL) {
 		router_upstream_silent(router, now, found->upstream->handle);
+		router_leave_slot(router, found);
+	}
 	if (end == ROUTER_END_DONE && service->kind == UPSTREAM_ENGINE)
 		estimate_add(found->series, tokens);
 	if (end == ROUTER_END_DONE || end == ROUTER_END_CANCELLED) {
@@ -475,6 +478,7 @@
 	router->now = now;
 	router->tick_at = USEC_NEVER;
 	router_requeue_due(router);
+	router_release_left(router);
 	survey = now >= router->survey_at;
 	g_hash_table_iter_init(&iter, router->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -491,7 +495,8 @@
 		router->surveyed_at = now;
 		router->survey_at = now + SURVEY_SPAN;
 	}
-	if (!g_sequence_is_empty(router->delayed))
+	if (!g_sequence_is_empty(router->delayed) ||
+	    !g_queue_is_empty(&router->slots_left))
 		tick_within(router, TICK_SPAN);
 	if (g_hash_table_size(router->all_requests) > 0)
 		tick_within(router, SURVEY_SPAN);
--- a/src/godwitvale/core/router_slot.c
+++ b/src/godwitvale/core/router_slot.c
@@ -9,6 +9,9 @@
 #define ASKED_MAX 2
 /// Upstreams looked at for slots in one step.
 #define LOOKED_AT_MAX 32
+/// The bytes of a request that failed may be on their way: its run shows in
+/// load reports that are sampled so many of their intervals later.
+#define SHOWN_INTERVALS 2
 /// A slot whose upstream had no room is not asked for again for this long.
 #define NO_ROOM_SPAN (100 * USEC_PER_MSEC)
 
@@ -139,11 +142,77 @@
 		return;
 	request->has_slot = false;
 	upstream->slots[request->slot].state = SLOT_FREE;
-	upstream->n_in_use--;
 	push_slot(
 	    router, ROUTER_ACTION_SLOT_DONE, upstream->handle, request->slot);
 }
 
+/// Keeps the slot of a request that failed: what it left running there is not
+/// to come on top of the slots.
+///
+/// @param router   the router
+/// @param request  the request, still on its upstream
+void
+router_leave_slot(struct router *router, struct request *request)
+{
+	struct upstream *upstream = request->upstream;
+	struct slot_left *left;
+
+	if (upstream == NULL || !request->has_slot)
+		return;
+	request->has_slot = false;
+	upstream->slots[request->slot].state = SLOT_LEFT;
+	left = g_new(struct slot_left, 1);
+	left->upstream = upstream->handle;
+	left->slot = request->slot;
+	left->n_starts = request->start_seen;
+	left->shown_at =
+	    router->now + SHOWN_INTERVALS * router->options.report_interval;
+	g_queue_push_tail(&router->slots_left, left);
+}
+
+/// Tells whether the run that a kept slot stands for is over, or counts no
+/// more.
+///
+/// @param router    the router
+/// @param left      the slot
+/// @param upstream  its upstream, NULL when removed
+/// @return whether the slot may be given back
+static bool
+is_over(const struct router *router, const struct slot_left *left,
+    const struct upstream *upstream)
+{
+	if (upstream == NULL || upstream->n_starts != left->n_starts ||
+	    !warmup_is_cold(&upstream->warmup, router->now))
+		return true;
+	return upstream->reported && upstream->sampled_at >= left->shown_at &&
+	    upstream->others == 0;
+}
+
+/// Gives the kept slots back whose runs are over.
+///
+/// @param router  the router
+void
+router_release_left(struct router *router)
+{
+	GList *next;
+
+	for (GList *link = router->slots_left.head; link; link = next) {
+		struct slot_left *left = link->data;
+		struct upstream *upstream =
+		    handle_table_get(router->upstreams, left->upstream);
+
+		next = link->next;
+		if (!is_over(router, left, upstream))
+			continue;
+		if (upstream != NULL)
+			upstream->slots[left->slot].state = SLOT_FREE;
+		push_slot(router, ROUTER_ACTION_SLOT_DONE, left->upstream,
+		    left->slot);
+		g_free(left);
+		g_queue_delete_link(&router->slots_left, link);
+	}
+}
+
 /// Ends a question for a slot.
 ///
 /// @param upstream    the upstream
@@ -201,7 +270,6 @@
 	}
 	found->slots[slot].state = SLOT_IN_USE;
 	found->slots[slot].not_before = now;
-	found->n_in_use++;
 	request->has_slot = true;
 	request->slot = slot;
 	fairqueue_start(found->service->queue, now, request->handle);
--- a/src/godwitvale/core/router_state.h
+++ b/src/godwitvale/core/router_state.h
@@ -30,6 +30,15 @@
 	SLOT_FREE = 0,
 	SLOT_ASKED,
 	SLOT_IN_USE,
+	SLOT_LEFT, /// its request was given up on, but may still run there
+};
+
+/// A slot whose lease is kept though its request has ended.
+struct slot_left {
+	router_upstream upstream;
+	uint32_t slot;
+	unsigned n_starts; /// of the upstream when the request went
+	usec_t shown_at;   /// reports sampled from then on show its run
 };
 
 /// One slot of a cold upstream, as this instance sees it.
@@ -97,7 +106,6 @@
 	double pressure;
 	struct slot *slots; /// max_running of them
 	unsigned n_asked;
-	unsigned n_in_use;
 };
 
 enum request_state {
@@ -145,6 +153,7 @@
 	struct budget *budget;
 	GSequence *delayed; /// struct request by not_before
 	GQueue outbox;      /// struct router_action
+	GQueue slots_left;  /// struct slot_left
 	usec_t tick_at;
 	double spread;    /// standard deviations kept free above the mean
 	usec_t survey_at; /// next survey of the running requests
@@ -211,6 +220,8 @@
 /* router_slot.c */
 void router_ask_slots(struct router *router, struct service *service);
 void router_give_slot_back(struct router *router, struct request *request);
+void router_leave_slot(struct router *router, struct request *request);
+void router_release_left(struct router *router);
 
 /* router_queue.c */
 void router_enqueue(struct router *router, struct request *request);
--- a/test/scenario/inst.c
+++ b/test/scenario/inst.c
@@ -207,7 +207,7 @@
 		struct upstream *up = world->upstreams->pdata[i];
 		struct router_upstream_options options = {
 		    .kind = up->engine ? UPSTREAM_ENGINE : UPSTREAM_SERVICE,
-		    .service = g_quark_from_string(up->service),
+		    .service = world_service(world, up->service),
 		    .zone = up->end.zone,
 		    .memory_tokens = 100000,
 		    .max_running = up->max_running,
--- a/test/scenario/request.c
+++ b/test/scenario/request.c
@@ -84,7 +84,7 @@
 	struct inst *inst = call->inst;
 	usec_t now = inst_now(inst);
 	struct router_request_options options = {.organisation = 1,
-	    .service = g_quark_from_string(call->service),
+	    .service = world_service(inst->world, call->service),
 	    .class_id = 1,
 	    .weight = 1,
 	    .prompt_tokens = 10,
--- a/test/scenario/scenario.h
+++ b/test/scenario/scenario.h
@@ -219,6 +219,7 @@
 usec_t world_delay(struct world *world, bool reliable);
 void world_list_changed(struct world *world);
 struct listing *world_listing(struct world *world);
+uint32_t world_service(const struct world *world, const char *service);
 bool world_names(const char *list, const char *name);
 
 /* inst.c: life cycle and platform of an instance */
--- a/test/scenario/world.c
+++ b/test/scenario/world.c
@@ -338,6 +338,20 @@
 	return NULL;
 }
 
+/// Gives the number of a service: its first upstream's place. It is the same
+/// in each play of a script, whatever was played before.
+uint32_t
+world_service(const struct world *world, const char *service)
+{
+	for (guint i = 0; i < world->upstreams->len; i++) {
+		const struct upstream *up = world->upstreams->pdata[i];
+
+		if (strcmp(up->service, service) == 0)
+			return i + 1;
+	}
+	return world->upstreams->len + 1;
+}
+
 /// Tells whether a comma separated list names something.
 bool
 world_names(const char *list, const char *name)
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -320,6 +320,38 @@
 	assert_int_equal(f->count[ROUTER_ACTION_SEND], 1);
 }
 
+/// An instance that stood still gives a request up in the step after its bytes
+/// left: the run that they begin must not come on top of the slots.
+static void
+the_slot_of_a_failed_request_is_kept_while_its_run_may_last(void **state)
+{
+	struct fixture *f = *state;
+	router_upstream engine = add(f, UPSTREAM_ENGINE, false);
+	router_request request = submit(f, ENGINE, 10);
+	uint32_t slot = f->last[ROUTER_ACTION_SLOT].slot;
+
+	router_slot_granted(f->router, f->now, engine, slot);
+	drain(f);
+	assert_int_equal(f->count[ROUTER_ACTION_SEND], 1);
+	router_finish(f->router, f->now, request, ROUTER_END_FAILED, 0);
+	router_retry(f->router, f->now, request, VERDICT_MAY_HAVE_RUN);
+	drain(f);
+	assert_int_equal(f->count[ROUTER_ACTION_SLOT_DONE], 0);
+	f->now += USEC_PER_SEC;
+	report(f, engine, 1, USEC_PER_SEC, 0, 0);
+	tick(f, 0);
+	assert_int_equal(f->count[ROUTER_ACTION_SLOT_DONE], 0);
+	f->now += 2 * USEC_PER_SEC;
+	report(f, engine, 1, 3 * USEC_PER_SEC, 0, 1);
+	tick(f, 0);
+	assert_int_equal(f->count[ROUTER_ACTION_SLOT_DONE], 0);
+	f->now += USEC_PER_SEC;
+	report(f, engine, 1, 4 * USEC_PER_SEC, 0, 0);
+	tick(f, 0);
+	assert_int_equal(f->count[ROUTER_ACTION_SLOT_DONE], 1);
+	assert_int_equal(f->last[ROUTER_ACTION_SLOT_DONE].slot, slot);
+}
+
 static void
 a_failure_makes_the_upstream_cold_until_a_newer_report(void **state)
 {
@@ -589,6 +621,8 @@
 	    ROUTER_TEST(refuses_at_once),
 	    ROUTER_TEST(checks_again_at_the_moment_of_the_send),
 	    ROUTER_TEST(cold_upstreams_need_slots),
+	    ROUTER_TEST(
+		the_slot_of_a_failed_request_is_kept_while_its_run_may_last),
 	    ROUTER_TEST(
 		a_slot_is_given_back_while_reports_show_the_cold_upstream_full),
 	    ROUTER_TEST(a_failure_makes_the_upstream_cold_until_a_newer_report),
