Store: pauses of a store that is away grow with the fleet

Cause: calls to the store were the second largest price on both grown sites; while it is away every instance asked both scopes each one or two seconds, as a single client would. Ruled out: fewer watchers of the operator's scope, as a change must be in force everywhere within the bound.

--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -77,6 +77,20 @@
 	return member;
 }
 
+/// @return whether any member reaches the store
+static bool
+any_reads(const struct membership *membership)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((const struct member *)value)->reads_store)
+			return true;
+	return false;
+}
+
 /// Takes a heartbeat.
 ///
 /// @param membership  the membership
@@ -89,6 +103,7 @@
 {
 	struct member *member;
 	bool is_new = false;
+	bool is_first_reader;
 
 	if (strcmp(beat->name, membership->own_name) == 0)
 		return NULL;
@@ -108,6 +123,8 @@
 		membership->listener(
 		    membership->owner, MEMBER_RESTARTED, member);
 	}
+	is_first_reader =
+	    beat->reads_store && !member->reads_store && !any_reads(membership);
 	member->directory_revision = beat->directory_revision;
 	member->config_revision = beat->config_revision;
 	member->reads_store = beat->reads_store;
@@ -115,6 +132,8 @@
 	member->heard_at = now;
 	if (is_new)
 		membership->listener(membership->owner, MEMBER_JOINED, member);
+	if (is_first_reader)
+		membership->listener(membership->owner, MEMBER_READS, member);
 	return member;
 }
 
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -48,6 +48,7 @@
 	MEMBER_JOINED = 1,
 	MEMBER_RESTARTED,
 	MEMBER_LOST,
+	MEMBER_READS, /// it reaches the store, as the first of all members
 };
 
 /// Told of each change.
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -213,6 +213,16 @@
 	return entry->store != NULL && store_is_reachable(entry->store);
 }
 
+/// Peers callback: another instance reaches the store, where none did.
+static void
+on_store_heard(void *owner)
+{
+	const struct entry *entry = owner;
+
+	if (entry->store != NULL)
+		store_heard(entry->store);
+}
+
 /// Peers callback: other instances' work has changed.
 static void
 on_loads_changed(void *owner)
@@ -243,6 +253,7 @@
 
 static const struct peers_vtable peers_vtable = {
     .reads_store = reads_store,
+    .store_heard = on_store_heard,
     .loads_changed = on_loads_changed,
     .list_gone = list_gone,
     .heard_gone = heard_gone,
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -485,6 +485,7 @@
 	    [MEMBER_JOINED] = "peer-joined",
 	    [MEMBER_RESTARTED] = "peer-restarted",
 	    [MEMBER_LOST] = "peer-lost",
+	    [MEMBER_READS] = "peer-reads-store",
 	};
 	struct peers *peers = owner;
 
@@ -493,7 +494,9 @@
 	    member->heard_at == 0
 		? 0
 		: (g_get_monotonic_time() - member->heard_at) / USEC_PER_MSEC);
-	if (change != MEMBER_JOINED)
+	if (change == MEMBER_READS)
+		peers->options.vtable->store_heard(peers->options.owner);
+	if (change == MEMBER_RESTARTED || change == MEMBER_LOST)
 		loads_drop_peer(peers->options.loads, member->key);
 }
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -20,6 +20,8 @@
 struct peers_vtable {
 	/// Whether this instance reaches the store.
 	bool (*reads_store)(void *owner);
+	/// Another instance reaches the store, where none did.
+	void (*store_heard)(void *owner);
 	/// The work of other instances has changed.
 	void (*loads_changed)(void *owner);
 	/// Lists upstreams (hashes of ids) that take no connection.
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -1,6 +1,7 @@
 /* The client of the platform's store. */
 #include "godwitvale/fleet/store.h"
 
+#include "godwitvale/core/probe.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -24,13 +25,6 @@
 /// for as long again, up to STORE_PROBE_LAST.
 #define STORE_PROBE_FIRST (400 * USEC_PER_MSEC)
 #define STORE_PROBE_LAST (1200 * USEC_PER_MSEC)
-/// Pauses after failures: doubled from the first to the last.
-#define STORE_RETRY_FIRST (100 * USEC_PER_MSEC)
-#define STORE_RETRY_LAST (500 * USEC_PER_MSEC)
-/// The last pause is longer where many instances ask: any one of them that is
-/// answered tells the others.
-#define STORE_RETRY_INSTANCE (25 * USEC_PER_MSEC)
-#define STORE_RETRY_LONGEST (2 * USEC_PER_SEC)
 /// An instance that reads nothing for the others reads for itself once
 /// nobody has told it anything for this long.
 #define STORE_FRESH_SPAN (1000 * USEC_PER_MSEC)
@@ -43,13 +37,12 @@
 	enum site_scope scope;
 	struct fetch *fetch;
 	guint timer;
-	usec_t pause;      /// after the last failure; 0: none
-	unsigned failures; /// in a row
-	bool listed;       /// a whole list was read in this process
-	bool is_list;      /// the call under way reads a list
-	uint64_t after;    /// revision that the watch under way follows
-	GPtrArray *pages;  /// struct site_reply * of the list under way
-	bool reachable;    /// the last call was answered
+	struct probe probe;
+	bool listed;      /// a whole list was read in this process
+	bool is_list;     /// the call under way reads a list
+	uint64_t after;   /// revision that the watch under way follows
+	GPtrArray *pages; /// struct site_reply * of the list under way
+	bool reachable;   /// the last call was answered
 };
 
 struct store {
@@ -95,27 +88,61 @@
 	    g_timeout_add((guint)(pause / USEC_PER_MSEC), on_pause_over, loop);
 }
 
+/// @return the other scope's reading
+static struct loop *
+other_loop(const struct loop *loop)
+{
+	return &loop->store->loops[loop->scope == SITE_SCOPE_UPSTREAMS
+		? SITE_SCOPE_OPERATOR
+		: SITE_SCOPE_UPSTREAMS];
+}
+
+/// Asks again when the probe says so.
+static void
+ask_when_due(struct loop *loop)
+{
+	ask_after(loop, MAX(loop->probe.due_at - g_get_monotonic_time(), 0));
+}
+
 /// Takes it that a call was not answered as it should.
 static void
 on_failure(struct loop *loop, const char *reason, unsigned status)
 {
 	const struct store_options *options = &loop->store->options;
-	usec_t longest;
+	unsigned others_away = other_loop(loop)->probe.failures > 0;
 
 	log_event(LOG_LEVEL_WARN, "store-call-failed",
 	    "scope=%s reason=\"%s\" status=%u revision=%" G_GUINT64_FORMAT,
 	    scope_name(loop->scope), reason, status,
 	    view_revision(loop->store->options.view, loop->scope));
 	loop->reachable = false;
-	loop->failures++;
 	g_clear_pointer(&loop->pages, g_ptr_array_unref);
-	longest = CLAMP(
-	    options->vtable->fleet_size(options->owner) * STORE_RETRY_INSTANCE,
-	    STORE_RETRY_LAST, STORE_RETRY_LONGEST);
-	loop->pause = loop->pause == 0 ? STORE_RETRY_FIRST
-				       : MIN(2 * loop->pause, longest);
-	ask_after(loop,
-	    g_random_int_range((gint32)loop->pause / 2, (gint32)loop->pause));
+	probe_failed(&loop->probe, g_get_monotonic_time(),
+	    options->vtable->fleet_size(options->owner), others_away,
+	    g_random_double());
+	ask_when_due(loop);
+}
+
+/// Has a failed reading asked again soon: the store answers elsewhere.
+static void
+hurry_failed(struct loop *loop, double chance)
+{
+	if (loop->probe.failures == 0 || loop->timer == 0)
+		return;
+	probe_heard(&loop->probe, g_get_monotonic_time(), chance);
+	ask_when_due(loop);
+}
+
+/// Takes it that a call was answered.
+static void
+on_success(struct loop *loop)
+{
+	if (!loop->reachable)
+		log_event(LOG_LEVEL_INFO, "store-reachable", "scope=%s",
+		    scope_name(loop->scope));
+	loop->reachable = true;
+	probe_answered(&loop->probe);
+	hurry_failed(other_loop(loop), 0);
 }
 
 /// Takes a page of a list; the last one completes it.
@@ -224,12 +251,7 @@
 		g_error_free(error);
 		return;
 	}
-	if (!loop->reachable)
-		log_event(LOG_LEVEL_INFO, "store-reachable", "scope=%s",
-		    scope_name(loop->scope));
-	loop->reachable = true;
-	loop->pause = 0;
-	loop->failures = 0;
+	on_success(loop);
 	if (loop->is_list)
 		take_page(loop, reply);
 	else
@@ -256,7 +278,7 @@
 		}
 		return site->list_target(loop->scope, after, false);
 	}
-	if (loop->failures == 0)
+	if (loop->probe.failures == 0)
 		*wait = loop->scope == SITE_SCOPE_UPSTREAMS
 		    ? STORE_UPSTREAM_WAIT
 		    : STORE_OPERATOR_WAIT;
@@ -282,9 +304,9 @@
 static usec_t
 answer_span(const struct loop *loop)
 {
-	if (loop->failures == 0)
+	if (loop->probe.failures == 0)
 		return STORE_ANSWER_SPAN;
-	return MIN(loop->failures * STORE_PROBE_FIRST, STORE_PROBE_LAST);
+	return MIN(loop->probe.failures * STORE_PROBE_FIRST, STORE_PROBE_LAST);
 }
 
 /// Makes the call that is due.
@@ -357,7 +379,7 @@
 store_is_reachable(const struct store *store)
 {
 	return store->loops[SITE_SCOPE_OPERATOR].reachable &&
-	    store->loops[SITE_SCOPE_UPSTREAMS].failures == 0;
+	    store->loops[SITE_SCOPE_UPSTREAMS].probe.failures == 0;
 }
 
 /// Reads again now, on new connections: what is known may be old.
@@ -378,6 +400,16 @@
 	}
 }
 
+/// Takes it that another instance reaches the store again.
+///
+/// @param store  the client
+void
+store_heard(struct store *store)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(store->loops); i++)
+		hurry_failed(&store->loops[i], g_random_double());
+}
+
 /// @param store  the client
 /// @return calls made so far
 uint64_t
--- a/src/godwitvale/fleet/store.h
+++ b/src/godwitvale/fleet/store.h
@@ -37,6 +37,7 @@
 void store_free(struct store *store);
 bool store_is_reachable(const struct store *store);
 void store_hurry(struct store *store);
+void store_heard(struct store *store);
 uint64_t store_calls(const struct store *store);
 
 #endif
--- a/test/unit/membership_test.c
+++ b/test/unit/membership_test.c
@@ -15,7 +15,8 @@
 static void
 on_change(void *owner, enum member_change change, const struct member *member)
 {
-	static const char *const names[] = {"", "joined", "restarted", "lost"};
+	static const char *const names[] = {
+	    "", "joined", "restarted", "lost", "reads"};
 
 	g_string_append_printf(owner, "%s:%s ", names[change], member->name);
 }
@@ -50,7 +51,7 @@
 	assert_int_equal(membership_size(membership), 3);
 	membership_tick(membership, 1100 * MS);
 	assert_string_equal(
-	    story->str, "joined:a joined:b restarted:a lost:b ");
+	    story->str, "joined:a reads:a joined:b restarted:a lost:b ");
 	assert_int_equal(membership_size(membership), 2);
 	/* Shares are reckoned with those that may only be cut off. */
 	assert_int_equal(membership_peak(membership), 3);
@@ -60,6 +61,28 @@
 	g_string_free(story, TRUE);
 }
 
+/// The store is away for all, and answers one of them first.
+static void
+the_first_that_reaches_the_store_again_is_told(void **state)
+{
+	GString *story = g_string_new(NULL);
+	struct membership *membership =
+	    membership_new("m", 1000 * MS, on_change, story);
+
+	(void)state;
+	beat(membership, 0, "a", 1, true);
+	beat(membership, 0, "b", 1, true);
+	beat(membership, 100 * MS, "a", 1, false);
+	beat(membership, 100 * MS, "b", 1, false);
+	g_string_truncate(story, 0);
+	beat(membership, 200 * MS, "b", 1, true);
+	beat(membership, 300 * MS, "b", 1, true);
+	beat(membership, 300 * MS, "a", 1, true);
+	assert_string_equal(story->str, "reads:b ");
+	membership_free(membership);
+	g_string_free(story, TRUE);
+}
+
 /// Two of all live instances that reach the store read it for the others.
 static void
 readers_are_the_first_that_reach_the_store(void **state)
@@ -110,6 +133,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(members_come_restart_and_go),
+	    cmocka_unit_test(the_first_that_reaches_the_store_again_is_told),
 	    cmocka_unit_test(readers_are_the_first_that_reach_the_store),
 	    cmocka_unit_test(the_newest_configuration_is_known),
 	};
