Peers: heartbeats rarer in large fleets, changed work alone between them

Change: heartbeats every 5 ms an instance (200 ms to 1 s) and say so, so that a member is lost after six missed ones; members are named for 5 s after a change and otherwise in each fifth heartbeat; what is placed in between is told by a message of the changed upstreams alone. Ruled out: telling a sample only, as placement needs all work. Conclusion: kept; the number of messages still grows with the square.

--- a/src/godwitvale/core/loads.c
+++ b/src/godwitvale/core/loads.c
@@ -13,6 +13,7 @@
 	uint64_t upstream;
 	struct load own;
 	struct load peers;
+	bool untold; /// own has changed since peers were told
 };
 
 /// Adds one load to another, with a sign.
@@ -82,7 +83,8 @@
 static void
 prune(struct loads *loads, struct sum *sum)
 {
-	if (load_is_zero(&sum->own) && load_is_zero(&sum->peers))
+	if (!sum->untold && load_is_zero(&sum->own) &&
+	    load_is_zero(&sum->peers))
 		g_hash_table_remove(loads->sums, &sum->upstream);
 }
 
@@ -97,7 +99,7 @@
 	struct sum *sum = sum_of(loads, upstream);
 
 	load_add(&sum->own, delta, 1);
-	prune(loads, sum);
+	sum->untold = true;
 }
 
 /// Forgets what a peer has told.
@@ -140,6 +142,50 @@
 	g_hash_table_insert(loads->peers, g_memdup2(&peer, sizeof(peer)), copy);
 }
 
+/// Finds what a peer has told of one upstream, making it.
+static struct load_entry *
+entry_of(GArray *entries, uint64_t upstream)
+{
+	const struct load_entry none = {.upstream = upstream};
+
+	for (guint i = 0; i < entries->len; i++) {
+		struct load_entry *entry =
+		    &g_array_index(entries, struct load_entry, i);
+
+		if (entry->upstream == upstream)
+			return entry;
+	}
+	g_array_append_val(entries, none);
+	return &g_array_index(entries, struct load_entry, entries->len - 1);
+}
+
+/// Takes a peer's work at some upstreams in place of what it told of them.
+///
+/// @param loads      the sums
+/// @param peer       the peer
+/// @param entries    its work, an entry an upstream; zero: it has ended
+/// @param n_entries  how many
+void
+loads_merge_peer(struct loads *loads, uint64_t peer,
+    const struct load_entry *entries, size_t n_entries)
+{
+	GArray *told = g_hash_table_lookup(loads->peers, &peer);
+
+	if (told == NULL) {
+		loads_set_peer(loads, peer, entries, n_entries);
+		return;
+	}
+	for (size_t i = 0; i < n_entries; i++) {
+		struct load_entry *entry = entry_of(told, entries[i].upstream);
+		struct sum *sum = sum_of(loads, entry->upstream);
+
+		load_add(&sum->peers, &entry->load, -1);
+		entry->load = entries[i].load;
+		load_add(&sum->peers, &entry->load, 1);
+		prune(loads, sum);
+	}
+}
+
 /// @param loads     the sums
 /// @param upstream  hash of its id
 /// @return this instance's own work there
@@ -167,15 +213,43 @@
 	return total;
 }
 
-/// Lists this instance's own work, to be told to peers.
+/// Lists this instance's own work, to be told to peers in place of what they
+/// were told before.
+///
+/// @param loads    the sums
+/// @param entries  filled in
+/// @param max      room in it
+/// @return how many were filled in
+size_t
+loads_list_own(struct loads *loads, struct load_entry *entries, size_t max)
+{
+	size_t n = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, loads->sums);
+	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sum *sum = value;
+
+		sum->untold = false;
+		if (!load_is_zero(&sum->own))
+			entries[n++] =
+			    (struct load_entry){sum->upstream, sum->own};
+		else if (load_is_zero(&sum->peers))
+			g_hash_table_iter_remove(&iter);
+	}
+	return n;
+}
+
+/// Lists this instance's own work where it has changed since peers were told;
+/// zero where it has ended.
 ///
 /// @param loads    the sums
 /// @param entries  filled in
 /// @param max      room in it
 /// @return how many were filled in
 size_t
-loads_list_own(
-    const struct loads *loads, struct load_entry *entries, size_t max)
+loads_list_changed(struct loads *loads, struct load_entry *entries, size_t max)
 {
 	size_t n = 0;
 	GHashTableIter iter;
@@ -183,11 +257,14 @@
 
 	g_hash_table_iter_init(&iter, loads->sums);
 	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct sum *sum = value;
+		struct sum *sum = value;
 
-		if (load_is_zero(&sum->own))
+		if (!sum->untold)
 			continue;
+		sum->untold = false;
 		entries[n++] = (struct load_entry){sum->upstream, sum->own};
+		if (load_is_zero(&sum->own) && load_is_zero(&sum->peers))
+			g_hash_table_iter_remove(&iter);
 	}
 	return n;
 }
--- a/src/godwitvale/core/loads.h
+++ b/src/godwitvale/core/loads.h
@@ -35,10 +35,14 @@
     struct loads *loads, uint64_t upstream, const struct load *delta);
 void loads_set_peer(struct loads *loads, uint64_t peer,
     const struct load_entry *entries, size_t n_entries);
+void loads_merge_peer(struct loads *loads, uint64_t peer,
+    const struct load_entry *entries, size_t n_entries);
 void loads_drop_peer(struct loads *loads, uint64_t peer);
 struct load loads_own(const struct loads *loads, uint64_t upstream);
 struct load loads_total(const struct loads *loads, uint64_t upstream);
 size_t loads_list_own(
-    const struct loads *loads, struct load_entry *entries, size_t max);
+    struct loads *loads, struct load_entry *entries, size_t max);
+size_t loads_list_changed(
+    struct loads *loads, struct load_entry *entries, size_t max);
 
 #endif
--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -5,6 +5,10 @@
 
 #include "godwitvale/core/hash.h"
 
+/// So many heartbeats in a row must be missed before an instance counts as
+/// lost: a few lost datagrams tell nothing.
+#define MEMBERSHIP_LOST_BEATS 6
+
 struct membership {
 	char *own_name;
 	usec_t lost_span;
@@ -29,7 +33,7 @@
 /// Makes a membership of this instance alone.
 ///
 /// @param own_name   this instance's name
-/// @param lost_span  silence after which a member counts as lost
+/// @param lost_span  shortest silence after which a member counts as lost
 /// @param listener   told of changes
 /// @param owner      passed to it
 /// @return the membership; free with membership_free()
@@ -130,6 +134,8 @@
 	member->reads_store = beat->reads_store;
 	member->leaving = beat->leaving;
 	member->heard_at = now;
+	member->lost_at = now +
+	    MAX(MEMBERSHIP_LOST_BEATS * beat->interval, membership->lost_span);
 	if (is_new)
 		membership->listener(membership->owner, MEMBER_JOINED, member);
 	if (is_first_reader)
@@ -151,7 +157,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct member *member = value;
 
-		if (now < member->heard_at + membership->lost_span)
+		if (now < member->lost_at)
 			continue;
 		membership->listener(membership->owner, MEMBER_LOST, member);
 		g_hash_table_iter_remove(&iter);
@@ -217,6 +223,15 @@
 	return before < MEMBERSHIP_READERS ? before : -1;
 }
 
+/// @param membership  the membership
+/// @param name        an instance's
+/// @return the member, or NULL when none is known by that name
+const struct member *
+membership_find(const struct membership *membership, const char *name)
+{
+	return g_hash_table_lookup(membership->members, name);
+}
+
 /// @param membership  the membership
 /// @return a member with the newest configuration, drawn by chance, or NULL
 const struct member *
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -26,6 +26,7 @@
 	uint64_t incarnation;        /// Unix microseconds of its start
 	uint64_t directory_revision; /// the store's, up to which it has read
 	uint64_t config_revision;    /// the store's, of its configuration
+	usec_t interval;             /// until its next one
 	bool reads_store;            /// it can read the store
 	bool leaving;
 };
@@ -39,6 +40,7 @@
 	uint64_t directory_revision;
 	uint64_t config_revision;
 	usec_t heard_at;
+	usec_t lost_at; /// unless it is heard before
 	bool reads_store;
 	bool leaving;
 };
@@ -68,6 +70,8 @@
 unsigned membership_peak(const struct membership *membership);
 int membership_reader_rank(
     const struct membership *membership, bool reads_store);
+const struct member *membership_find(
+    const struct membership *membership, const char *name);
 const struct member *membership_newest_config(
     const struct membership *membership);
 GPtrArray *membership_list(const struct membership *membership);
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -21,6 +21,7 @@
 	string name<FLEET_NAME_BYTES>;
 	string ip<FLEET_IP_BYTES>;
 	unsigned hyper incarnation;
+	unsigned int interval_ms; /* until the next one */
 	unsigned hyper directory_revision;
 	unsigned hyper config_revision;
 	bool reads_store;
@@ -30,6 +31,13 @@
 	unsigned hyper gone<FLEET_GONE>; /* upstreams that take no connection */
 };
 
+/* Sent between heartbeats: the sender's work at upstreams where it changed. */
+struct fleet_work {
+	string name<FLEET_NAME_BYTES>;
+	unsigned hyper incarnation;
+	fleet_load loads<FLEET_LOADS>;
+};
+
 /* One item of the store, as it was read; no value: deleted. */
 struct fleet_item {
 	int kind;
@@ -50,7 +58,8 @@
 
 enum fleet_kind {
 	FLEET_BEAT = 1,
-	FLEET_NEWS = 2
+	FLEET_NEWS = 2,
+	FLEET_WORK = 3
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -58,6 +67,8 @@
 	fleet_beat beat;
 case FLEET_NEWS:
 	fleet_news news;
+case FLEET_WORK:
+	fleet_work work;
 };
 
 /* All that an instance has read from the store. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -32,6 +32,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->interval_ms))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
@@ -52,6 +54,21 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_work (XDR *xdrs, fleet_work *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, FLEET_LOADS,
+		sizeof (fleet_load), (xdrproc_t) xdr_fleet_load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_item (XDR *xdrs, fleet_item *objp)
 {
@@ -115,6 +132,10 @@
 		 if (!xdr_fleet_news (xdrs, &objp->fleet_message_u.news))
 			 return FALSE;
 		break;
+	case FLEET_WORK:
+		 if (!xdr_fleet_work (xdrs, &objp->fleet_message_u.work))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -33,6 +33,7 @@
 	char *name;
 	char *ip;
 	u_quad_t incarnation;
+	u_int interval_ms;
 	u_quad_t directory_revision;
 	u_quad_t config_revision;
 	bool_t reads_store;
@@ -52,6 +53,16 @@
 };
 typedef struct fleet_beat fleet_beat;
 
+struct fleet_work {
+	char *name;
+	u_quad_t incarnation;
+	struct {
+		u_int loads_len;
+		fleet_load *loads_val;
+	} loads;
+};
+typedef struct fleet_work fleet_work;
+
 struct fleet_item {
 	int kind;
 	char *name;
@@ -79,6 +90,7 @@
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
+	FLEET_WORK = 3,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -87,6 +99,7 @@
 	union {
 		fleet_beat beat;
 		fleet_news news;
+		fleet_work work;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -106,6 +119,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
 extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
+extern  bool_t xdr_fleet_work (XDR *, fleet_work*);
 extern  bool_t xdr_fleet_item (XDR *, fleet_item*);
 extern  bool_t xdr_fleet_news (XDR *, fleet_news*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
@@ -115,6 +129,7 @@
 #else /* K&R C */
 extern bool_t xdr_fleet_load ();
 extern bool_t xdr_fleet_beat ();
+extern bool_t xdr_fleet_work ();
 extern bool_t xdr_fleet_item ();
 extern bool_t xdr_fleet_news ();
 extern bool_t xdr_fleet_kind ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -16,13 +16,23 @@
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
-/// Interval of heartbeats, in milliseconds.
+/// Shortest interval of heartbeats, in milliseconds, and that at which what is
+/// due is looked at.
 #define PEERS_BEAT_MS 200
-/// A heartbeat is sent this long after new work was placed, in milliseconds:
+/// Interval of heartbeats for each instance of the fleet, in milliseconds: as
+/// each goes to all, their number would grow with the square of the fleet.
+#define PEERS_BEAT_INSTANCE_MS 5
+/// Longest interval of heartbeats, in milliseconds.
+#define PEERS_BEAT_LONGEST_MS 1000
+/// Heartbeats name the live members, for those that know fewer, for this long
+/// after one has come or gone, and otherwise each so many.
+#define PEERS_NAMING_SPAN (5 * USEC_PER_SEC)
+#define PEERS_NAMING_BEATS 5
+/// Changed work is told this long after new work was placed, in milliseconds:
 /// others that place work at the same time must not choose the same upstream.
 #define PEERS_HURRY_MS 10
-/// Silence after which an instance counts as lost: several heartbeats, so
-/// that a few lost datagrams tell nothing.
+/// Shortest silence after which an instance counts as lost: several
+/// heartbeats, so that a few lost datagrams tell nothing.
 #define PEERS_LOST_SPAN (1200 * USEC_PER_MSEC)
 /// Instances that were lost are still sent to for this long, so that both
 /// sides of a cut find one another again.
@@ -50,7 +60,10 @@
 	int fd;
 	guint source;
 	guint timer;
-	guint hurry; /// a heartbeat out of turn is due
+	guint hurry;         /// changed work is to be told
+	usec_t beat_at;      /// the next heartbeat
+	usec_t naming_until; /// heartbeats name the members
+	unsigned n_beats;
 	bool leaving;
 	usec_t behind_since; /// a peer has known more since; 0: none does
 	usec_t patience;     /// before one is asked
@@ -136,10 +149,38 @@
 	return n;
 }
 
+/// Fills in loads as they go over the wire.
+static void
+write_loads(const struct load_entry *loads, size_t n_loads, fleet_load *wire)
+{
+	for (size_t i = 0; i < n_loads; i++)
+		wire[i] =
+		    (fleet_load){loads[i].upstream, loads[i].load.requests,
+			loads[i].load.tokens, loads[i].load.prompt};
+}
+
+/// @return the interval of heartbeats, in milliseconds
+static unsigned
+beat_interval(const struct peers *peers)
+{
+	return CLAMP(
+	    PEERS_BEAT_INSTANCE_MS * membership_size(peers->membership),
+	    PEERS_BEAT_MS, PEERS_BEAT_LONGEST_MS);
+}
+
+/// Whether the heartbeat that is due names the members.
+static bool
+is_naming(const struct peers *peers, usec_t now)
+{
+	return now < peers->naming_until ||
+	    peers->n_beats % PEERS_NAMING_BEATS == 0;
+}
+
 /// Sends a heartbeat.
 static void
 send_beat(struct peers *peers)
 {
+	usec_t now = g_get_monotonic_time();
 	const struct peers_options *options = &peers->options;
 	struct load_entry loads[FLEET_LOADS];
 	fleet_load wire[FLEET_LOADS];
@@ -151,23 +192,24 @@
 	size_t n_loads = loads_list_own(options->loads, loads, FLEET_LOADS);
 	size_t len;
 
-	for (size_t i = 0; i < n_loads; i++)
-		wire[i] =
-		    (fleet_load){loads[i].upstream, loads[i].load.requests,
-			loads[i].load.tokens, loads[i].load.prompt};
+	write_loads(loads, n_loads, wire);
 	*beat = (fleet_beat){
 	    .name = peers->name,
 	    .ip = peers->ip,
 	    .incarnation = peers->incarnation,
+	    .interval_ms = beat_interval(peers),
 	    .directory_revision =
 		view_revision(options->view, SITE_SCOPE_UPSTREAMS),
 	    .config_revision = view_config_revision(options->view),
 	    .reads_store = options->vtable->reads_store(options->owner),
 	    .leaving = peers->leaving,
 	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
-	    .known = {.known_len = (u_int)list_known(peers, known),
-		.known_val = known},
+	    .known = {.known_val = known},
 	};
+	if (is_naming(peers, now))
+		beat->known.known_len = (u_int)list_known(peers, known);
+	peers->n_beats++;
+	peers->beat_at = now + beat->interval_ms * USEC_PER_MSEC;
 	beat->gone.gone_len =
 	    (u_int)options->vtable->list_gone(options->owner, gone, FLEET_GONE);
 	beat->gone.gone_val = gone;
@@ -176,6 +218,58 @@
 		send_to_all(peers, bytes, len);
 }
 
+/// Sends the work that has changed since it was last told.
+static void
+send_work(struct peers *peers)
+{
+	struct load_entry loads[FLEET_LOADS];
+	fleet_load wire[FLEET_LOADS];
+	char bytes[PEERS_RECEIVE_BYTES];
+	fleet_message message = {.kind = FLEET_WORK};
+	fleet_work *work = &message.fleet_message_u.work;
+	size_t n_loads =
+	    loads_list_changed(peers->options.loads, loads, FLEET_LOADS);
+	size_t len;
+
+	if (n_loads == 0)
+		return;
+	write_loads(loads, n_loads, wire);
+	*work = (fleet_work){
+	    .name = peers->name,
+	    .incarnation = peers->incarnation,
+	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
+	};
+	len = fleet_encode(&message, bytes, sizeof(bytes));
+	if (len > 0)
+		send_to_all(peers, bytes, len);
+}
+
+/// Reads loads as they came over the wire.
+static void
+read_loads(const fleet_load *wire, u_int n_loads, struct load_entry *loads)
+{
+	for (u_int i = 0; i < n_loads; i++)
+		loads[i] = (struct load_entry){wire[i].upstream,
+		    {wire[i].requests, wire[i].tokens, wire[i].prompt}};
+}
+
+/// Takes the changed work of another instance.
+static void
+take_work(struct peers *peers, const fleet_work *work)
+{
+	const struct peers_options *options = &peers->options;
+	const struct member *member =
+	    membership_find(peers->membership, work->name);
+	struct load_entry loads[FLEET_LOADS];
+
+	if (member == NULL || member->incarnation != work->incarnation)
+		return;
+	read_loads(work->loads.loads_val, work->loads.loads_len, loads);
+	loads_merge_peer(
+	    options->loads, member->key, loads, work->loads.loads_len);
+	options->vtable->loads_changed(options->owner);
+}
+
 /// Takes a heartbeat.
 static void
 take_beat(struct peers *peers, const fleet_beat *beat)
@@ -188,6 +282,7 @@
 	    .incarnation = beat->incarnation,
 	    .directory_revision = beat->directory_revision,
 	    .config_revision = beat->config_revision,
+	    .interval = beat->interval_ms * USEC_PER_MSEC,
 	    .reads_store = beat->reads_store,
 	    .leaving = beat->leaving,
 	};
@@ -202,13 +297,7 @@
 	for (u_int i = 0; i < beat->known.known_len; i++)
 		add_target(peers, beat->known.known_val[i],
 		    now + PEERS_REMEMBER_SPAN, false);
-	for (u_int i = 0; i < beat->loads.loads_len; i++) {
-		const fleet_load *load = &beat->loads.loads_val[i];
-
-		loads[i].upstream = load->upstream;
-		loads[i].load =
-		    (struct load){load->requests, load->tokens, load->prompt};
-	}
+	read_loads(beat->loads.loads_val, beat->loads.loads_len, loads);
 	loads_set_peer(
 	    options->loads, member->key, loads, beat->loads.loads_len);
 	for (u_int i = 0; i < beat->gone.gone_len; i++)
@@ -235,6 +324,23 @@
 	g_ptr_array_unref(items);
 }
 
+/// Takes a message by its kind.
+static void
+take_message(struct peers *peers, const fleet_message *message)
+{
+	switch (message->kind) {
+	case FLEET_BEAT:
+		take_beat(peers, &message->fleet_message_u.beat);
+		break;
+	case FLEET_NEWS:
+		take_news(peers, &message->fleet_message_u.news);
+		break;
+	case FLEET_WORK:
+		take_work(peers, &message->fleet_message_u.work);
+		break;
+	}
+}
+
 /// Loop callback: datagrams have come.
 static gboolean
 on_readable(gint fd, GIOCondition condition, gpointer data)
@@ -251,10 +357,7 @@
 			    "bytes=%zd outcome=dropped", len);
 			continue;
 		}
-		if (message.kind == FLEET_BEAT)
-			take_beat(peers, &message.fleet_message_u.beat);
-		else
-			take_news(peers, &message.fleet_message_u.news);
+		take_message(peers, &message);
 		fleet_clear(&message);
 	}
 	return G_SOURCE_CONTINUE;
@@ -289,7 +392,7 @@
 	struct peers *peers = data;
 
 	peers->hurry = 0;
-	send_beat(peers);
+	send_work(peers);
 	return G_SOURCE_REMOVE;
 }
 
@@ -472,7 +575,8 @@
 
 	membership_tick(peers->membership, now);
 	forget_targets(peers, now);
-	send_beat(peers);
+	if (now >= peers->beat_at)
+		send_beat(peers);
 	catch_up(peers, now);
 	return G_SOURCE_CONTINUE;
 }
@@ -489,6 +593,9 @@
 	};
 	struct peers *peers = owner;
 
+	if (change != MEMBER_READS)
+		peers->naming_until =
+		    g_get_monotonic_time() + PEERS_NAMING_SPAN;
 	log_event(LOG_LEVEL_INFO, names[change],
 	    "peer=%s silent_ms=%" G_GINT64_FORMAT, member->name,
 	    member->heard_at == 0
--- a/test/unit/membership_test.c
+++ b/test/unit/membership_test.c
@@ -83,6 +83,28 @@
 	g_string_free(story, TRUE);
 }
 
+/// In a large fleet heartbeats are rarer, and silence lasts longer.
+static void
+a_member_that_beats_seldom_is_lost_later(void **state)
+{
+	GString *story = g_string_new(NULL);
+	struct membership *membership =
+	    membership_new("m", 1000 * MS, on_change, story);
+	const struct member_beat seldom = {.name = "a",
+	    .ip = "10.0.0.1",
+	    .incarnation = 1,
+	    .interval = 400 * MS};
+
+	(void)state;
+	membership_heard(membership, 0, &seldom);
+	membership_tick(membership, 2300 * MS);
+	assert_non_null(membership_find(membership, "a"));
+	membership_tick(membership, 2400 * MS);
+	assert_null(membership_find(membership, "a"));
+	membership_free(membership);
+	g_string_free(story, TRUE);
+}
+
 /// Two of all live instances that reach the store read it for the others.
 static void
 readers_are_the_first_that_reach_the_store(void **state)
@@ -134,6 +156,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(members_come_restart_and_go),
 	    cmocka_unit_test(the_first_that_reaches_the_store_again_is_told),
+	    cmocka_unit_test(a_member_that_beats_seldom_is_lost_later),
 	    cmocka_unit_test(readers_are_the_first_that_reach_the_store),
 	    cmocka_unit_test(the_newest_configuration_is_known),
 	};
