--- a/src/godwitvale/entry/rq.c
+++ b/src/godwitvale/entry/rq.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+#include "godwitvale/core/departure.h"
 #include "godwitvale/core/hash.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/meters.h"
@@ -16,11 +17,6 @@
 /// Longest wait for room, as a part of the route's target latency: what
 /// waits longer is better off being told when to come back.
 #define REQUEST_WAIT_PARTS 2
-/// Usual time to a generation's first token, and to each further one, on a
-/// loaded engine; with what these give, an instance that leaves tells what it
-/// can still finish.
-#define REQUEST_PROMPT_SPAN (800 * USEC_PER_MSEC)
-#define REQUEST_TOKEN_SPAN (11 * USEC_PER_MSEC)
 /// An upstream that takes no connection for this long can't be reached.
 #define REQUEST_CONNECT_SPAN (600 * USEC_PER_MSEC)
 
@@ -609,21 +605,21 @@
 	return deadline;
 }
 
-/// Whether a request is sure to end before this process does, however long
-/// its output gets. Its caller is served by another instance otherwise.
+/// Whether a request is sure to end before this process does. Its caller is
+/// served by another instance otherwise.
 static bool
 ends_before_leaving(const struct entry_request *request)
 {
 	const struct entry *entry = request->entry;
-	usec_t left;
+	const struct departure_work work = {
+	    .is_generation = request->route->is_generation,
+	    .max_output = (uint32_t)request->facts.max_output_tokens,
+	    .usual_span = request->route->target_latency,
+	};
 
-	if (!entry->leaving)
-		return true;
-	left = entry->leave_deadline - g_get_monotonic_time();
-	if (request->route->is_generation)
-		return left > REQUEST_PROMPT_SPAN +
-		    request->facts.max_output_tokens * REQUEST_TOKEN_SPAN;
-	return left > request->route->target_latency;
+	return !entry->leaving ||
+	    departure_takes(
+		&work, entry->leave_deadline - g_get_monotonic_time());
 }
 
 /// Makes the request of a call.
--- a/test/functional/entry_calm.sh
+++ b/test/functional/entry_calm.sh
@@ -56,3 +56,11 @@
 echo "== from a request's id to its cause"
 "$BINDIR/godwitvale" explain order-3 "$workdir/e1.log" |
     sed -n 's/, [0-9]* ms before.*//; /^cause/p; /^belief/p'
+
+echo "== SIGTERM: what can't end within the grace is refused, the rest served"
+kill -TERM "${pids[-1]}"
+wait_for "the leaving" logged e1 '"event":"leaving"'
+draft e1 leave-1 5 | tail -n 1
+call e1 /order/1 leave-2 -d '{}'
+echo "long draft $(draft e1 leave-3 300), ran $(runs leave-3) times"
+logged e1 '"id":"leave-3".*"outcome":"leaving"' && echo "it says why"
