--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -7,6 +7,7 @@
 
 #include "godwitvale/core/hash.h"
 #include "godwitvale/entry/meters.h"
+#include "godwitvale/fleet/catch_up.h"
 #include "godwitvale/ops/log.h"
 
 /// Target of a GET for the counters.
@@ -72,11 +73,12 @@
 	gsize len;
 	const char *bytes;
 
-	if (strcmp(http_call_head(call)->target, PEERS_SNAPSHOT_TARGET) != 0) {
+	if (strcmp(http_call_head(call)->target, CATCH_UP_SNAPSHOT_TARGET) !=
+	    0) {
 		answer(call, 404, NULL, "", 0);
 		return;
 	}
-	snapshot = peers_snapshot(entry->view);
+	snapshot = catch_up_snapshot(entry->view);
 	if (snapshot == NULL) {
 		answer(call, 503, NULL, "", 0);
 		return;
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -11,9 +11,9 @@
 #include <sys/socket.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/fleet/catch_up.h"
 #include "godwitvale/fleet/fleet_codec.h"
 #include "godwitvale/http/address.h"
-#include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
 /// Shortest interval of heartbeats, in milliseconds, and that at which what is
@@ -41,15 +41,6 @@
 #define PEERS_DATAGRAM_BYTES 1400
 /// Longest datagram that is taken.
 #define PEERS_RECEIVE_BYTES 65536
-/// A peer that knows more is asked for a snapshot after this long: in calm
-/// the store tells sooner.
-#define PEERS_BEHIND_SPAN (300 * USEC_PER_MSEC)
-/// Instances that are behind at the same moment ask spread over this span for
-/// each of them, so that those that ask later find more who know.
-#define PEERS_BEHIND_INSTANCE (10 * USEC_PER_MSEC)
-/// For the answer to that question.
-#define PEERS_SNAPSHOT_SPAN (500 * USEC_PER_MSEC)
-
 struct peers {
 	struct peers_options options;
 	char *name;
@@ -65,9 +56,7 @@
 	usec_t naming_until; /// heartbeats name the members
 	unsigned n_beats;
 	bool leaving;
-	usec_t behind_since; /// a peer has known more since; 0: none does
-	usec_t patience;     /// before one is asked
-	struct fetch *snapshot;
+	struct catch_up *catch_up;
 };
 
 /// An address that heartbeats go to.
@@ -445,111 +434,6 @@
 	g_array_unref(part);
 }
 
-/// Takes a snapshot of a peer.
-static void
-take_snapshot(struct peers *peers, const fleet_snapshot *snapshot)
-{
-	struct view *view = peers->options.view;
-	usec_t now = g_get_monotonic_time();
-	GPtrArray *items = fleet_items_to_site(
-	    snapshot->items.items_val, snapshot->items.items_len);
-	GPtrArray *parts[] = {g_ptr_array_new(), g_ptr_array_new()};
-
-	for (guint i = 0; i < items->len; i++) {
-		struct site_item *item = items->pdata[i];
-
-		g_ptr_array_add(parts[item->kind == SITE_ITEM_UPSTREAM
-					? SITE_SCOPE_UPSTREAMS
-					: SITE_SCOPE_OPERATOR],
-		    item);
-	}
-	log_event(LOG_LEVEL_INFO, "peer-snapshot",
-	    "directory_revision=%" G_GUINT64_FORMAT
-	    " operator_revision=%" G_GUINT64_FORMAT " items=%u",
-	    snapshot->directory_revision, snapshot->operator_revision,
-	    items->len);
-	view_take_list(view, now, SITE_SCOPE_UPSTREAMS,
-	    parts[SITE_SCOPE_UPSTREAMS], snapshot->directory_revision);
-	view_take_list(view, now, SITE_SCOPE_OPERATOR,
-	    parts[SITE_SCOPE_OPERATOR], snapshot->operator_revision);
-	g_ptr_array_unref(parts[0]);
-	g_ptr_array_unref(parts[1]);
-	g_ptr_array_unref(items);
-}
-
-/// Fetch callback: a peer has answered the question for a snapshot.
-static void
-on_snapshot(void *owner, const struct fetch_answer *answer)
-{
-	struct peers *peers = owner;
-	fleet_snapshot snapshot;
-
-	peers->snapshot = NULL;
-	if (answer->status != 200 ||
-	    !fleet_snapshot_decode(answer->body, answer->len, &snapshot)) {
-		log_event(LOG_LEVEL_WARN, "peer-snapshot-failed",
-		    "status=%u reason=%s", answer->status,
-		    answer->failure == NULL ? "unreadable" : answer->failure);
-		return;
-	}
-	take_snapshot(peers, &snapshot);
-	xdr_free((xdrproc_t)xdr_fleet_snapshot, (char *)&snapshot);
-}
-
-/// Whether a peer knows what this instance doesn't.
-static const struct member *
-better_informed(const struct peers *peers)
-{
-	const struct view *view = peers->options.view;
-	const struct member *newest =
-	    membership_newest_config(peers->membership);
-
-	if (newest == NULL || newest->config_revision == 0)
-		return NULL;
-	if (newest->config_revision > view_config_revision(view))
-		return newest;
-	return view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 &&
-		newest->directory_revision > 0
-	    ? newest
-	    : NULL;
-}
-
-/// Asks a peer that knows more, once that has lasted.
-static void
-catch_up(struct peers *peers, usec_t now)
-{
-	const struct member *member = better_informed(peers);
-	struct fetch_options options = {
-	    .pool = peers->options.pool,
-	    .method = "GET",
-	    .target = PEERS_SNAPSHOT_TARGET,
-	    .deadline = now + PEERS_SNAPSHOT_SPAN,
-	    .handler = on_snapshot,
-	    .owner = peers,
-	};
-	char *address;
-
-	if (member == NULL) {
-		peers->behind_since = 0;
-		return;
-	}
-	if (peers->behind_since == 0) {
-		peers->behind_since = now;
-		peers->patience = PEERS_BEHIND_SPAN +
-		    g_random_int_range(0,
-			(gint32)(membership_size(peers->membership) *
-			    PEERS_BEHIND_INSTANCE));
-	}
-	if (peers->snapshot != NULL ||
-	    now < peers->behind_since + peers->patience)
-		return;
-	address =
-	    g_strdup_printf("%s:%u", member->ip, peers->options.control_port);
-	options.address = address;
-	peers->snapshot = fetch_start(&options);
-	g_free(address);
-}
-
 /// Forgets addresses that nobody has named for long.
 static void
 forget_targets(struct peers *peers, usec_t now)
@@ -577,7 +461,7 @@
 	forget_targets(peers, now);
 	if (now >= peers->beat_at)
 		send_beat(peers);
-	catch_up(peers, now);
+	catch_up_tick(peers->catch_up, now);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -642,6 +526,8 @@
 	peers->addresses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	peers->membership =
 	    membership_new(peers->name, PEERS_LOST_SPAN, on_member, peers);
+	peers->catch_up = catch_up_new(options->view, options->pool,
+	    peers->membership, options->control_port);
 	if (!open_socket(peers, error)) {
 		peers_free(peers);
 		return NULL;
@@ -665,7 +551,7 @@
 		g_source_remove(peers->timer);
 	if (peers->hurry != 0)
 		g_source_remove(peers->hurry);
-	g_clear_pointer(&peers->snapshot, fetch_cancel);
+	g_clear_pointer(&peers->catch_up, catch_up_free);
 	if (peers->fd >= 0)
 		close(peers->fd);
 	membership_free(peers->membership);
@@ -719,32 +605,3 @@
 {
 	return peers->membership;
 }
-
-/// Encodes all that a view has read, for an instance that asks.
-///
-/// @param view  the view
-/// @return the bytes, or NULL when there is nothing to tell
-GBytes *
-peers_snapshot(const struct view *view)
-{
-	GPtrArray *items = view_items(view);
-	GArray *wire = g_array_new(false, false, sizeof(fleet_item));
-	fleet_snapshot snapshot = {
-	    .directory_revision = view_revision(view, SITE_SCOPE_UPSTREAMS),
-	    .operator_revision = view_revision(view, SITE_SCOPE_OPERATOR),
-	};
-	GBytes *bytes = NULL;
-
-	for (guint i = 0; i < items->len; i++) {
-		fleet_item item = fleet_item_from(items->pdata[i]);
-
-		g_array_append_val(wire, item);
-	}
-	snapshot.items.items_len = wire->len;
-	snapshot.items.items_val = (fleet_item *)(void *)wire->data;
-	if (wire->len > 0)
-		bytes = fleet_snapshot_encode(&snapshot);
-	g_array_unref(wire);
-	g_ptr_array_unref(items);
-	return bytes;
-}
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -1,7 +1,6 @@
 /*
  * Messages between entry instances: heartbeats with the sender's work at each
- * upstream, news of the upstreams for those that don't read the store, and
- * snapshots for those that can't.
+ * upstream, and news of the upstreams for those that don't read the store.
  */
 #ifndef GODWITVALE_FLEET_PEERS_H
 #define GODWITVALE_FLEET_PEERS_H
@@ -11,9 +10,6 @@
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
-/// Target of a GET for a snapshot, at an instance's control address.
-#define PEERS_SNAPSHOT_TARGET "/fleet/snapshot"
-
 struct peers;
 
 /// What peers are asked and told.
@@ -53,6 +49,5 @@
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
 void peers_distrust(struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
-GBytes *peers_snapshot(const struct view *view);
 
 #endif
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -10,7 +10,7 @@
 #include <glib.h>
 
 #include "godwitvale/fleet/fleet_codec.h"
-#include "godwitvale/fleet/peers.h"
+#include "godwitvale/fleet/catch_up.h"
 #include "platform/platform.h"
 
 #define SEC USEC_PER_SEC
@@ -229,13 +229,13 @@
 	gsize len;
 
 	(void)state;
-	assert_null(peers_snapshot(view));
+	assert_null(catch_up_snapshot(view));
 	change(SEC, SITE_ITEM_CONFIG, "", 10, config_of(3));
 	change(SEC, SITE_ITEM_EVACUATION, "a", 11, "{}");
 	change(SEC, SITE_ITEM_UPSTREAM, "u1", 12, entry);
 	change(SEC, SITE_ITEM_UPSTREAM, "u2", 13, entry);
 	change(SEC, SITE_ITEM_UPSTREAM, "u2", 14, NULL);
-	bytes = peers_snapshot(view);
+	bytes = catch_up_snapshot(view);
 	assert_true(fleet_snapshot_decode(
 	    g_bytes_get_data(bytes, &len), g_bytes_get_size(bytes), &snapshot));
 	assert_int_equal(snapshot.directory_revision, 14);
