Log: a leaving engine is told once, and again when its end is known

Change: a line only where the belief changes. Ruled out: a lower level, as the first of them decide. Conclusion: the same stories with fewer lines; tests of explain and of handovers pass.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -159,16 +159,20 @@
 void
 continuation_notice(struct entry_request *request, usec_t leaves_at)
 {
+	bool is_news = request->handover.state == HANDOVER_IDLE ||
+	    (leaves_at != 0 && request->handover.stop_at == USEC_NEVER);
+
 	if (!continuation_can_move(request) || request->resuming)
 		return;
 	handover_notice(&request->handover, g_get_monotonic_time(), leaves_at,
 	    g_random_double());
-	log_event(LOG_LEVEL_INFO, "handover-noticed",
-	    "id=%s upstream=%s events=%u gone_in_ms=%" G_GINT64_FORMAT,
-	    request->facts.id, request->target.id, request->events,
-	    leaves_at == 0
-		? -1
-		: (leaves_at - g_get_monotonic_time()) / USEC_PER_MSEC);
+	if (is_news)
+		log_event(LOG_LEVEL_INFO, "handover-noticed",
+		    "id=%s upstream=%s events=%u gone_in_ms=%" G_GINT64_FORMAT,
+		    request->facts.id, request->target.id, request->events,
+		    leaves_at == 0
+			? -1
+			: (leaves_at - g_get_monotonic_time()) / USEC_PER_MSEC);
 	continuation_run(request);
 	if (!request->done)
 		rq_set_timer(request);
--- a/src/godwitvale/entry/reports.c
+++ b/src/godwitvale/entry/reports.c
@@ -89,10 +89,10 @@
 	if (answer->status == 200 && record != NULL &&
 	    entry->site->read_report(answer->body, answer->len, &report) &&
 	    report.leaving) {
-		log_event(LOG_LEVEL_INFO, "upstream-reports-leaving",
-		    "upstream=%s gone_in_ms=%" G_GINT64_FORMAT, question->id,
-		    report.leaves_in / USEC_PER_MSEC);
-		dispatch_set_leaving(entry->dispatch, question->id);
+		if (dispatch_set_leaving(entry->dispatch, question->id))
+			log_event(LOG_LEVEL_INFO, "upstream-reports-leaving",
+			    "upstream=%s gone_in_ms=%" G_GINT64_FORMAT,
+			    question->id, report.leaves_in / USEC_PER_MSEC);
 		rq_upstream_leaves(entry, question->id,
 		    report.leaves_in < 0
 			? 0
--- a/src/godwitvale/fleet/catch_up.c
+++ b/src/godwitvale/fleet/catch_up.c
@@ -155,8 +155,7 @@
 	if (catch_up->fetch != NULL ||
 	    now < catch_up->behind_since + catch_up->patience)
 		return;
-	address =
-	    g_strdup_printf("%s:%u", member->ip, catch_up->control_port);
+	address = g_strdup_printf("%s:%u", member->ip, catch_up->control_port);
 	options.address = address;
 	catch_up->fetch = fetch_start(&options);
 	g_free(address);
