Log: a request whose caller goes while it is under way may have run

Ruled out: a false answer, as nobody is answered there. Change: the end of a request raises its verdict by what is under way; explain names the upstream that had sent nothing. Before: the new part of entry_calm finds no such line; after it does. Conclusion: what the log says of a run is true; why the engine let it wait is open.

--- a/src/godwitvale/entry/rq.c
+++ b/src/godwitvale/entry/rq.c
@@ -247,6 +247,16 @@
 		    &meter_gap, route, request->service, request->longest_gap);
 }
 
+/// Takes it that what is under way may have run, if its bytes have left.
+static void
+note_under_way(struct entry_request *request)
+{
+	if (request->exchange != NULL &&
+	    exchange_may_have_left(request->exchange))
+		request->verdict =
+		    verdict_raise(request->verdict, VERDICT_MAY_HAVE_RUN);
+}
+
 /// Ends a request whose final answer is out.
 ///
 /// @param request  a request
@@ -255,6 +265,7 @@
 void
 rq_done(struct entry_request *request, unsigned status, const char *outcome)
 {
+	note_under_way(request);
 	log_end(request, status, outcome);
 	measure(request, outcome);
 	finish(request);
@@ -337,10 +348,7 @@
 static void
 on_expired(struct entry_request *request)
 {
-	if (request->exchange != NULL &&
-	    exchange_may_have_left(request->exchange))
-		request->verdict =
-		    verdict_raise(request->verdict, VERDICT_MAY_HAVE_RUN);
+	note_under_way(request);
 	if (!request->begun && request->verdict == VERDICT_NOT_RUN)
 		rq_refuse(request, COMEBACK_FULL, "deadline-not-run");
 	else
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -242,6 +242,18 @@
 	return found;
 }
 
+/// Whether a caller has gone while an upstream that was asked for a stream had
+/// sent nothing.
+static bool
+waited_in_vain(const struct line *end)
+{
+	const char *upstream = field(end, "upstream");
+
+	return strcmp(field(end, "outcome"), "caller-gone") == 0 &&
+	    strcmp(field(end, "events"), "0") == 0 && upstream[0] != '\0' &&
+	    strcmp(upstream, "-") != 0;
+}
+
 /// Writes why a request ended as it did.
 static void
 tell_cause(const GPtrArray *story, const struct line *end, GString *out)
@@ -254,6 +266,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(causes); i++)
 		if (strcmp(causes[i].outcome, outcome) == 0)
 			text = causes[i].text;
+	if (waited_in_vain(end))
+		text = "%s had sent no event yet when the caller closed its "
+		       "connection";
 	g_string_append(out, "cause: ");
 	for (const char *at = text; *at != '\0'; at++) {
 		if (at[0] == '%' && at[1] == 's') {
--- a/test/functional/entry_calm.sh
+++ b/test/functional/entry_calm.sh
@@ -40,6 +40,13 @@
 echo "order $(call e1 /order/1 order-3 -d '{}'), ran $(runs order-3) time"
 ctl worker/shop1/well
 
+echo "== a caller that goes while its order is under way: it may have run"
+ctl worker/shop1/mute
+call e1 /order/1 order-4 -d '{}' -m 1
+wait_for "its end" logged e1 '"id":"order-4".*"outcome":"caller-gone"'
+logged e1 '"id":"order-4".*"verdict":"may-have-run"' && echo "as the log says"
+ctl worker/shop1/well
+
 echo "== a large answer and a caller that takes its time"
 ctl worker/shop1/big
 call e1 /check/1 check-2 --limit-rate 8M -o "$workdir/big"
--- a/test/unit/explain_test.c
+++ b/test/unit/explain_test.c
@@ -106,6 +106,10 @@
     "\"e1\",\"event\":\"store-view-lost\",\"age_ms\":1502}",
     "{\"time\":\"2026-01-01T00:00:04.100Z\",\"level\":\"info\",\"instance\":"
     "\"e1\",\"event\":\"request-ended\",\"id\":\"r2\"}",
+    "{\"time\":\"2026-01-01T00:00:09.000Z\",\"level\":\"warn\",\"instance\":"
+    "\"e3\",\"event\":\"request-ended\",\"id\":\"r3\",\"upstream\":\"u3\","
+    "\"status\":0,\"outcome\":\"caller-gone\",\"verdict\":\"may-have-run\","
+    "\"events\":0}",
     "not a line of ours", "{broken", "[]"};
 
 static char *
@@ -138,6 +142,11 @@
 	    "memory to go on from (status 0, ran)\n"
 	    "belief: upstream-draining, 500 ms before the end\n");
 	g_free(story);
+	story = story_of("r3");
+	assert_non_null(strstr(story,
+	    "cause: u3 had sent no event yet when the caller closed its "
+	    "connection (status 0, may-have-run)\n"));
+	g_free(story);
 	story = story_of("r9");
 	assert_string_equal(story, "nothing");
 	g_free(story);
