Entry: logs name the segments of a prompt, and answers that began

The adapter decodes the ids of the shared segments; request-placed and attempt-failed name them, and attempt-failed says whether a head had come and how many events. No decision changes.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -149,6 +149,7 @@
 		goto out;
 	}
 	request->verdict = verdict_raise(request->verdict, VERDICT_RAN);
+	request->answer_began = true;
 	if (head->status / 100 == 2 && !info.is_signed) {
 		log_event(LOG_LEVEL_WARN, "answer-unsigned",
 		    "id=%s upstream=%s status=%u outcome=dropped",
@@ -367,15 +368,18 @@
 on_failed(void *owner, enum exchange_failure failure)
 {
 	struct entry_request *request = entry_request_ref(owner);
+	char *segments = entry_request_format_segments(request);
 
 	request->exchange = NULL;
 	log_event(LOG_LEVEL_WARN, "attempt-failed",
 	    "id=%s upstream=%s attempt=%u reason=%s age_ms=%" G_GINT64_FORMAT
-	    " last_event=%" G_GINT64_FORMAT,
+	    " last_event=%" G_GINT64_FORMAT " began=%d events=%u segments=%s",
 	    request->params.id, request->target.id, request->attempts,
 	    exchange_failure_name(failure),
 	    (g_get_monotonic_time() - request->sent_at) / USEC_PER_MSEC,
-	    request->last_event_id);
+	    request->last_event_id, request->answer_began,
+	    request->events_of_attempt, segments);
+	g_free(segments);
 	if (failure == EXCHANGE_UNREACHABLE)
 		record_result(request, OUTLIER_UNREACHABLE);
 	else if (!continuation_is_in_progress(request))
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -471,6 +471,7 @@
 		peers_schedule_load_update(entry->peers);
 	event_splitter_reset(&request->splitter);
 	request->events_of_attempt = 0;
+	request->answer_began = false;
 	request->exchange = exchange_start(&options);
 	http_head_clear(&head);
 	entry_request_set_timer(request);
@@ -526,13 +527,16 @@
 	const struct site_upstream_request continuation = {
 	    .last_event = request->last_event_id};
 
+	char *segments = entry_request_format_segments(request);
+
 	wait_queue_remove(request->entry->waiting, request);
 	request->is_waiting = false;
 	request->attempts++;
 	log_event(LOG_LEVEL_INFO, "request-placed",
 	    "id=%s route=%s upstream=%s address=%s zone=%s attempt=%u "
 	    "config=%" G_GUINT64_FORMAT " view_age_ms=%" G_GINT64_FORMAT
-	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+	    " segments=%s",
 	    request->params.id == NULL ? "-" : request->params.id,
 	    request->route->name, request->target.id, request->target.address,
 	    request->target.zone, request->attempts,
@@ -541,7 +545,8 @@
 		view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS)) /
 		USEC_PER_MSEC,
 	    (g_get_monotonic_time() - request->arrived_at) / USEC_PER_MSEC,
-	    time_left(request) / USEC_PER_MSEC);
+	    time_left(request) / USEC_PER_MSEC, segments);
+	g_free(segments);
 	if (request->attempts == 1)
 		series_observe(&entry_metric_wait, request->route->name,
 		    request->service,
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -53,6 +53,7 @@
 	usec_t longest_gap; /// between two consecutive events
 	unsigned events_sent;
 	unsigned events_of_attempt; /// since the request was last sent
+	bool answer_began; /// a head has arrived since it was last sent
 
 	/* Handover to another upstream. */
 	unsigned handovers;
@@ -73,6 +74,9 @@
 	bool is_resuming;      /// sent to resume from a copy; no event yet
 };
 
+/* entry_request_log.c */
+char *entry_request_format_segments(const struct entry_request *request);
+
 /* entry_request.c */
 struct entry_request *entry_request_ref(struct entry_request *request);
 void entry_request_unref(struct entry_request *request);
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -14,6 +14,8 @@
 
 /// Size of a buffer for the id of an upstream or a copy.
 #define SITE_ID_BYTES 80
+/// Maximum number of shared prompt segments that are read from a request.
+#define SITE_SEGMENTS_MAX 16
 /// Event number used when no event has been delivered yet.
 #define SITE_NO_EVENT (-1)
 
@@ -57,6 +59,10 @@
 	int32_t max_output_tokens;
 	int32_t output_hint; /// the caller's estimate of the output; 0: none
 	int64_t last_event;  /// last event that the caller has received
+	/// Ids of the prompt's segments that other requests may share, in
+	/// order; without the last one, which is the request's own.
+	uint64_t segments[SITE_SEGMENTS_MAX];
+	unsigned n_segments;
 };
 
 /// Fields that are set in the head of a request to an upstream.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -232,6 +232,34 @@
 	http_head_clear(&forwarded);
 }
 
+/// The last segment is the request's own; ids that aren't numbers count too.
+static void
+shared_segments_of_a_prompt_are_read(void **state)
+{
+	struct site_request request;
+	struct http_head received;
+	GString *many = g_string_new("1:1");
+
+	(void)state;
+	http_head_init(&received);
+	http_head_add(&received, "Prefix-Hash",
+	    "5c1e07a2:800, 91BD3f06:410,not-hex:7,e4402b7d:250");
+	platform_read_request(&received, &request);
+	assert_int_equal(request.n_segments, 3);
+	assert_int_equal(request.segments[0], 0x5c1e07a2);
+	assert_int_equal(request.segments[1], 0x91bd3f06);
+	assert_int_not_equal(request.segments[2], 0);
+	http_head_clear(&received);
+	for (int i = 0; i < 100; i++)
+		g_string_append(many, ",2:2");
+	http_head_init(&received);
+	http_head_add(&received, "Prefix-Hash", many->str);
+	platform_read_request(&received, &request);
+	assert_int_equal(request.n_segments, SITE_SEGMENTS_MAX);
+	http_head_clear(&received);
+	g_string_free(many, TRUE);
+}
+
 static void
 malformed_request_fields_are_tolerated(void **state)
 {
@@ -359,6 +387,7 @@
 	    cmocka_unit_test(invalid_upstream_entries_are_rejected),
 	    cmocka_unit_test(store_replies_are_read),
 	    cmocka_unit_test(reserved_request_fields_are_replaced),
+	    cmocka_unit_test(shared_segments_of_a_prompt_are_read),
 	    cmocka_unit_test(malformed_request_fields_are_tolerated),
 	    cmocka_unit_test(response_heads_are_classified),
 	    cmocka_unit_test(copy_requests_are_translated),
