--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -274,6 +274,32 @@
 	return newest;
 }
 
+/// Checks whether this instance is the one that performs a task which only one
+/// instance may perform: the live instance with the highest rendezvous hash.
+/// The instances on the two sides of a network partition may each have an
+/// owner.
+///
+/// @param membership  membership to query
+/// @param task        number of the task
+/// @return whether no other live instance that isn't leaving ranks higher
+bool
+membership_owns_task(const struct membership *membership, uint64_t task)
+{
+	uint64_t own_rank = hash_pair(hash_name(membership->own_name), task);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (!member->leaving &&
+		    hash_pair(member->name_hash, task) > own_rank)
+			return false;
+	}
+	return true;
+}
+
 /// @param membership  membership to list
 /// @return all members (struct member *); free with g_ptr_array_unref()
 GPtrArray *
--- /dev/null
+++ b/src/godwitvale/core/quarantine.h
@@ -0,0 +1,107 @@
+/*
+ * Finds the prompt segments that crash engines, and quarantines them.
+ *
+ * Load pattern: every engine that begins to answer a request with a certain
+ * segment crashes, together with all other generations that it runs. Such
+ * requests arrive at all instances, and no two of them are alike otherwise.
+ * Each instance sees few of the crashes, so instances exchange what they have
+ * seen. Sound requests share the other segments and must still be served.
+ *
+ * Evidence against a segment is a crash while the engine began to answer a
+ * request with that segment. Evidence for a segment is an answer that has begun
+ * without a crash; it outweighs all earlier crashes. A verdict names the
+ * segments that all crashes in question have in common, and covers the requests
+ * that have all of these segments. Each further piece of evidence narrows it.
+ * A verdict is lifted when one of the few trial requests is answered, and
+ * expires when it has covered no request for QUARANTINE_IDLE_SPAN.
+ */
+#ifndef GODWITVALE_CORE_QUARANTINE_H
+#define GODWITVALE_CORE_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "godwitvale/core/time_defs.h"
+
+/// Maximum number of segments of one request.
+#define QUARANTINE_SEGMENTS_MAX 16
+/// Maximum number of crashes that are remembered; the oldest are forgotten.
+#define QUARANTINE_CRASHES_MAX 16
+/// Maximum number of verdicts in force.
+#define QUARANTINE_VERDICTS_MAX 8
+/// Maximum number of segments that quarantine_list_sound() returns.
+#define QUARANTINE_SOUND_MAX 32
+/// A verdict expires when it has covered no request for this long.
+#define QUARANTINE_IDLE_SPAN (10 * 60 * USEC_PER_SEC)
+/// Trials of a verdict. Each of them may crash one more engine.
+#define QUARANTINE_TRIALS_MAX 3
+
+/// Segments of a prompt, by their ids.
+struct segment_set {
+	uint64_t ids[QUARANTINE_SEGMENTS_MAX];
+	unsigned n;
+};
+
+/// Crash of an engine that began to answer a request.
+struct quarantine_crash {
+	uint64_t id;       /// the same at all instances
+	uint64_t upstream; /// hash of the engine's id
+	usec_t at;
+	struct segment_set segments; /// of the request
+};
+
+/// Time at which an engine last answered a request with a segment.
+struct quarantine_sound {
+	uint64_t segment;
+	usec_t at;
+};
+
+/// Decision to refuse the requests that have all segments of a set.
+struct quarantine_verdict {
+	struct segment_set segments;
+	unsigned n_crashes; /// number of crashes that it is based on
+	unsigned n_trials;  /// number of trials so far
+	usec_t crashed_at;  /// time of the last of these crashes
+	usec_t matched_at;  /// time at which it last covered a request
+	usec_t trial_at;    /// time of the next trial; USEC_NEVER: none is left
+};
+
+/// Change of a verdict, as reported to the listener.
+enum quarantine_change {
+	QUARANTINE_FORMED = 1,
+	QUARANTINE_NARROWED, /// it names fewer segments, so it covers more
+	QUARANTINE_LIFTED,   /// a request that it covers was answered
+	QUARANTINE_EXPIRED,  /// it has covered no request for long
+};
+
+/// Called on each change. `verdict` is valid during the call only.
+typedef void (*quarantine_listener)(void *owner, enum quarantine_change change,
+    const struct quarantine_verdict *verdict);
+
+struct quarantine;
+
+struct quarantine *quarantine_new(quarantine_listener listener, void *owner);
+void quarantine_free(struct quarantine *quarantine);
+bool quarantine_add_crash(struct quarantine *quarantine, usec_t now,
+    const struct quarantine_crash *crash);
+bool quarantine_add_sound(struct quarantine *quarantine, usec_t at,
+    const uint64_t *segments, unsigned n_segments);
+void quarantine_merge_sound(
+    struct quarantine *quarantine, uint64_t segment, usec_t at);
+void quarantine_merge_verdict(struct quarantine *quarantine, usec_t now,
+    const struct quarantine_verdict *verdict);
+const struct quarantine_verdict *quarantine_match(struct quarantine *quarantine,
+    usec_t now, const uint64_t *segments, unsigned n_segments);
+void quarantine_begin_trial(struct quarantine *quarantine, usec_t now,
+    const uint64_t *segments, unsigned n_segments);
+void quarantine_tick(struct quarantine *quarantine, usec_t now);
+size_t quarantine_list_crashes(const struct quarantine *quarantine,
+    struct quarantine_crash *crashes, size_t max);
+size_t quarantine_list_verdicts(const struct quarantine *quarantine,
+    struct quarantine_verdict *verdicts, size_t max);
+size_t quarantine_list_sound(const struct quarantine *quarantine,
+    struct quarantine_sound *sound, size_t max);
+uint64_t quarantine_verdict_key(const struct quarantine_verdict *verdict);
+
+#endif
--- a/src/godwitvale/core/retry_after.c
+++ b/src/godwitvale/core/retry_after.c
@@ -10,6 +10,9 @@
 /// Retry time, before jitter, while no upstream is usable. A lost upstream is
 /// replaced, or a failed upstream is back, within a few of these spans.
 #define RETRY_AFTER_NO_UPSTREAM_SPAN (500 * USEC_PER_MSEC)
+/// Retry time, before jitter, of a request in quarantine. A quarantine that
+/// turns out to be wrong is lifted after about this time.
+#define RETRY_AFTER_QUARANTINE_SPAN (30 * USEC_PER_SEC)
 /// Shortest retry time; a shorter one would make callers retry in a busy loop.
 #define RETRY_AFTER_MIN (50 * USEC_PER_MSEC)
 
@@ -34,6 +37,10 @@
 	case RETRY_AFTER_LEAVING:
 		span = RETRY_AFTER_MIN;
 		break;
+	case RETRY_AFTER_QUARANTINED:
+		/* Nothing is gained by an earlier return of the caller. */
+		return (usec_t)((double)RETRY_AFTER_QUARANTINE_SPAN *
+		    (0.5 + jitter));
 	case RETRY_AFTER_NO_UPSTREAM:
 		span = RETRY_AFTER_NO_UPSTREAM_SPAN;
 		break;
--- a/src/godwitvale/core/retry_after.h
+++ b/src/godwitvale/core/retry_after.h
@@ -19,6 +19,8 @@
 	RETRY_AFTER_LEAVING,
 	/// this instance hasn't read its data from the store yet
 	RETRY_AFTER_STARTING,
+	/// requests like this one have crashed upstreams
+	RETRY_AFTER_QUARANTINED,
 };
 
 usec_t retry_after_span(enum retry_after_reason reason, usec_t target_latency,
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -6,6 +6,7 @@
 
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
+#include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/log.h"
 
 /// Longest answer, in bytes, that is buffered as a whole before it is
@@ -232,6 +233,8 @@
 			return false;
 		}
 	}
+	if (request->events_of_attempt == 0)
+		segment_guard_note_answered(request);
 	finish_prompt_phase(request);
 	start_response(request);
 	http_call_write_body(request->call, event->bytes, event->len);
@@ -368,7 +371,8 @@
 on_failed(void *owner, enum exchange_failure failure)
 {
 	struct entry_request *request = entry_request_ref(owner);
-	char *segments = entry_request_format_segments(request);
+	char *segments = entry_request_format_segments(
+	    request->params.segments, request->params.n_segments);
 
 	request->exchange = NULL;
 	log_event(LOG_LEVEL_WARN, "attempt-failed",
@@ -384,6 +388,8 @@
 		record_result(request, OUTLIER_UNREACHABLE);
 	else if (!continuation_is_in_progress(request))
 		record_result(request, OUTLIER_BROKEN);
+	if (failure == EXCHANGE_CUT)
+		segment_guard_note_cut(request);
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming && failure == EXCHANGE_UNREACHABLE)
 		continuation_handle_refusal(request, "resume-refused");
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -520,6 +520,19 @@
 	return true;
 }
 
+/// @param dispatch  holds the health of the upstream
+/// @param target    the upstream
+/// @return whether the upstream has itself reported that it leaves
+bool
+dispatch_is_leaving(
+    const struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	const struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+
+	return health != NULL && health->leaving;
+}
+
 /// Lists the upstreams that refused a connection of this instance within
 /// DISPATCH_SUSPECT_PERIOD.
 ///
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -62,6 +62,8 @@
 void dispatch_set_misdirected(
     struct dispatch *dispatch, const struct dispatch_target *target);
 bool dispatch_set_leaving(struct dispatch *dispatch, const char *id);
+bool dispatch_is_leaving(
+    const struct dispatch *dispatch, const struct dispatch_target *target);
 size_t dispatch_list_unreachable(
     struct dispatch *dispatch, uint64_t *upstreams, size_t max);
 void dispatch_set_suspect(struct dispatch *dispatch, uint64_t upstream);
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -13,6 +13,7 @@
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/reports.h"
 #include "godwitvale/entry/entry_request.h"
+#include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/cmd.h"
 #include "godwitvale/ops/crash.h"
 #include "godwitvale/ops/log.h"
@@ -327,6 +328,7 @@
 	check_pause(entry);
 	view_tick(entry->view, now);
 	reports_tick(entry->reports, now);
+	segment_guard_tick(entry->guard, now);
 	pool_expire_idle(entry->pool, now);
 	entry_request_place_waiting(entry);
 	check_leaving(entry, now);
@@ -414,6 +416,7 @@
 	    .seeds = settings->seeds,
 	    .view = entry->view,
 	    .loads = entry->loads,
+	    .quarantine = segment_guard_quarantine(entry->guard),
 	    .pool = entry->pool,
 	};
 
@@ -466,6 +469,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	entry->boot_clock_offset = get_boot_clock_offset();
 	entry->view = view_new(&view);
+	entry->guard = segment_guard_new(entry);
 	if (!open_callers(entry, error) || !open_peers(entry, error))
 		return false;
 	open_dispatch_and_store(entry);
@@ -492,6 +496,7 @@
 	g_clear_pointer(&entry->caller_server, http_server_free);
 	g_clear_pointer(&entry->peers, peers_free);
 	g_clear_pointer(&entry->reports, reports_free);
+	g_clear_pointer(&entry->guard, segment_guard_free);
 	g_clear_pointer(&entry->dispatch, dispatch_free);
 	g_clear_pointer(&entry->view, view_free);
 	g_clear_pointer(&entry->waiting, wait_queue_free);
--- a/src/godwitvale/entry/entry_defs.h
+++ b/src/godwitvale/entry/entry_defs.h
@@ -10,6 +10,8 @@
 #include "godwitvale/fleet/store.h"
 #include "godwitvale/http/server.h"
 
+struct segment_guard;
+
 /// An entry instance. Owns all of its members except `site`.
 struct entry {
 	char *settings_path;
@@ -23,6 +25,7 @@
 	struct store *store;
 	struct dispatch *dispatch;
 	struct reports *reports;
+	struct segment_guard *guard;
 	struct wait_queue *waiting;
 	struct estimate *estimate;          /// of output lengths, per route
 	struct http_server *caller_server;  /// requests of callers
--- a/src/godwitvale/entry/entry_metrics.c
+++ b/src/godwitvale/entry/entry_metrics.c
@@ -17,6 +17,11 @@
     "Changes in what is believed of upstreams, by kind.", "change", NULL};
 const struct series_kind entry_metric_ejections = {"entry_ejections_total",
     "Upstreams that got nothing for a while, by upstream.", "upstream", NULL};
+const struct series_kind entry_metric_crashes = {"entry_crashes_total",
+    "Upstreams that crashed as they began an answer, by upstream.", "upstream",
+    NULL};
+const struct series_kind entry_metric_quarantine = {"entry_quarantine_total",
+    "Changes of quarantines of prompt segments, by change.", "change", NULL};
 const struct series_kind entry_metric_wait = {"entry_wait_seconds",
     "From a request's first byte to its first send.", "route", "service"};
 const struct series_kind entry_metric_first_event = {
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -13,6 +13,7 @@
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
+#include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/log.h"
 
 /// A request waits for capacity no longer than the route's target latency
@@ -334,6 +335,18 @@
 	entry_request_finish(request, 503, outcome);
 }
 
+/// Ends a request because a quarantine covers it. Cancels its attempt, so that
+/// its upstream doesn't begin to answer it.
+///
+/// @param request  request to end; the caller holds a reference
+void
+entry_request_refuse_quarantined(struct entry_request *request)
+{
+	mark_may_have_run_if_sent(request);
+	entry_request_cancel_exchange(request);
+	entry_request_refuse(request, RETRY_AFTER_QUARANTINED, "quarantined");
+}
+
 /// Ends a request without success. A response that was started is aborted, so
 /// that it can't be mistaken for a complete one.
 ///
@@ -527,7 +540,8 @@
 	const struct site_upstream_request continuation = {
 	    .last_event = request->last_event_id};
 
-	char *segments = entry_request_format_segments(request);
+	char *segments = entry_request_format_segments(
+	    request->params.segments, request->params.n_segments);
 
 	wait_queue_remove(request->entry->waiting, request);
 	request->is_waiting = false;
@@ -551,6 +565,7 @@
 		series_observe(&entry_metric_wait, request->route->name,
 		    request->service,
 		    g_get_monotonic_time() - request->arrived_at);
+	segment_guard_note_sent(request);
 	entry_request_add_tried(request, request->target.key);
 	entry_request_send(request, &continuation);
 }
@@ -584,6 +599,10 @@
 void
 entry_request_place(struct entry_request *request)
 {
+	if (!segment_guard_admits(request)) {
+		entry_request_refuse_quarantined(request);
+		return;
+	}
 	switch (try_place(request)) {
 	case PLACE_FOUND:
 		break;
@@ -597,13 +616,22 @@
 	}
 }
 
-/// Queue callback: tries to place a waiting request.
+/// Queue callback: tries to place a waiting request, or ends it because of a
+/// quarantine.
+///
+/// @return false if no upstream has capacity
 static bool
 try_place_waiting(void *owner, void *data)
 {
 	struct entry_request *request = data;
 
 	(void)owner;
+	if (!segment_guard_admits(request)) {
+		entry_request_ref(request);
+		entry_request_refuse_quarantined(request);
+		entry_request_unref(request);
+		return true;
+	}
 	return try_place(request) == PLACE_FOUND;
 }
 
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -72,10 +72,12 @@
 	bool is_stream;        /// events are forwarded one by one
 	bool response_started; /// the head was written to the caller
 	bool is_resuming;      /// sent to resume from a copy; no event yet
+	bool is_trial;         /// sent although a quarantine covers it
 };
 
 /* entry_request_log.c */
-char *entry_request_format_segments(const struct entry_request *request);
+char *entry_request_format_segments(
+    const uint64_t *segments, unsigned n_segments);
 
 /* entry_request.c */
 struct entry_request *entry_request_ref(struct entry_request *request);
@@ -85,6 +87,7 @@
 void entry_request_place(struct entry_request *request);
 void entry_request_refuse(struct entry_request *request,
     enum retry_after_reason reason, const char *outcome);
+void entry_request_refuse_quarantined(struct entry_request *request);
 void entry_request_fail(
     struct entry_request *request, unsigned status, const char *outcome);
 void entry_request_finish(
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -8,6 +8,10 @@
 const FLEET_LOADS = 96;
 const FLEET_KNOWN = 24;
 const FLEET_GONE = 16;
+const FLEET_SEGMENTS = 16;
+const FLEET_CRASHES = 16;
+const FLEET_SOUND = 32;
+const FLEET_VERDICTS = 8;
 const FLEET_ITEMS = 4096;
 const FLEET_VALUE_BYTES = 1048576;
 
@@ -59,10 +63,44 @@
 	fleet_item items<FLEET_ITEMS>;
 };
 
+/* Crash of an engine that began to answer a request with these segments. */
+struct fleet_crash {
+	unsigned hyper id; /* the same at all instances */
+	unsigned hyper upstream;
+	unsigned int age_ms;
+	unsigned hyper segments<FLEET_SEGMENTS>;
+};
+
+/* Time since an engine last answered a request with a segment. */
+struct fleet_sound {
+	unsigned hyper segment;
+	unsigned int age_ms;
+};
+
+/* Quarantine of the requests that have all of these segments. */
+struct fleet_verdict {
+	unsigned hyper segments<FLEET_SEGMENTS>;
+	unsigned int crashes;
+	unsigned int trials;
+	unsigned int crash_age_ms;
+	unsigned int match_age_ms;
+	unsigned int trial_in_ms; /* FLEET_NO_TRIAL: none is left */
+};
+const FLEET_NO_TRIAL = 0xffffffff;
+
+/* What the sender knows of segments that crash engines. */
+struct fleet_evidence {
+	string name<FLEET_NAME_BYTES>;
+	fleet_sound sound<FLEET_SOUND>;
+	fleet_verdict verdicts<FLEET_VERDICTS>;
+	fleet_crash crashes<FLEET_CRASHES>;
+};
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
-	FLEET_WORK = 3
+	FLEET_WORK = 3,
+	FLEET_EVIDENCE = 4
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -72,6 +110,8 @@
 	fleet_news news;
 case FLEET_WORK:
 	fleet_work work;
+case FLEET_EVIDENCE:
+	fleet_evidence evidence;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -106,6 +106,126 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_crash (XDR *xdrs, fleet_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->segments.segments_val, (u_int *) &objp->segments.segments_len, FLEET_SEGMENTS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_sound (XDR *xdrs, fleet_sound *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->segment))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_verdict (XDR *xdrs, fleet_verdict *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_array (xdrs, (char **)&objp->segments.segments_val, (u_int *) &objp->segments.segments_len, FLEET_SEGMENTS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crash_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->match_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trial_in_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->trials);
+			IXDR_PUT_U_LONG(buf, objp->crash_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->match_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->trial_in_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_array (xdrs, (char **)&objp->segments.segments_val, (u_int *) &objp->segments.segments_len, FLEET_SEGMENTS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crash_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->match_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trial_in_ms))
+				 return FALSE;
+		} else {
+			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->trials = IXDR_GET_U_LONG(buf);
+			objp->crash_age_ms = IXDR_GET_U_LONG(buf);
+			objp->match_age_ms = IXDR_GET_U_LONG(buf);
+			objp->trial_in_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_array (xdrs, (char **)&objp->segments.segments_val, (u_int *) &objp->segments.segments_len, FLEET_SEGMENTS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trials))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crash_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->match_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trial_in_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_evidence (XDR *xdrs, fleet_evidence *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->sound.sound_val, (u_int *) &objp->sound.sound_len, FLEET_SOUND,
+		sizeof (fleet_sound), (xdrproc_t) xdr_fleet_sound))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, FLEET_VERDICTS,
+		sizeof (fleet_verdict), (xdrproc_t) xdr_fleet_verdict))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, FLEET_CRASHES,
+		sizeof (fleet_crash), (xdrproc_t) xdr_fleet_crash))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_kind (XDR *xdrs, fleet_kind *objp)
 {
@@ -136,6 +256,10 @@
 		 if (!xdr_fleet_work (xdrs, &objp->fleet_message_u.work))
 			 return FALSE;
 		break;
+	case FLEET_EVIDENCE:
+		 if (!xdr_fleet_evidence (xdrs, &objp->fleet_message_u.evidence))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -18,6 +18,10 @@
 #define FLEET_LOADS 96
 #define FLEET_KNOWN 24
 #define FLEET_GONE 16
+#define FLEET_SEGMENTS 16
+#define FLEET_CRASHES 16
+#define FLEET_SOUND 32
+#define FLEET_VERDICTS 8
 #define FLEET_ITEMS 4096
 #define FLEET_VALUE_BYTES 1048576
 
@@ -87,10 +91,59 @@
 };
 typedef struct fleet_news fleet_news;
 
+struct fleet_crash {
+	u_quad_t id;
+	u_quad_t upstream;
+	u_int age_ms;
+	struct {
+		u_int segments_len;
+		u_quad_t *segments_val;
+	} segments;
+};
+typedef struct fleet_crash fleet_crash;
+
+struct fleet_sound {
+	u_quad_t segment;
+	u_int age_ms;
+};
+typedef struct fleet_sound fleet_sound;
+
+struct fleet_verdict {
+	struct {
+		u_int segments_len;
+		u_quad_t *segments_val;
+	} segments;
+	u_int crashes;
+	u_int trials;
+	u_int crash_age_ms;
+	u_int match_age_ms;
+	u_int trial_in_ms;
+};
+typedef struct fleet_verdict fleet_verdict;
+#define FLEET_NO_TRIAL 0xffffffff
+
+struct fleet_evidence {
+	char *name;
+	struct {
+		u_int sound_len;
+		fleet_sound *sound_val;
+	} sound;
+	struct {
+		u_int verdicts_len;
+		fleet_verdict *verdicts_val;
+	} verdicts;
+	struct {
+		u_int crashes_len;
+		fleet_crash *crashes_val;
+	} crashes;
+};
+typedef struct fleet_evidence fleet_evidence;
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
 	FLEET_WORK = 3,
+	FLEET_EVIDENCE = 4,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -100,6 +153,7 @@
 		fleet_beat beat;
 		fleet_news news;
 		fleet_work work;
+		fleet_evidence evidence;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -122,6 +176,10 @@
 extern  bool_t xdr_fleet_work (XDR *, fleet_work*);
 extern  bool_t xdr_fleet_item (XDR *, fleet_item*);
 extern  bool_t xdr_fleet_news (XDR *, fleet_news*);
+extern  bool_t xdr_fleet_crash (XDR *, fleet_crash*);
+extern  bool_t xdr_fleet_sound (XDR *, fleet_sound*);
+extern  bool_t xdr_fleet_verdict (XDR *, fleet_verdict*);
+extern  bool_t xdr_fleet_evidence (XDR *, fleet_evidence*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_message (XDR *, fleet_message*);
 extern  bool_t xdr_fleet_snapshot (XDR *, fleet_snapshot*);
@@ -132,6 +190,10 @@
 extern bool_t xdr_fleet_work ();
 extern bool_t xdr_fleet_item ();
 extern bool_t xdr_fleet_news ();
+extern bool_t xdr_fleet_crash ();
+extern bool_t xdr_fleet_sound ();
+extern bool_t xdr_fleet_verdict ();
+extern bool_t xdr_fleet_evidence ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_message ();
 extern bool_t xdr_fleet_snapshot ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/fleet/evidence_sync.h"
 #include "godwitvale/fleet/fleet_codec.h"
 #include "godwitvale/fleet/snapshot_sync.h"
 #include "godwitvale/http/address.h"
@@ -46,6 +47,10 @@
 /// Maximum total size of the values in one datagram with changes, in bytes. It
 /// keeps the datagram to about the size of one Ethernet packet.
 #define PEERS_CHANGE_BYTES_MAX 1400
+/// Number of instances that get this instance's evidence on prompt segments
+/// with each heartbeat. Each of them passes it on, so that it also reaches
+/// instances that were restarted or can't be reached from here.
+#define PEERS_EVIDENCE_FANOUT 3
 /// Size of the buffers for encoded and received datagrams, in bytes.
 #define PEERS_BUFFER_BYTES 65536
 
@@ -332,6 +337,44 @@
 	g_ptr_array_unref(items);
 }
 
+/// Sends the evidence on prompt segments to some random live members.
+static void
+gossip_evidence(struct peers *peers)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	size_t len = evidence_sync_encode(peers->options.quarantine,
+	    g_get_monotonic_time(), peers->name, bytes, sizeof(bytes));
+	GPtrArray *members;
+
+	if (len == 0)
+		return;
+	members = membership_list(peers->membership);
+	for (int i = 0; i < PEERS_EVIDENCE_FANOUT && members->len > 0; i++) {
+		guint picked =
+		    (guint)g_random_int_range(0, (gint32)members->len);
+		const struct member *member = members->pdata[picked];
+
+		send_datagram(peers, parse_ipv4(member->ip), bytes, len);
+		g_ptr_array_remove_index_fast(members, picked);
+	}
+	g_ptr_array_unref(members);
+}
+
+/// Sends the evidence on prompt segments to all instances. Called when this
+/// instance has new evidence.
+///
+/// @param peers  sends the evidence to all its targets
+void
+peers_send_evidence(struct peers *peers)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	size_t len = evidence_sync_encode(peers->options.quarantine,
+	    g_get_monotonic_time(), peers->name, bytes, sizeof(bytes));
+
+	if (len > 0)
+		send_datagram_to_all(peers, bytes, len);
+}
+
 /// Passes a message to the handler for its kind.
 static void
 handle_message(struct peers *peers, const fleet_message *message)
@@ -346,6 +389,10 @@
 	case FLEET_WORK:
 		handle_load_update(peers, &message->fleet_message_u.work);
 		break;
+	case FLEET_EVIDENCE:
+		evidence_sync_apply(peers->options.quarantine,
+		    g_get_monotonic_time(), &message->fleet_message_u.evidence);
+		break;
 	}
 }
 
@@ -483,8 +530,10 @@
 
 	membership_tick(peers->membership, now);
 	remove_expired_targets(peers, now);
-	if (now >= peers->next_heartbeat_at)
+	if (now >= peers->next_heartbeat_at) {
 		send_heartbeat(peers);
+		gossip_evidence(peers);
+	}
 	snapshot_sync_tick(peers->snapshot_sync, now);
 	return G_SOURCE_CONTINUE;
 }
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -8,6 +8,7 @@
 
 #include "godwitvale/core/loads.h"
 #include "godwitvale/core/membership.h"
+#include "godwitvale/core/quarantine.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
@@ -40,6 +41,7 @@
 	const char *seeds;     /// IP:PORT,... of instances; may be outdated
 	struct view *view;
 	struct loads *loads;
+	struct quarantine *quarantine;
 	struct pool *pool;
 };
 
@@ -50,6 +52,7 @@
 void peers_set_leaving(struct peers *peers);
 void peers_send_changes(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
+void peers_send_evidence(struct peers *peers);
 void peers_forget_all(struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
 
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -57,6 +57,9 @@
     {"no-upstream", "no upstream of its service was usable"},
     {"no-service", "its route names no service"},
     {"upstream-full", "%s refused it and no further attempt was allowed"},
+    {"quarantined",
+	"its prompt has a segment that crashes engines (see "
+	"segments-quarantined and upstream-cut-at-start)"},
     {"starting",
 	"the instance had not yet read its configuration and upstreams"},
     {"leaving",
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -20,6 +20,9 @@
 	GHashTable *workers; /// id -> struct worker *
 	GHashTable *copies;  /// "HOLDER SOURCE/HANDLE" -> event count + 1
 	GHashTable *runs;    /// request id -> number of runs
+	/// Prompt segments, separated by commas, that crash an engine as it
+	/// begins to answer; NULL: none.
+	char *deadly_segments;
 };
 
 struct site_store *site_store_new(struct site_state *site, uint16_t port);
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -220,7 +220,8 @@
 }
 
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
-/// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls.
+/// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
+/// /ctl/deadly/SEGMENT,....
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -244,6 +245,9 @@
 		g_snprintf(reply, sizeof(reply), "%u\n",
 		    GPOINTER_TO_UINT(
 			g_hash_table_lookup(store->site->runs, name)));
+	} else if (strcmp(command, "deadly") == 0) {
+		g_free(store->site->deadly_segments);
+		store->site->deadly_segments = g_strdup(name);
 	} else if (strcmp(command, "calls") == 0) {
 		g_snprintf(reply, sizeof(reply), "%u\n", store->call_count);
 	} else {
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -15,6 +15,8 @@
 #define LARGE_BODY_BYTES (16 * 1024 * 1024)
 /// Time that a plain service takes for a request, in milliseconds.
 #define PLAIN_DURATION_MS 5
+/// Time that an engine needs to start again after a crash, in milliseconds.
+#define CRASH_DURATION_MS 1000
 /// Tokens in one event of a stream.
 #define TOKENS_PER_EVENT 4
 /// Remaining time that a draining worker reports, in milliseconds.
@@ -46,6 +48,9 @@
 	bool is_stream;
 };
 
+static bool worker_start(struct worker *worker);
+static void worker_stop(struct worker *worker);
+
 /// Frees a run whose call has been responded to or aborted.
 static void
 run_free(struct run *run)
@@ -145,19 +150,77 @@
 	fflush(stdout);
 }
 
+/// Checks whether one of the segments that a request may share with others
+/// crashes engines.
+static bool
+is_deadly(const struct worker *worker, const struct http_head *head)
+{
+	const char *value = http_head_get(head, "Prefix-Hash");
+	const char *deadly = worker->site->deadly_segments;
+	char **entries = g_strsplit(value == NULL ? "" : value, ",", -1);
+	char **ids = g_strsplit(deadly == NULL ? "" : deadly, ",", -1);
+	bool found = false;
+
+	for (char **entry = entries; *entry != NULL && entry[1] != NULL;
+	     entry++) {
+		(*entry)[strcspn(*entry, ":")] = '\0';
+		found =
+		    found || g_strv_contains((const char *const *)ids, *entry);
+	}
+	g_strfreev(entries);
+	g_strfreev(ids);
+	return found;
+}
+
+static gboolean
+on_crash_over(gpointer data)
+{
+	worker_start(data);
+	return G_SOURCE_REMOVE;
+}
+
+/// Crashes the engine that was about to write the first event of a run.
+static gboolean
+on_crash_timer(gpointer data)
+{
+	struct run *run = data;
+	struct worker *worker = run->worker;
+
+	run->timer = 0;
+	worker_stop(worker);
+	g_timeout_add(CRASH_DURATION_MS, on_crash_over, worker);
+	return G_SOURCE_REMOVE;
+}
+
+/// Cuts an answer before its first event; the engine goes on.
+static gboolean
+on_cut_timer(gpointer data)
+{
+	struct run *run = data;
+
+	run->timer = 0;
+	run_abort(run);
+	return G_SOURCE_REMOVE;
+}
+
 /// Starts to stream the events of a run.
 static void
 start_stream(struct run *run)
 {
+	GSourceFunc next = on_event_timer;
 	struct http_head head;
 
+	if (is_deadly(run->worker, http_call_head(run->call)))
+		next = on_crash_timer;
+	else if (strcmp(run->worker->mode, "cutstart") == 0)
+		next = on_cut_timer;
 	http_head_init(&head);
 	fill_response_head(run, &head);
 	http_head_add(&head, "Content-Type", "text/event-stream");
 	http_call_start_response(run->call, &head);
 	http_head_clear(&head);
 	run->is_stream = true;
-	run->timer = g_timeout_add(EVENT_INTERVAL_MS, on_event_timer, run);
+	run->timer = g_timeout_add(EVENT_INTERVAL_MS, next, run);
 }
 
 /// Removes a copy, which can be used only once.
@@ -450,6 +513,7 @@
 ///     deletes the entry), "back" (starts again), "cutruns" (aborts all runs);
 ///     or its way to respond: "well" (as usual), "shed" (rejects requests),
 ///     "mute" (doesn't respond), "mutecopy" (doesn't respond to copy calls),
+///     "cutstart" (closes a stream's connection before its first event),
 ///     "reset" (closes the connection), "wrongresume" (status 500 for
 ///     resumed streams); for plain services also "cut" (closes the connection
 ///     within the body), "errors" (status 500), "big" (large body)
@@ -473,8 +537,8 @@
 	} else if (strcmp(mode, "back") == 0) {
 		if (worker_start(worker))
 			publish_entry(worker);
-	} else if (strstr(" well shed mute mutecopy reset cut errors big "
-			  "wrongresume ",
+	} else if (strstr(" well shed mute mutecopy reset cut cutstart errors "
+			  "big wrongresume ",
 		       mode) != NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
--- a/test/unit/membership_test.c
+++ b/test/unit/membership_test.c
@@ -155,6 +155,39 @@
 	g_string_free(changes, TRUE);
 }
 
+/// Each task has exactly one owner, also when an instance leaves, and the
+/// owners of many tasks differ.
+static void
+task_has_one_owner(void **state)
+{
+	static const char *const names[] = {"a", "b", "c"};
+	struct membership *memberships[G_N_ELEMENTS(names)];
+	unsigned owned[G_N_ELEMENTS(names)] = {0};
+	unsigned changes[8] = {0};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		memberships[i] =
+		    membership_new(names[i], 1000 * MS, record_change, changes);
+		for (size_t j = 0; j < G_N_ELEMENTS(names); j++)
+			send_heartbeat(memberships[i], 0, names[j], 1, true);
+	}
+	for (uint64_t task = 0; task < 300; task++) {
+		unsigned n_owners = 0;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+			if (membership_owns_task(memberships[i], task)) {
+				n_owners++;
+				owned[i]++;
+			}
+		assert_int_equal(n_owners, 1);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		assert_in_range(owned[i], 50, 200);
+		membership_free(memberships[i]);
+	}
+}
+
 int
 main(void)
 {
@@ -166,6 +199,7 @@
 	    cmocka_unit_test(
 		readers_are_the_first_instances_by_name_that_reach_the_store),
 	    cmocka_unit_test(member_with_the_newest_configuration_is_found),
+	    cmocka_unit_test(task_has_one_owner),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/test/unit/quarantine_test.c
@@ -0,0 +1,440 @@
+/* Unit tests of the quarantine of prompt segments that crash engines. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "godwitvale/core/quarantine.h"
+#include "godwitvale/fleet/evidence_sync.h"
+#include "godwitvale/fleet/fleet_codec.h"
+
+#define SECOND USEC_PER_SEC
+#define START (1000 * SECOND)
+/// Ids of segments: shared by all requests of a caller, by some, and deadly.
+#define COMMON 1
+#define SUBJECT 2
+#define DEADLY 66
+#define DEADLY_TOO 67
+
+/// One instance's quarantine and the changes that it has reported.
+struct instance {
+	struct quarantine *quarantine;
+	unsigned n_changes[QUARANTINE_EXPIRED + 1];
+};
+
+static void
+on_change(void *owner, enum quarantine_change change,
+    const struct quarantine_verdict *verdict)
+{
+	struct instance *instance = owner;
+
+	assert_true(verdict->segments.n > 0);
+	instance->n_changes[change]++;
+}
+
+static void
+instance_start(struct instance *instance)
+{
+	memset(instance, 0, sizeof(*instance));
+	instance->quarantine = quarantine_new(on_change, instance);
+}
+
+static void
+instance_stop(struct instance *instance)
+{
+	quarantine_free(instance->quarantine);
+}
+
+/// Adds a crash at an engine under a request with up to three segments; 0:
+/// none.
+static void
+crash(struct instance *instance, usec_t at, uint64_t upstream, uint64_t first,
+    uint64_t second, uint64_t third)
+{
+	struct quarantine_crash added = {.id = (uint64_t)at ^ upstream << 48,
+	    .upstream = upstream,
+	    .at = at};
+	const uint64_t segments[] = {first, second, third};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(segments); i++)
+		if (segments[i] != 0)
+			added.segments.ids[added.segments.n++] = segments[i];
+	quarantine_add_crash(instance->quarantine, at, &added);
+}
+
+/// Adds an answer to a request with two segments.
+static void
+answered(struct instance *instance, usec_t at, uint64_t first, uint64_t second)
+{
+	const uint64_t segments[] = {first, second};
+
+	quarantine_add_sound(instance->quarantine, at, segments, 2);
+}
+
+/// @return whether a request with two segments is refused
+static bool
+refuses(struct instance *instance, usec_t now, uint64_t first, uint64_t second)
+{
+	const uint64_t segments[] = {first, second};
+
+	return quarantine_match(instance->quarantine, now, segments, 2) != NULL;
+}
+
+/// Sends all evidence of one instance to another one, as a message that takes
+/// `delay` to arrive.
+static void
+send_evidence(
+    const struct instance *from, struct instance *to, usec_t now, usec_t delay)
+{
+	char bytes[65536];
+	fleet_message message;
+	size_t len = evidence_sync_encode(
+	    from->quarantine, now, "a", bytes, sizeof(bytes));
+
+	if (len == 0)
+		return;
+	assert_true(fleet_message_decode(bytes, len, &message));
+	evidence_sync_apply(
+	    to->quarantine, now + delay, &message.fleet_message_u.evidence);
+	fleet_message_clear(&message);
+}
+
+/// Requests that are alike in one segment only crash one engine after the
+/// other; the requests that share their other segments are still served.
+static void
+engines_crash_in_series_under_one_segment(void **state)
+{
+	struct instance instance;
+	unsigned crashes = 0;
+
+	(void)state;
+	instance_start(&instance);
+	answered(&instance, START, COMMON, SUBJECT);
+	for (unsigned i = 0; i < 28; i++) {
+		usec_t now = START + (i + 1) * SECOND;
+
+		answered(&instance, now, COMMON, SUBJECT);
+		if (refuses(&instance, now, COMMON, DEADLY))
+			continue;
+		crash(&instance, now, i, COMMON, DEADLY, 100 + i);
+		crashes++;
+	}
+	assert_int_equal(crashes, 2);
+	assert_false(refuses(&instance, START + 30 * SECOND, COMMON, SUBJECT));
+	assert_false(refuses(&instance, START + 30 * SECOND, COMMON, 999));
+	assert_int_equal(instance.n_changes[QUARANTINE_FORMED], 1);
+	instance_stop(&instance);
+}
+
+/// Nothing is known of the segments when the crashes begin, and two segments
+/// always come together: only requests with both are refused, until more is
+/// known.
+static void
+sound_segment_is_blamed_with_the_deadly_one(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	crash(&instance, START, 1, COMMON, SUBJECT, DEADLY);
+	crash(&instance, START + SECOND, 2, COMMON, SUBJECT, DEADLY);
+	assert_false(refuses(&instance, START + SECOND, COMMON, SUBJECT));
+	answered(&instance, START + 2 * SECOND, COMMON, SUBJECT);
+	assert_int_equal(instance.n_changes[QUARANTINE_NARROWED], 1);
+	assert_true(refuses(&instance, START + 3 * SECOND, DEADLY, 0));
+	assert_false(refuses(&instance, START + 3 * SECOND, COMMON, SUBJECT));
+	instance_stop(&instance);
+}
+
+/// A deadly request with other companions than those before narrows the
+/// verdict.
+static void
+verdict_is_too_narrow_to_match(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	crash(&instance, START, 1, SUBJECT, DEADLY, 0);
+	crash(&instance, START + SECOND, 2, SUBJECT, DEADLY, 0);
+	assert_true(refuses(&instance, START + SECOND, SUBJECT, DEADLY));
+	assert_false(refuses(&instance, START + SECOND, 5, DEADLY));
+	crash(&instance, START + 2 * SECOND, 3, 5, DEADLY, 0);
+	assert_true(refuses(&instance, START + 2 * SECOND, 6, DEADLY));
+	assert_false(refuses(&instance, START + 2 * SECOND, SUBJECT, 5));
+	assert_int_equal(instance.n_changes[QUARANTINE_NARROWED], 1);
+	instance_stop(&instance);
+}
+
+static void
+two_deadly_segments_come_at_once(void **state)
+{
+	struct instance instance;
+	unsigned crashes = 0;
+
+	(void)state;
+	instance_start(&instance);
+	answered(&instance, START, COMMON, SUBJECT);
+	for (unsigned i = 0; i < 20; i++) {
+		usec_t now = START + (i + 1) * SECOND;
+		uint64_t deadly = i % 2 == 0 ? DEADLY : DEADLY_TOO;
+
+		if (refuses(&instance, now, COMMON, deadly))
+			continue;
+		crash(&instance, now, i, COMMON, deadly, 0);
+		crashes++;
+	}
+	assert_int_equal(crashes, 4);
+	assert_false(refuses(&instance, START + 30 * SECOND, COMMON, SUBJECT));
+	instance_stop(&instance);
+}
+
+/// Nine of ten requests are deadly, so that the sound ones are seen late.
+static void
+common_segment_is_blamed_when_sound_requests_are_few(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	answered(&instance, START, COMMON, SUBJECT);
+	for (unsigned i = 0; i < 12; i++)
+		crash(&instance, START + (i + 1) * SECOND / 2, i, COMMON,
+		    DEADLY, 0);
+	assert_false(refuses(&instance, START + 20 * SECOND, COMMON, SUBJECT));
+	assert_true(refuses(&instance, START + 20 * SECOND, COMMON, DEADLY));
+	instance_stop(&instance);
+}
+
+/// A zone fails: many engines end at the same moment, under requests that share
+/// a segment no engine has answered yet.
+static void
+engines_of_a_zone_end_together(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	for (unsigned i = 0; i < 10; i++)
+		crash(&instance, START + i * 10 * USEC_PER_MSEC, i, SUBJECT,
+		    100 + i, 0);
+	assert_int_equal(instance.n_changes[QUARANTINE_FORMED], 0);
+	instance_stop(&instance);
+}
+
+/// Engines crash for a reason of their own under requests that have nothing in
+/// common, and under a segment that other requests are answered with.
+static void
+engines_crash_for_another_reason(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	for (unsigned i = 0; i < 30; i++) {
+		usec_t now = START + (i + 1) * SECOND;
+
+		crash(&instance, now, i, COMMON, 100 + i, 0);
+		answered(&instance, now + SECOND / 2, COMMON, SUBJECT);
+	}
+	assert_int_equal(instance.n_changes[QUARANTINE_FORMED], 0);
+	instance_stop(&instance);
+}
+
+/// One engine crashes again and again: two crashes there are no evidence.
+static void
+one_engine_crashes_twice(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	crash(&instance, START, 1, SUBJECT, 0, 0);
+	crash(&instance, START + 5 * SECOND, 1, SUBJECT, 0, 0);
+	assert_false(refuses(&instance, START + 6 * SECOND, SUBJECT, 0));
+	instance_stop(&instance);
+}
+
+/// A wrong verdict would refuse sound requests for ever if none was tried; one
+/// that is right must not crash an engine with each trial.
+static void
+verdict_is_tried_a_few_times(void **state)
+{
+	struct instance instance;
+	const uint64_t segments[] = {DEADLY};
+	unsigned trials = 0;
+
+	(void)state;
+	instance_start(&instance);
+	crash(&instance, START, 1, DEADLY, 0, 0);
+	crash(&instance, START + SECOND, 2, DEADLY, 0, 0);
+	for (usec_t now = START + SECOND; now < START + 3600 * SECOND;
+	     now += SECOND) {
+		const struct quarantine_verdict *verdict =
+		    quarantine_match(instance.quarantine, now, segments, 1);
+
+		assert_non_null(verdict);
+		if (now < verdict->trial_at)
+			continue;
+		quarantine_begin_trial(instance.quarantine, now, segments, 1);
+		crash(&instance, now, 10 + trials, DEADLY, 0, 0);
+		trials++;
+	}
+	assert_int_equal(trials, QUARANTINE_TRIALS_MAX);
+	instance_stop(&instance);
+}
+
+static void
+wrong_verdict_is_lifted_by_an_answer(void **state)
+{
+	struct instance instance;
+	struct instance other;
+
+	(void)state;
+	instance_start(&instance);
+	instance_start(&other);
+	crash(&instance, START, 1, SUBJECT, 0, 0);
+	crash(&instance, START + SECOND, 2, SUBJECT, 0, 0);
+	send_evidence(&instance, &other, START + SECOND, 0);
+	assert_true(refuses(&other, START + 2 * SECOND, SUBJECT, 0));
+	answered(&instance, START + 22 * SECOND, SUBJECT, COMMON);
+	assert_false(refuses(&instance, START + 23 * SECOND, SUBJECT, 0));
+	assert_int_equal(instance.n_changes[QUARANTINE_LIFTED], 1);
+	/* The other instance still has the verdict, and sends it back. */
+	send_evidence(&other, &instance, START + 23 * SECOND, USEC_PER_MSEC);
+	assert_false(refuses(&instance, START + 23 * SECOND, SUBJECT, 0));
+	send_evidence(&instance, &other, START + 23 * SECOND, USEC_PER_MSEC);
+	assert_false(refuses(&other, START + 24 * SECOND, SUBJECT, 0));
+	instance_stop(&instance);
+	instance_stop(&other);
+}
+
+static void
+idle_verdict_expires(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	crash(&instance, START, 1, DEADLY, 0, 0);
+	crash(&instance, START + SECOND, 2, DEADLY, 0, 0);
+	quarantine_tick(instance.quarantine, START + QUARANTINE_IDLE_SPAN);
+	assert_true(
+	    refuses(&instance, START + QUARANTINE_IDLE_SPAN, DEADLY, 0));
+	quarantine_tick(
+	    instance.quarantine, START + 2 * QUARANTINE_IDLE_SPAN + SECOND);
+	assert_int_equal(instance.n_changes[QUARANTINE_EXPIRED], 1);
+	instance_stop(&instance);
+}
+
+/// Each instance sees one crash. Two that can't reach each other learn through
+/// a third; one that starts later learns all.
+static void
+each_instance_sees_one_crash_only(void **state)
+{
+	struct instance instances[4];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
+		instance_start(&instances[i]);
+	answered(&instances[1], START - SECOND, COMMON, SUBJECT);
+	crash(&instances[0], START, 1, COMMON, DEADLY, 0);
+	crash(&instances[2], START + SECOND, 2, COMMON, DEADLY, 0);
+	send_evidence(&instances[0], &instances[1], START + SECOND, 0);
+	send_evidence(&instances[2], &instances[1], START + SECOND, 0);
+	send_evidence(&instances[1], &instances[0], START + SECOND, 0);
+	send_evidence(&instances[1], &instances[2], START + SECOND, 0);
+	send_evidence(&instances[2], &instances[3], START + 9 * SECOND, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++) {
+		usec_t now = START + 10 * SECOND;
+
+		assert_true(refuses(&instances[i], now, 5, DEADLY));
+		assert_false(refuses(&instances[i], now, COMMON, SUBJECT));
+		instance_stop(&instances[i]);
+	}
+}
+
+/// Instances that pass the same evidence on to each other for a long time must
+/// not make it newer: an old answer would then outweigh a later crash.
+static void
+passing_evidence_on_makes_it_newer(void **state)
+{
+	struct instance a;
+	struct instance b;
+	usec_t now = START + 2 * SECOND;
+
+	(void)state;
+	instance_start(&a);
+	instance_start(&b);
+	answered(&a, START - SECOND, DEADLY, COMMON);
+	for (unsigned i = 0; i < 3; i++)
+		crash(&a, START + i * SECOND / 2, i, COMMON, DEADLY, 0);
+	answered(&a, now, COMMON, SUBJECT);
+	for (unsigned i = 0; i < 600; i++) {
+		send_evidence(&a, &b, now, 5 * USEC_PER_MSEC);
+		now += 100 * USEC_PER_MSEC;
+		send_evidence(&b, &a, now, 5 * USEC_PER_MSEC);
+		now += 100 * USEC_PER_MSEC;
+	}
+	assert_false(refuses(&a, now, 5, DEADLY));
+	crash(&a, now, 9, COMMON, DEADLY, 0);
+	send_evidence(&a, &b, now, 5 * USEC_PER_MSEC);
+	assert_true(refuses(&a, now, 5, DEADLY));
+	assert_true(refuses(&b, now, 5, DEADLY));
+	instance_stop(&a);
+	instance_stop(&b);
+}
+
+/// Requests with many different segments and crashes must not exhaust memory or
+/// fill a message beyond its bounds.
+static void
+evidence_is_bounded(void **state)
+{
+	struct instance instance;
+	struct instance other;
+
+	(void)state;
+	instance_start(&instance);
+	instance_start(&other);
+	for (unsigned i = 1; i < 10000; i++)
+		answered(&instance, START + i, 1000 + i, 100000 + i);
+	for (unsigned i = 1; i < 500; i++) {
+		usec_t now = START + i * SECOND;
+
+		crash(&instance, now, i, i / 2, COMMON, 5000 + i);
+		answered(&instance, now + 1, COMMON, 7);
+	}
+	send_evidence(&instance, &other, START + 501 * SECOND, 0);
+	assert_true(refuses(&other, START + 501 * SECOND, 249, 9));
+	assert_false(refuses(&other, START + 501 * SECOND, COMMON, 9));
+	instance_stop(&instance);
+	instance_stop(&other);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(engines_crash_in_series_under_one_segment),
+	    cmocka_unit_test(sound_segment_is_blamed_with_the_deadly_one),
+	    cmocka_unit_test(verdict_is_too_narrow_to_match),
+	    cmocka_unit_test(two_deadly_segments_come_at_once),
+	    cmocka_unit_test(
+		common_segment_is_blamed_when_sound_requests_are_few),
+	    cmocka_unit_test(engines_of_a_zone_end_together),
+	    cmocka_unit_test(engines_crash_for_another_reason),
+	    cmocka_unit_test(one_engine_crashes_twice),
+	    cmocka_unit_test(verdict_is_tried_a_few_times),
+	    cmocka_unit_test(wrong_verdict_is_lifted_by_an_answer),
+	    cmocka_unit_test(idle_verdict_expires),
+	    cmocka_unit_test(each_instance_sees_one_crash_only),
+	    cmocka_unit_test(passing_evidence_on_makes_it_newer),
+	    cmocka_unit_test(evidence_is_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
