Entry: a stream that ends within an event was broken off

Callers saw: a draft whose engine closed the connection within an event got the half event and a complete answer; one whose engine closed it before the first event got a complete, empty answer.

Cause: a stream without a length and without chunks is complete for the HTTP reader when its connection ends, and the rest of an event was passed on, as if a last empty line was merely missing. Class: the end of a message taken for the end of its content.

Change: a stream that ends within an event counts as cut, whatever its framing; one without any event too, if only the end of the connection marks its end. Empty lines after the last event are passed on as before. The stand-in of the platform gets engines that write raw bytes.

--- a/src/godwitvale/core/event_splitter.c
+++ b/src/godwitvale/core/event_splitter.c
@@ -129,3 +129,14 @@
 {
 	return splitter->pending->len;
 }
+
+/// @param splitter  splitter of the stream
+/// @return whether a line of an incomplete event has been received; empty lines
+///         alone are no event
+bool
+event_splitter_is_within_event(const struct event_splitter *splitter)
+{
+	const GString *pending = splitter->pending;
+
+	return strspn(pending->str, "\r\n") < pending->len;
+}
--- a/src/godwitvale/core/event_splitter.h
+++ b/src/godwitvale/core/event_splitter.h
@@ -41,5 +41,6 @@
 bool event_splitter_feed(struct event_splitter *splitter, const char *bytes,
     size_t len, event_handler handler, void *owner);
 size_t event_splitter_pending_len(const struct event_splitter *splitter);
+bool event_splitter_is_within_event(const struct event_splitter *splitter);
 
 #endif
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -306,38 +306,6 @@
 	    entry_request_is_repeatable(request);
 }
 
-/// Exchange callback: the answer is complete.
-static void
-on_complete(void *owner)
-{
-	struct entry_request *request = entry_request_ref(owner);
-
-	request->exchange = NULL;
-	if (request->is_stream &&
-	    event_splitter_pending_len(&request->splitter) > 0) {
-		/* The last event isn't followed by an empty line. */
-		start_response(request);
-		http_call_write_body(request->call,
-		    request->splitter.pending->str,
-		    request->splitter.pending->len);
-	}
-	if (request->is_stream && request->output_series != NULL)
-		estimate_add_sample(request->output_series,
-		    entry_request_count_output_tokens(request));
-	record_result(request,
-	    request->answer_head.status >= 500 ? OUTLIER_ERROR
-					       : OUTLIER_SERVED);
-	if (!request->response_started && is_retryable_error(request) &&
-	    acquire_retry(request)) {
-		entry_request_cancel_exchange(request);
-		g_string_truncate(request->answer_body, 0);
-		entry_request_place(request);
-	} else {
-		finish_response(request);
-	}
-	entry_request_unref(request);
-}
-
 /// Retries, refuses or fails a request after an attempt without a complete
 /// answer that can't be continued as a stream.
 static void
@@ -403,6 +371,56 @@
 	entry_request_unref(request);
 }
 
+/// Checks whether a stream whose message is complete was broken off: it ends
+/// within an event, or it has no event and nothing but the end of the
+/// connection marks its end.
+static bool
+is_stream_broken_off(const struct entry_request *request)
+{
+	if (!request->is_stream)
+		return false;
+	return event_splitter_is_within_event(&request->splitter) ||
+	    (request->events_sent == 0 &&
+		exchange_ends_with_connection(request->exchange));
+}
+
+/// Exchange callback: the answer is complete.
+static void
+on_complete(void *owner)
+{
+	struct entry_request *request = entry_request_ref(owner);
+
+	if (is_stream_broken_off(request)) {
+		on_failed(request, EXCHANGE_CUT);
+		entry_request_unref(request);
+		return;
+	}
+	request->exchange = NULL;
+	if (request->is_stream &&
+	    event_splitter_pending_len(&request->splitter) > 0) {
+		/* Empty lines after the last event. */
+		start_response(request);
+		http_call_write_body(request->call,
+		    request->splitter.pending->str,
+		    request->splitter.pending->len);
+	}
+	if (request->is_stream && request->output_series != NULL)
+		estimate_add_sample(request->output_series,
+		    entry_request_count_output_tokens(request));
+	record_result(request,
+	    request->answer_head.status >= 500 ? OUTLIER_ERROR
+					       : OUTLIER_SERVED);
+	if (!request->response_started && is_retryable_error(request) &&
+	    acquire_retry(request)) {
+		entry_request_cancel_exchange(request);
+		g_string_truncate(request->answer_body, 0);
+		entry_request_place(request);
+	} else {
+		finish_response(request);
+	}
+	entry_request_unref(request);
+}
+
 /// @return the callbacks for an exchange that sends a request to an upstream;
 ///         the exchange's owner must be the struct entry_request
 const struct exchange_vtable *
--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -315,6 +315,17 @@
 	    conn_sent_bytes(exchange->conn) > 0;
 }
 
+/// Checks whether only the end of the connection marks the end of the response.
+///
+/// @param exchange  an exchange whose response's head has arrived; the call is
+///                  still allowed in the callback `complete`
+/// @return whether the response has neither a length nor chunks
+bool
+exchange_ends_with_connection(const struct exchange *exchange)
+{
+	return exchange->reader.ends_at_eof;
+}
+
 /// Pauses or resumes reading the response.
 ///
 /// @param exchange  an exchange
--- a/src/godwitvale/http/exchange.h
+++ b/src/godwitvale/http/exchange.h
@@ -47,6 +47,7 @@
 struct exchange *exchange_start(const struct exchange_options *options);
 void exchange_cancel(struct exchange *exchange);
 void exchange_set_paused(struct exchange *exchange, bool paused);
+bool exchange_ends_with_connection(const struct exchange *exchange);
 bool exchange_may_have_sent(const struct exchange *exchange);
 
 const char *exchange_failure_name(enum exchange_failure failure);
--- a/test/site/main.c
+++ b/test/site/main.c
@@ -1,6 +1,7 @@
 /*
  * Main program of the simulated platform for functional tests.
  * Usage: site STORE_PORT [ID,SERVICE,ZONE,PORT[,ANNOUNCED_PORT]]...
+ * A worker whose specification begins with "raw:" writes raw answers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,6 +52,7 @@
 {
 	struct site_state site = {
 	    .workers = g_hash_table_new(g_str_hash, g_str_equal),
+	    .raw_workers = g_hash_table_new(g_str_hash, g_str_equal),
 	    .copies =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
 	    .runs =
@@ -66,9 +68,15 @@
 	site.store = site_store_new(&site, (uint16_t)atoi(argv[1]));
 	if (site.store == NULL)
 		return 69;
-	for (int i = 2; i < argc; i++)
-		if (worker_new(&site, argv[i]) == NULL)
+	for (int i = 2; i < argc; i++) {
+		bool raw = g_str_has_prefix(argv[i], "raw:");
+
+		if (raw &&
+		    raw_worker_new(&site, argv[i] + strlen("raw:")) == NULL)
+			return 69;
+		if (!raw && worker_new(&site, argv[i]) == NULL)
 			return 69;
+	}
 	printf("ready\n");
 	fflush(stdout);
 	g_main_loop_run(g_main_loop_new(NULL, FALSE));
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -12,14 +12,16 @@
 #include "godwitvale/http/server.h"
 
 struct site_store;
+struct raw_worker;
 struct worker;
 
 /// State of the whole simulated platform.
 struct site_state {
 	struct site_store *store;
-	GHashTable *workers; /// id -> struct worker *
-	GHashTable *copies;  /// "HOLDER SOURCE/HANDLE" -> event count + 1
-	GHashTable *runs;    /// request id -> number of runs
+	GHashTable *workers;     /// id -> struct worker *
+	GHashTable *raw_workers; /// id -> struct raw_worker *
+	GHashTable *copies;      /// "HOLDER SOURCE/HANDLE" -> event count + 1
+	GHashTable *runs;        /// request id -> number of runs
 	/// Prompt segments, separated by commas, that crash an engine as it
 	/// begins to answer; NULL: none.
 	char *deadly_segments;
@@ -37,6 +39,9 @@
 const char *worker_address(const struct worker *worker);
 bool worker_is_running(const struct worker *worker);
 
+struct raw_worker *raw_worker_new(struct site_state *site, const char *spec);
+void raw_worker_set_mode(struct raw_worker *worker, const char *mode);
+
 void site_send_response(
     struct http_call *call, unsigned status, const char *body);
 char *site_get_query_field(const char *target, const char *name);
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -233,6 +233,7 @@
 	size_t len;
 	const char *body = http_call_body(call, &len);
 	char *value = g_strndup(body, len);
+	struct raw_worker *raw;
 	struct worker *worker;
 
 	if (strcmp(command, "put") == 0) {
@@ -252,7 +253,10 @@
 		g_snprintf(reply, sizeof(reply), "%u\n", store->call_count);
 	} else {
 		worker = g_hash_table_lookup(store->site->workers, name);
-		if (worker == NULL || parts[2] == NULL ||
+		raw = g_hash_table_lookup(store->site->raw_workers, name);
+		if (raw != NULL && parts[2] != NULL)
+			raw_worker_set_mode(raw, parts[2]);
+		else if (worker == NULL || parts[2] == NULL ||
 		    !worker_set_mode(worker, parts[2]))
 			g_strlcpy(reply, "unknown\n", sizeof(reply));
 	}
--- a/test/unit/event_splitter_test.c
+++ b/test/unit/event_splitter_test.c
@@ -87,6 +87,36 @@
 	g_string_free(trace, TRUE);
 }
 
+/// A stream that ends here was broken off, unless only empty lines are left.
+static void
+stream_ends_within_an_event(void **state)
+{
+	static const struct {
+		const char *text;
+		bool within;
+	} rows[] = {
+	    {"", false},
+	    {"id: 7\ndata: x\n\n", false},
+	    {"id: 7\ndata: x\n\n\r\n\n", false},
+	    {"id: 7\ndata: x\n\ni", true},
+	    {"id: 7\ndata: x\n", true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		GString *trace = g_string_new(NULL);
+		struct event_splitter splitter;
+
+		event_splitter_init(&splitter);
+		event_splitter_feed(&splitter, rows[i].text,
+		    strlen(rows[i].text), on_event, trace);
+		assert_int_equal(
+		    event_splitter_is_within_event(&splitter), rows[i].within);
+		event_splitter_clear(&splitter);
+		g_string_free(trace, TRUE);
+	}
+}
+
 static void
 an_event_over_the_length_limit_is_an_error(void **state)
 {
@@ -112,6 +142,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(only_complete_events_are_handled),
 	    cmocka_unit_test(reset_discards_an_incomplete_event),
+	    cmocka_unit_test(stream_ends_within_an_event),
 	    cmocka_unit_test(an_event_over_the_length_limit_is_an_error),
 	};
 
