--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -137,6 +137,19 @@
 	continuation_handle_refusal(request, "resume-failed");
 }
 
+/// Notes the limit that an upstream names in an answer, or that it names none.
+static void
+note_limit(struct entry_request *request, const struct site_answer *info)
+{
+	if (info->limit == SITE_LIMIT_UNREADABLE)
+		log_event(LOG_LEVEL_WARN, "upstream-limit-unreadable",
+		    "id=%s upstream=%s outcome=ignored", request->params.id,
+		    request->target.id);
+	else
+		request->named_limit =
+		    info->limit == SITE_LIMIT_NAMED ? info->rate_limit : -1;
+}
+
 /// Exchange callback: the head of an answer has arrived.
 static void
 on_head(void *owner, const struct http_head *head)
@@ -145,6 +158,7 @@
 	struct site_answer info;
 
 	request->entry->site->read_answer(head, &info);
+	note_limit(request, &info);
 	if (info.not_run) {
 		handle_upstream_refusal(request, &info);
 		goto out;
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -222,7 +222,8 @@
 	    "id=%s route=%s upstream=%s status=%u outcome=%s verdict=%s "
 	    "attempts=%u handovers=%u events=%u last_event=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d",
+	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d "
+	    "limit=%.2f",
 	    request->params.id == NULL ? "-" : request->params.id,
 	    request->route == NULL ? "-" : request->route->name,
 	    request->target.id == NULL ? "-" : request->target.id, status,
@@ -235,7 +236,7 @@
 	    request->longest_gap / USEC_PER_MSEC,
 	    (now - request->arrived_at) / USEC_PER_MSEC,
 	    request->params.prompt_tokens, request->params.max_output_tokens,
-	    request->params.output_hint);
+	    request->params.output_hint, request->named_limit);
 }
 
 /// Records the outcome and the times of a request that has ended.
@@ -714,6 +715,7 @@
 	/* The call's head is freed before the last log line is written. */
 	request->params.id = g_strdup(request->params.id);
 	request->last_event_id = request->params.last_event;
+	request->named_limit = -1;
 	continuation_init(request);
 	g_hash_table_add(entry->requests, request);
 	http_call_on_disconnect(call, on_caller_disconnected, request);
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -53,7 +53,8 @@
 	usec_t longest_gap; /// between two consecutive events
 	unsigned events_sent;
 	unsigned events_of_attempt; /// since the request was last sent
-	bool answer_began; /// a head has arrived since it was last sent
+	bool answer_began;  /// a head has arrived since it was last sent
+	double named_limit; /// limit that the last head named; negative: none
 
 	/* Handover to another upstream. */
 	unsigned handovers;
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -76,12 +76,23 @@
 	const char *backup;       /// upstream that keeps a copy; NULL: none
 };
 
+/// What an answer says of a limit on its upstream's requests.
+enum site_limit {
+	SITE_LIMIT_NONE = 0, /// names none, so none is in force
+	SITE_LIMIT_NAMED,
+	SITE_LIMIT_UNREADABLE, /// names something that isn't a number
+};
+
 /// Fields in the head of an upstream's answer.
 struct site_answer {
 	bool not_run; /// the upstream hasn't run the request and won't run it
 	bool misdirected; /// another upstream uses the address now
 	bool is_signed;   /// has the field that shows that an upstream sent it
 	bool is_stream;
+	enum site_limit limit;
+	/// Requests a second that the upstream takes from all instances
+	/// together; valid with SITE_LIMIT_NAMED.
+	double rate_limit;
 };
 
 /// Outcome of a request to copy a generation to another upstream.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -318,6 +318,46 @@
 	}
 }
 
+static void
+limits_that_upstreams_name_are_read(void **state)
+{
+	static const struct {
+		const char *text;
+		enum site_limit limit;
+		double rate;
+	} rows[] = {
+	    {NULL, SITE_LIMIT_NONE, 0},
+	    {"6.5", SITE_LIMIT_NAMED, 6.5},
+	    {"0", SITE_LIMIT_NAMED, 0},
+	    {"0.25", SITE_LIMIT_NAMED, 0.25},
+	    {"1000000000", SITE_LIMIT_NAMED, 1e9},
+	    {"", SITE_LIMIT_UNREADABLE, 0},
+	    {"-1", SITE_LIMIT_UNREADABLE, 0},
+	    {"inf", SITE_LIMIT_UNREADABLE, 0},
+	    {"nan", SITE_LIMIT_UNREADABLE, 0},
+	    {"0x10", SITE_LIMIT_UNREADABLE, 0},
+	    {"1e9", SITE_LIMIT_UNREADABLE, 0},
+	    {"5, 7", SITE_LIMIT_UNREADABLE, 0},
+	    {"1.2.3", SITE_LIMIT_UNREADABLE, 0},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct site_answer answer;
+		struct http_head head;
+
+		http_head_init(&head);
+		head.status = 200;
+		if (rows[i].text != NULL)
+			http_head_add(&head, "Server-Limit", rows[i].text);
+		platform_read_answer(&head, &answer);
+		assert_int_equal(answer.limit, rows[i].limit);
+		if (rows[i].limit == SITE_LIMIT_NAMED)
+			assert_true(answer.rate_limit == rows[i].rate);
+		http_head_clear(&head);
+	}
+}
+
 static void
 copy_requests_are_translated(void **state)
 {
@@ -390,6 +430,7 @@
 	    cmocka_unit_test(shared_segments_of_a_prompt_are_read),
 	    cmocka_unit_test(malformed_request_fields_are_tolerated),
 	    cmocka_unit_test(response_heads_are_classified),
+	    cmocka_unit_test(limits_that_upstreams_name_are_read),
 	    cmocka_unit_test(copy_requests_are_translated),
 	    cmocka_unit_test(reports_state_departure_time),
 	};
