Quarantine: a crash that was forgotten isn't learnt again

Change: a crash is learnt only in the first half of its lifetime. Test: quarantine_test, forgotten_crash_is_learnt_again; failed before.

--- a/src/godwitvale/core/quarantine.c
+++ b/src/godwitvale/core/quarantine.c
@@ -16,6 +16,10 @@
 #define QUARANTINE_CRASH_SPACING (250 * USEC_PER_MSEC)
 /// A crash is forgotten after this time.
 #define QUARANTINE_CRASH_TTL (60 * 60 * USEC_PER_SEC)
+/// A crash that isn't known is taken over only if it isn't older than this. It
+/// is less than QUARANTINE_CRASH_TTL, so that a crash that was forgotten here
+/// isn't learnt again from an instance that forgets it next.
+#define QUARANTINE_NEWS_TTL (QUARANTINE_CRASH_TTL / 2)
 /// A crash whose segments were all answered since is kept for this long, until
 /// the other instances have learnt of the answers.
 #define QUARANTINE_REFUTED_TTL (60 * USEC_PER_SEC)
@@ -381,7 +385,8 @@
 /// @param quarantine  evidence to add to
 /// @param now         current time
 /// @param crash       the crash; copied
-/// @return false if the crash was known, or its request had no segments
+/// @return false if the crash was known or is old, or its request had no
+///         segments
 bool
 quarantine_add_crash(struct quarantine *quarantine, usec_t now,
     const struct quarantine_crash *crash)
@@ -389,7 +394,7 @@
 	size_t at = quarantine->n_crashes;
 	struct segment_set segments = crash->segments;
 
-	if (crash->segments.n == 0 || crash->at + QUARANTINE_CRASH_TTL <= now)
+	if (crash->segments.n == 0 || now > crash->at + QUARANTINE_NEWS_TTL)
 		return false;
 	for (size_t i = 0; i < quarantine->n_crashes; i++)
 		if (quarantine->crashes[i].id == crash->id)
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -331,6 +331,38 @@
 	instance_stop(&instance);
 }
 
+/// Instances forget a crash at slightly different times; the one that forgets
+/// it later must not bring it back.
+static void
+forgotten_crash_is_learnt_again(void **state)
+{
+	struct instance a;
+	struct instance b;
+	struct quarantine_crash crashes[QUARANTINE_CRASHES_MAX];
+	usec_t now = START;
+
+	(void)state;
+	instance_start(&a);
+	instance_start(&b);
+	crash(&a, START, 1, COMMON, DEADLY, 0);
+	for (unsigned i = 0; i < 2 * 3700 * 5; i++) {
+		struct instance *from = i % 2 == 0 ? &a : &b;
+		struct instance *to = i % 2 == 0 ? &b : &a;
+
+		send_evidence(from, to, now, 100 * USEC_PER_MSEC);
+		now += 100 * USEC_PER_MSEC;
+		quarantine_tick(from->quarantine, now);
+	}
+	assert_int_equal(quarantine_list_crashes(
+			     a.quarantine, crashes, QUARANTINE_CRASHES_MAX),
+	    0);
+	assert_int_equal(quarantine_list_crashes(
+			     b.quarantine, crashes, QUARANTINE_CRASHES_MAX),
+	    0);
+	instance_stop(&a);
+	instance_stop(&b);
+}
+
 /// Each instance sees one crash. Two that can't reach each other learn through
 /// a third; one that starts later learns all.
 static void
@@ -431,6 +463,7 @@
 	    cmocka_unit_test(verdict_is_tried_a_few_times),
 	    cmocka_unit_test(wrong_verdict_is_lifted_by_an_answer),
 	    cmocka_unit_test(idle_verdict_expires),
+	    cmocka_unit_test(forgotten_crash_is_learnt_again),
 	    cmocka_unit_test(each_instance_sees_one_crash_only),
 	    cmocka_unit_test(passing_evidence_on_makes_it_newer),
 	    cmocka_unit_test(evidence_is_bounded),
