Instances keep the limits that upstreams name

Cause: the limit of an answer was read by nobody; requests were placed by load, health and warm-up alone. Ruled out: a share per instance that adds up, and bursts after quiet spells; the counts per upstream don't change when the limit comes.

About as many instances as the limit allows requests a second use the upstream, chosen by rendezvous hashing, each with a small token bucket. Limits and their end are sent to all instances at once and passed on with heartbeats. A request for which no permit comes while it may wait is refused at once, with a time to retry.

--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -274,18 +274,18 @@
 	return newest;
 }
 
-/// Checks whether this instance is the one that performs a task which only one
-/// instance may perform: the live instance with the highest rendezvous hash.
-/// The instances on the two sides of a network partition may each have an
-/// owner.
+/// Returns the rank of this instance for a task that only some instances may
+/// perform, by rendezvous hashing. Instances that see the same members agree on
+/// the ranks; the two sides of a network partition each have their own.
 ///
 /// @param membership  membership to query
 /// @param task        number of the task
-/// @return whether no other live instance that isn't leaving ranks higher
-bool
-membership_owns_task(const struct membership *membership, uint64_t task)
+/// @return number of live instances that rank higher and aren't leaving
+unsigned
+membership_task_rank(const struct membership *membership, uint64_t task)
 {
-	uint64_t own_rank = hash_pair(hash_name(membership->own_name), task);
+	uint64_t own = hash_pair(hash_name(membership->own_name), task);
+	unsigned rank = 0;
 	GHashTableIter iter;
 	void *value;
 
@@ -294,10 +294,10 @@
 		const struct member *member = value;
 
 		if (!member->leaving &&
-		    hash_pair(member->name_hash, task) > own_rank)
-			return false;
+		    hash_pair(member->name_hash, task) > own)
+			rank++;
 	}
-	return true;
+	return rank;
 }
 
 /// @param membership  membership to list
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -81,7 +81,8 @@
     const struct membership *membership, const char *name);
 const struct member *membership_find_newest_config(
     const struct membership *membership);
-bool membership_owns_task(const struct membership *membership, uint64_t task);
+unsigned membership_task_rank(
+    const struct membership *membership, uint64_t task);
 GPtrArray *membership_list(const struct membership *membership);
 
 #endif
--- a/src/godwitvale/core/retry_after.c
+++ b/src/godwitvale/core/retry_after.c
@@ -10,6 +10,9 @@
 /// Retry time, before jitter, while no upstream is usable. A lost upstream is
 /// replaced, or a failed upstream is back, within a few of these spans.
 #define RETRY_AFTER_NO_UPSTREAM_SPAN (500 * USEC_PER_MSEC)
+/// Retry time, before jitter, while the limits that all upstreams have named
+/// are used up. They are given in requests a second.
+#define RETRY_AFTER_LIMITED_SPAN (1 * USEC_PER_SEC)
 /// Retry time, before jitter, of a request in quarantine. A quarantine that
 /// turns out to be wrong is lifted after about this time.
 #define RETRY_AFTER_QUARANTINE_SPAN (30 * USEC_PER_SEC)
@@ -41,6 +44,9 @@
 		/* Nothing is gained by an earlier return of the caller. */
 		return (usec_t)((double)RETRY_AFTER_QUARANTINE_SPAN *
 		    (0.5 + jitter));
+	case RETRY_AFTER_LIMITED:
+		span = RETRY_AFTER_LIMITED_SPAN;
+		break;
 	case RETRY_AFTER_NO_UPSTREAM:
 		span = RETRY_AFTER_NO_UPSTREAM_SPAN;
 		break;
--- a/src/godwitvale/core/retry_after.h
+++ b/src/godwitvale/core/retry_after.h
@@ -19,6 +19,8 @@
 	RETRY_AFTER_LEAVING,
 	/// this instance hasn't read its data from the store yet
 	RETRY_AFTER_STARTING,
+	/// all upstreams have named limits, which are used up
+	RETRY_AFTER_LIMITED,
 	/// requests like this one have crashed upstreams
 	RETRY_AFTER_QUARANTINED,
 };
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -137,17 +137,24 @@
 	continuation_handle_refusal(request, "resume-failed");
 }
 
-/// Notes the limit that an upstream names in an answer, or that it names none.
+/// Notes the limit that an upstream names in an answer, or that it names none,
+/// and tells the other instances if this is new.
 static void
 note_limit(struct entry_request *request, const struct site_answer *info)
 {
-	if (info->limit == SITE_LIMIT_UNREADABLE)
+	struct entry *entry = request->entry;
+
+	if (info->limit == SITE_LIMIT_UNREADABLE) {
 		log_event(LOG_LEVEL_WARN, "upstream-limit-unreadable",
 		    "id=%s upstream=%s outcome=ignored", request->params.id,
 		    request->target.id);
-	else
-		request->named_limit =
-		    info->limit == SITE_LIMIT_NAMED ? info->rate_limit : -1;
+		return;
+	}
+	request->named_limit =
+	    info->limit == SITE_LIMIT_NAMED ? info->rate_limit : -1;
+	if (dispatch_set_limit(entry->dispatch, &request->target,
+		request->named_limit) != RATE_LIMIT_SAME)
+		peers_send_limits(entry->peers);
 }
 
 /// Exchange callback: the head of an answer has arrived.
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -268,6 +268,7 @@
 	to->address = g_strdup(from->address);
 	to->zone = g_strdup(from->zone);
 	to->key = from->key;
+	to->incarnation_key = from->incarnation_key;
 }
 
 /// Chooses a target for the first copy and requests the copy.
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -112,6 +112,13 @@
 	return health;
 }
 
+/// @return hash of an upstream's id and incarnation
+static uint64_t
+get_incarnation_key(const struct upstream_entry *entry)
+{
+	return hash_pair(hash_name(entry->id), (uint64_t)entry->incarnation);
+}
+
 /// Handles a change of an upstream in the directory.
 ///
 /// @param dispatch  holds the health of the upstream
@@ -130,6 +137,8 @@
 		health->leaving = false;
 	if (change == DIRECTORY_REMOVED || change == DIRECTORY_RESTARTED) {
 		g_hash_table_remove(dispatch->health_by_upstream, &key);
+		rate_limits_forget(dispatch->options.rate_limits,
+		    get_incarnation_key(&record->entry));
 		pool_close_idle(dispatch->options.pool, record->entry.address);
 	}
 }
@@ -220,6 +229,16 @@
 	return interval;
 }
 
+/// Returns when this instance may send a request to an upstream that may have
+/// named a limit.
+static usec_t
+next_permit_at(const struct dispatch *dispatch, usec_t now,
+    const struct upstream_record *record)
+{
+	return rate_limits_next_permit(dispatch->options.rate_limits, now,
+	    get_incarnation_key(&record->entry), dispatch->options.membership);
+}
+
 /// Fills in one candidate: its load, penalties, and whether it is excluded.
 static void
 fill_candidate(struct dispatch *dispatch, usec_t now,
@@ -254,6 +273,7 @@
 	candidate->excluded = was_tried(request, hash_name(record->entry.id)) ||
 	    now < health->full_until ||
 	    (cold && !fleet_share_has_permit(&health->cold_share, now)) ||
+	    next_permit_at(dispatch, now, record) > now ||
 	    are_connections_used_up(dispatch, service, record->entry.address);
 }
 
@@ -362,6 +382,9 @@
 
 		if (service->cold_rate > 0 && is_cold(dispatch, now, record))
 			fleet_share_take_permit(&health->cold_share, now);
+		target->incarnation_key = get_incarnation_key(&record->entry);
+		rate_limits_take_permit(dispatch->options.rate_limits, now,
+		    target->incarnation_key);
 		target->id = g_strdup(record->entry.id);
 		target->address = g_strdup(record->entry.address);
 		target->zone = g_strdup(record->entry.zone);
@@ -372,6 +395,37 @@
 	return outcome;
 }
 
+/// Returns when this instance may send a request to an upstream that hasn't got
+/// it yet, as far as the limits that upstreams have named decide.
+///
+/// @param dispatch  provides the candidates
+/// @param request   a request for which there is no upstream now
+/// @return current time if the limits aren't the reason; USEC_NEVER if other
+///         instances use up all limits
+usec_t
+dispatch_next_permit(
+    struct dispatch *dispatch, const struct dispatch_request *request)
+{
+	const GPtrArray *records = directory_get_service_records(
+	    view_directory(dispatch->options.view), request->service);
+	usec_t now = g_get_monotonic_time();
+	usec_t earliest = USEC_NEVER;
+	bool found = false;
+
+	for (guint i = 0; records != NULL && i < records->len; i++) {
+		const struct upstream_record *record = records->pdata[i];
+		uint64_t key = hash_name(record->entry.id);
+
+		if (!is_in_service(
+			dispatch, record, get_health(dispatch, key)) ||
+		    was_tried(request, key))
+			continue;
+		found = true;
+		earliest = MIN(earliest, next_permit_at(dispatch, now, record));
+	}
+	return found ? earliest : now;
+}
+
 /// Frees the strings of a target and resets it.
 ///
 /// @param target  may be empty
@@ -382,6 +436,7 @@
 	g_clear_pointer(&target->address, g_free);
 	g_clear_pointer(&target->zone, g_free);
 	target->key = 0;
+	target->incarnation_key = 0;
 }
 
 /// Returns the token bucket of this instance's permits for retries to a
@@ -484,6 +539,71 @@
 		    g_get_monotonic_time() + DISPATCH_FULL_BACKOFF;
 }
 
+/// Finds the name of an upstream.
+///
+/// @return its id, or "-" if it isn't in the directory
+static const char *
+find_upstream_id(struct dispatch *dispatch, uint64_t incarnation_key)
+{
+	GPtrArray *records =
+	    directory_list_records(view_directory(dispatch->options.view));
+	const char *id = "-";
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct upstream_record *record = records->pdata[i];
+
+		if (get_incarnation_key(&record->entry) == incarnation_key)
+			id = record->entry.id;
+	}
+	g_ptr_array_unref(records);
+	return id;
+}
+
+/// Logs that an upstream has named a limit, or that it has none any more.
+///
+/// @param dispatch   knows the upstreams' ids
+/// @param change     how the statement changes what was known
+/// @param statement  what the upstream has said
+/// @param source     who heard it, in one word
+void
+dispatch_log_limit_change(struct dispatch *dispatch,
+    enum rate_limit_change change, const struct rate_limit_statement *statement,
+    const char *source)
+{
+	const char *name = change == RATE_LIMIT_LIFTED ? "upstream-limit-lifted"
+						       : "upstream-limit-named";
+
+	series_add(&entry_metric_upstream_changes, name, NULL, 1);
+	log_event(LOG_LEVEL_INFO, name,
+	    "upstream=%s limit=%.2f source=%s age_ms=%" G_GINT64_FORMAT,
+	    find_upstream_id(dispatch, statement->upstream), statement->rate,
+	    source, (g_get_monotonic_time() - statement->at) / USEC_PER_MSEC);
+}
+
+/// Records the limit that an upstream has named in an answer.
+///
+/// @param dispatch  knows the limits
+/// @param target    the upstream
+/// @param rate      requests a second from all instances; negative: none
+/// @return whether the other instances must learn of it at once
+enum rate_limit_change
+dispatch_set_limit(struct dispatch *dispatch,
+    const struct dispatch_target *target, double rate)
+{
+	const struct rate_limit_statement statement = {
+	    .upstream = target->incarnation_key,
+	    .rate = rate,
+	    .at = g_get_monotonic_time(),
+	};
+	enum rate_limit_change change =
+	    rate_limits_hear(dispatch->options.rate_limits, &statement);
+
+	if (change != RATE_LIMIT_SAME)
+		dispatch_log_limit_change(
+		    dispatch, change, &statement, "answer");
+	return change;
+}
+
 /// Records that another upstream has an upstream's address now. The upstream
 /// gets no more requests, and the connections to its address are dropped.
 ///
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -10,6 +10,7 @@
 #include "godwitvale/core/membership.h"
 #include "godwitvale/core/outlier.h"
 #include "godwitvale/core/placement.h"
+#include "godwitvale/core/rate_limits.h"
 #include "godwitvale/entry/entry_settings.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
@@ -24,7 +25,8 @@
 	char *id;
 	char *address;
 	char *zone;
-	uint64_t key; /// hash of the id
+	uint64_t key;             /// hash of the id
+	uint64_t incarnation_key; /// hash of the id and the incarnation
 };
 
 /// A request to be placed.
@@ -41,6 +43,7 @@
 	const struct entry_settings *settings;
 	struct view *view;
 	struct loads *loads;
+	struct rate_limits *rate_limits;
 	struct pool *pool;
 	struct membership *membership;
 };
@@ -51,6 +54,8 @@
     enum directory_change change, const struct upstream_record *record);
 enum place_outcome dispatch_place(struct dispatch *dispatch,
     const struct dispatch_request *request, struct dispatch_target *target);
+usec_t dispatch_next_permit(
+    struct dispatch *dispatch, const struct dispatch_request *request);
 void dispatch_target_clear(struct dispatch_target *target);
 void dispatch_record_first_request(
     struct dispatch *dispatch, const char *service);
@@ -62,6 +67,11 @@
 void dispatch_set_misdirected(
     struct dispatch *dispatch, const struct dispatch_target *target);
 bool dispatch_set_leaving(struct dispatch *dispatch, const char *id);
+enum rate_limit_change dispatch_set_limit(struct dispatch *dispatch,
+    const struct dispatch_target *target, double rate);
+void dispatch_log_limit_change(struct dispatch *dispatch,
+    enum rate_limit_change change, const struct rate_limit_statement *statement,
+    const char *source);
 bool dispatch_is_leaving(
     const struct dispatch *dispatch, const struct dispatch_target *target);
 size_t dispatch_list_unreachable(
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -262,12 +262,29 @@
 		dispatch_set_suspect(entry->dispatch, upstream);
 }
 
+/// Peers callback: an upstream has told another instance of a limit, or that it
+/// has none any more.
+static void
+on_limit_reported(void *owner, enum rate_limit_change change,
+    const struct rate_limit_statement *statement)
+{
+	struct entry *entry = owner;
+
+	if (entry->dispatch == NULL)
+		return;
+	dispatch_log_limit_change(
+	    entry->dispatch, change, statement, "another-instance");
+	if (change == RATE_LIMIT_LIFTED)
+		entry_schedule_placement(entry);
+}
+
 static const struct peers_vtable peers_vtable = {
     .is_store_reachable = can_reach_store,
     .peer_reached_store = on_store_reached_by_peer,
     .loads_changed = on_loads_changed,
     .list_unreachable = list_unreachable,
     .unreachable_reported = on_unreachable_reported,
+    .limit_reported = on_limit_reported,
 };
 
 /// @return CLOCK_BOOTTIME minus the monotonic clock, in microseconds. It grows
@@ -329,6 +346,7 @@
 	view_tick(entry->view, now);
 	reports_tick(entry->reports, now);
 	segment_guard_tick(entry->guard, now);
+	rate_limits_tick(entry->rate_limits, now);
 	pool_expire_idle(entry->pool, now);
 	entry_request_place_waiting(entry);
 	check_leaving(entry, now);
@@ -417,6 +435,7 @@
 	    .view = entry->view,
 	    .loads = entry->loads,
 	    .quarantine = segment_guard_quarantine(entry->guard),
+	    .rate_limits = entry->rate_limits,
 	    .pool = entry->pool,
 	};
 
@@ -432,6 +451,7 @@
 	    .settings = entry->settings,
 	    .view = entry->view,
 	    .loads = entry->loads,
+	    .rate_limits = entry->rate_limits,
 	    .pool = entry->pool,
 	    .membership = peers_membership(entry->peers),
 	};
@@ -462,6 +482,7 @@
 	entry->loop = g_main_loop_new(NULL, false);
 	entry->pool = pool_new();
 	entry->loads = loads_new();
+	entry->rate_limits = rate_limits_new();
 	entry->waiting = wait_queue_new();
 	entry->estimate = estimate_new();
 	entry->requests = g_hash_table_new(NULL, NULL);
@@ -504,6 +525,7 @@
 	g_clear_pointer(&entry->requests, g_hash_table_unref);
 	g_clear_pointer(&entry->departing, g_hash_table_unref);
 	g_clear_pointer(&entry->loads, loads_free);
+	g_clear_pointer(&entry->rate_limits, rate_limits_free);
 	g_clear_pointer(&entry->loop, g_main_loop_unref);
 }
 
--- a/src/godwitvale/entry/entry_defs.h
+++ b/src/godwitvale/entry/entry_defs.h
@@ -20,6 +20,7 @@
 	GMainLoop *loop;
 	struct pool *pool;
 	struct loads *loads;
+	struct rate_limits *rate_limits;
 	struct view *view;
 	struct peers *peers;
 	struct store *store;
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -502,6 +502,16 @@
 	    (request->route->kind == ROUTE_STREAM && request->route->resumable);
 }
 
+/// @return time until which a request that begins to wait now may wait for
+///         capacity
+static usec_t
+get_wait_deadline(const struct entry_request *request)
+{
+	return MIN(request->deadline,
+	    g_get_monotonic_time() +
+		request->route->target_latency / ENTRY_REQUEST_WAIT_DIVISOR);
+}
+
 /// Adds a request to the queue of those that wait for capacity.
 static void
 enqueue_request(struct entry_request *request)
@@ -514,10 +524,7 @@
 	    .priority = organisation != NULL && organisation->priority >= 0
 		? (uint32_t)organisation->priority
 		: request->route->priority,
-	    .deadline = MIN(request->deadline,
-		now +
-		    request->route->target_latency /
-			ENTRY_REQUEST_WAIT_DIVISOR),
+	    .deadline = get_wait_deadline(request),
 	};
 
 	if (request->is_waiting)
@@ -571,18 +578,36 @@
 	entry_request_send(request, &continuation);
 }
 
-/// Tries to place a request, and sends it if an upstream has capacity.
-///
-/// @return PLACE_FOUND if it was sent
-static enum place_outcome
-try_place(struct entry_request *request)
+/// @return the request, as placement needs it
+static struct dispatch_request
+make_dispatch_request(const struct entry_request *request)
 {
-	const struct dispatch_request wanted = {
+	return (struct dispatch_request){
 	    .service = request->service,
 	    .place = entry_request_make_place_request(request),
 	    .tried = request->tried,
 	    .n_tried = request->n_tried,
 	};
+}
+
+/// Checks whether all upstreams have named limits that leave no room for a
+/// request for as long as it may wait.
+static bool
+is_wait_hopeless(const struct entry_request *request)
+{
+	const struct dispatch_request wanted = make_dispatch_request(request);
+
+	return dispatch_next_permit(request->entry->dispatch, &wanted) >
+	    get_wait_deadline(request);
+}
+
+/// Tries to place a request, and sends it if an upstream has capacity.
+///
+/// @return PLACE_FOUND if it was sent
+static enum place_outcome
+try_place(struct entry_request *request)
+{
+	const struct dispatch_request wanted = make_dispatch_request(request);
 	enum place_outcome outcome;
 
 	dispatch_target_clear(&request->target);
@@ -608,7 +633,11 @@
 	case PLACE_FOUND:
 		break;
 	case PLACE_FULL:
-		enqueue_request(request);
+		if (is_wait_hopeless(request))
+			entry_request_refuse(
+			    request, RETRY_AFTER_LIMITED, "upstreams-limited");
+		else
+			enqueue_request(request);
 		break;
 	default:
 		entry_request_refuse(
--- a/src/godwitvale/entry/segment_guard.c
+++ b/src/godwitvale/entry/segment_guard.c
@@ -150,8 +150,8 @@
 	if (now < verdict->trial_at)
 		return false;
 	turn = (uint64_t)((now - verdict->trial_at) / SEGMENT_GUARD_TRIAL_TURN);
-	return membership_owns_task(peers_membership(guard->entry->peers),
-	    hash_pair(quarantine_verdict_key(verdict), turn));
+	return membership_task_rank(peers_membership(guard->entry->peers),
+		   hash_pair(quarantine_verdict_key(verdict), turn)) == 0;
 }
 
 /// Checks whether a request may be sent to an engine.
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -12,6 +12,7 @@
 const FLEET_CRASHES = 16;
 const FLEET_SOUND = 32;
 const FLEET_VERDICTS = 8;
+const FLEET_LIMITS_MAX = 64;
 const FLEET_ITEMS = 4096;
 const FLEET_VALUE_BYTES = 1048576;
 
@@ -96,11 +97,24 @@
 	fleet_crash crashes<FLEET_CRASHES>;
 };
 
+/* Limit that an upstream has named, or that it has none any more. */
+struct fleet_limit {
+	unsigned hyper upstream; /* hash of its id and incarnation */
+	unsigned int millirate; /* requests in 1000 s; FLEET_NO_LIMIT: none */
+	unsigned int age_ms;
+};
+const FLEET_NO_LIMIT = 0xffffffff;
+
+struct fleet_limits {
+	fleet_limit limits<FLEET_LIMITS_MAX>;
+};
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
 	FLEET_WORK = 3,
-	FLEET_EVIDENCE = 4
+	FLEET_EVIDENCE = 4,
+	FLEET_LIMITS = 5
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -112,6 +126,8 @@
 	fleet_work work;
 case FLEET_EVIDENCE:
 	fleet_evidence evidence;
+case FLEET_LIMITS:
+	fleet_limits limits;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -226,6 +226,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_limit (XDR *xdrs, fleet_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millirate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_limits (XDR *xdrs, fleet_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
+		sizeof (fleet_limit), (xdrproc_t) xdr_fleet_limit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_kind (XDR *xdrs, fleet_kind *objp)
 {
@@ -260,6 +285,10 @@
 		 if (!xdr_fleet_evidence (xdrs, &objp->fleet_message_u.evidence))
 			 return FALSE;
 		break;
+	case FLEET_LIMITS:
+		 if (!xdr_fleet_limits (xdrs, &objp->fleet_message_u.limits))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -22,6 +22,7 @@
 #define FLEET_CRASHES 16
 #define FLEET_SOUND 32
 #define FLEET_VERDICTS 8
+#define FLEET_LIMITS_MAX 64
 #define FLEET_ITEMS 4096
 #define FLEET_VALUE_BYTES 1048576
 
@@ -139,11 +140,28 @@
 };
 typedef struct fleet_evidence fleet_evidence;
 
+struct fleet_limit {
+	u_quad_t upstream;
+	u_int millirate;
+	u_int age_ms;
+};
+typedef struct fleet_limit fleet_limit;
+#define FLEET_NO_LIMIT 0xffffffff
+
+struct fleet_limits {
+	struct {
+		u_int limits_len;
+		fleet_limit *limits_val;
+	} limits;
+};
+typedef struct fleet_limits fleet_limits;
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
 	FLEET_WORK = 3,
 	FLEET_EVIDENCE = 4,
+	FLEET_LIMITS = 5,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -154,6 +172,7 @@
 		fleet_news news;
 		fleet_work work;
 		fleet_evidence evidence;
+		fleet_limits limits;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -180,6 +199,8 @@
 extern  bool_t xdr_fleet_sound (XDR *, fleet_sound*);
 extern  bool_t xdr_fleet_verdict (XDR *, fleet_verdict*);
 extern  bool_t xdr_fleet_evidence (XDR *, fleet_evidence*);
+extern  bool_t xdr_fleet_limit (XDR *, fleet_limit*);
+extern  bool_t xdr_fleet_limits (XDR *, fleet_limits*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_message (XDR *, fleet_message*);
 extern  bool_t xdr_fleet_snapshot (XDR *, fleet_snapshot*);
@@ -194,6 +215,8 @@
 extern bool_t xdr_fleet_sound ();
 extern bool_t xdr_fleet_verdict ();
 extern bool_t xdr_fleet_evidence ();
+extern bool_t xdr_fleet_limit ();
+extern bool_t xdr_fleet_limits ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_message ();
 extern bool_t xdr_fleet_snapshot ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -13,6 +13,7 @@
 #include "godwitvale/core/hash.h"
 #include "godwitvale/fleet/evidence_sync.h"
 #include "godwitvale/fleet/fleet_codec.h"
+#include "godwitvale/fleet/limit_sync.h"
 #include "godwitvale/fleet/snapshot_sync.h"
 #include "godwitvale/http/address.h"
 #include "godwitvale/ops/log.h"
@@ -47,10 +48,10 @@
 /// Maximum total size of the values in one datagram with changes, in bytes. It
 /// keeps the datagram to about the size of one Ethernet packet.
 #define PEERS_CHANGE_BYTES_MAX 1400
-/// Number of instances that get this instance's evidence on prompt segments
-/// with each heartbeat. Each of them passes it on, so that it also reaches
-/// instances that were restarted or can't be reached from here.
-#define PEERS_EVIDENCE_FANOUT 3
+/// Number of instances that get what this instance knows of prompt segments and
+/// upstreams' limits with each heartbeat. Each of them passes it on, so that it
+/// also reaches instances that were restarted or can't be reached from here.
+#define PEERS_GOSSIP_FANOUT 3
 /// Size of the buffers for encoded and received datagrams, in bytes.
 #define PEERS_BUFFER_BYTES 65536
 
@@ -337,19 +338,13 @@
 	g_ptr_array_unref(items);
 }
 
-/// Sends the evidence on prompt segments to some random live members.
+/// Sends a datagram to some random live members.
 static void
-gossip_evidence(struct peers *peers)
+send_datagram_to_some(struct peers *peers, const char *bytes, size_t len)
 {
-	char bytes[PEERS_BUFFER_BYTES];
-	size_t len = evidence_sync_encode(peers->options.quarantine,
-	    g_get_monotonic_time(), peers->name, bytes, sizeof(bytes));
-	GPtrArray *members;
+	GPtrArray *members = membership_list(peers->membership);
 
-	if (len == 0)
-		return;
-	members = membership_list(peers->membership);
-	for (int i = 0; i < PEERS_EVIDENCE_FANOUT && members->len > 0; i++) {
+	for (int i = 0; i < PEERS_GOSSIP_FANOUT && members->len > 0; i++) {
 		guint picked =
 		    (guint)g_random_int_range(0, (gint32)members->len);
 		const struct member *member = members->pdata[picked];
@@ -360,6 +355,24 @@
 	g_ptr_array_unref(members);
 }
 
+/// Sends what this instance knows of prompt segments and of upstreams' limits
+/// to some random live members.
+static void
+gossip(struct peers *peers)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	usec_t now = g_get_monotonic_time();
+	size_t len = evidence_sync_encode(
+	    peers->options.quarantine, now, peers->name, bytes, sizeof(bytes));
+
+	if (len > 0)
+		send_datagram_to_some(peers, bytes, len);
+	len = limit_sync_encode(
+	    peers->options.rate_limits, now, bytes, sizeof(bytes));
+	if (len > 0)
+		send_datagram_to_some(peers, bytes, len);
+}
+
 /// Sends the evidence on prompt segments to all instances. Called when this
 /// instance has new evidence.
 ///
@@ -375,6 +388,21 @@
 		send_datagram_to_all(peers, bytes, len);
 }
 
+/// Sends the limits of upstreams to all instances. Called when an upstream has
+/// named a new limit or none any more.
+///
+/// @param peers  sends the limits to all its targets
+void
+peers_send_limits(struct peers *peers)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	size_t len = limit_sync_encode(peers->options.rate_limits,
+	    g_get_monotonic_time(), bytes, sizeof(bytes));
+
+	if (len > 0)
+		send_datagram_to_all(peers, bytes, len);
+}
+
 /// Passes a message to the handler for its kind.
 static void
 handle_message(struct peers *peers, const fleet_message *message)
@@ -393,6 +421,12 @@
 		evidence_sync_apply(peers->options.quarantine,
 		    g_get_monotonic_time(), &message->fleet_message_u.evidence);
 		break;
+	case FLEET_LIMITS:
+		limit_sync_apply(peers->options.rate_limits,
+		    g_get_monotonic_time(), &message->fleet_message_u.limits,
+		    peers->options.vtable->limit_reported,
+		    peers->options.owner);
+		break;
 	}
 }
 
@@ -532,7 +566,7 @@
 	remove_expired_targets(peers, now);
 	if (now >= peers->next_heartbeat_at) {
 		send_heartbeat(peers);
-		gossip_evidence(peers);
+		gossip(peers);
 	}
 	snapshot_sync_tick(peers->snapshot_sync, now);
 	return G_SOURCE_CONTINUE;
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -9,6 +9,7 @@
 #include "godwitvale/core/loads.h"
 #include "godwitvale/core/membership.h"
 #include "godwitvale/core/quarantine.h"
+#include "godwitvale/core/rate_limits.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
@@ -28,6 +29,9 @@
 	    void *owner, uint64_t *upstreams, size_t max);
 	/// Another instance reports that an upstream accepts no connection.
 	void (*unreachable_reported)(void *owner, uint64_t upstream);
+	/// Another instance reports a limit of an upstream, or its end.
+	void (*limit_reported)(void *owner, enum rate_limit_change change,
+	    const struct rate_limit_statement *statement);
 };
 
 /// Options of the peers.
@@ -42,6 +46,7 @@
 	struct view *view;
 	struct loads *loads;
 	struct quarantine *quarantine;
+	struct rate_limits *rate_limits;
 	struct pool *pool;
 };
 
@@ -53,6 +58,7 @@
 void peers_send_changes(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
 void peers_send_evidence(struct peers *peers);
+void peers_send_limits(struct peers *peers);
 void peers_forget_all(struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
 
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -60,6 +60,9 @@
     {"quarantined",
 	"its prompt has a segment that crashes engines (see "
 	"segments-quarantined and upstream-cut-at-start)"},
+    {"upstreams-limited",
+	"every upstream of its service has named a limit that other requests "
+	"use up (see upstream-limit-named)"},
     {"starting",
 	"the instance had not yet read its configuration and upstreams"},
     {"leaving",
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -25,6 +25,8 @@
 	/// Prompt segments, separated by commas, that crash an engine as it
 	/// begins to answer; NULL: none.
 	char *deadly_segments;
+	/// Limit that all workers name, as written in the field; NULL: none.
+	char *limit;
 };
 
 struct site_store *site_store_new(struct site_state *site, uint16_t port);
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -221,7 +221,7 @@
 
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
-/// /ctl/deadly/SEGMENT,....
+/// /ctl/deadly/SEGMENT,..., /ctl/limit/RATE or /ctl/limit/none.
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -249,6 +249,10 @@
 	} else if (strcmp(command, "deadly") == 0) {
 		g_free(store->site->deadly_segments);
 		store->site->deadly_segments = g_strdup(name);
+	} else if (strcmp(command, "limit") == 0) {
+		g_clear_pointer(&store->site->limit, g_free);
+		if (strcmp(name, "none") != 0)
+			store->site->limit = g_strdup(name);
 	} else if (strcmp(command, "calls") == 0) {
 		g_snprintf(reply, sizeof(reply), "%u\n", store->call_count);
 	} else {
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -84,6 +84,8 @@
 	http_head_add(head, "Attempt-Id", run->id);
 	http_head_add(head, "Response-Seal", run->worker->id);
 	http_head_add(head, "Keep-Alive", "timeout=5");
+	if (run->worker->site->limit != NULL)
+		http_head_add(head, "Server-Limit", run->worker->site->limit);
 }
 
 static gboolean
