Upstreams that say they leave get nothing new

An upstream that leaves says so in all its answers (DRAIN). Nobody read it: new requests went there until the store, or a report, said the same, and an entry written again as ready brought it back.

Answers of any status, reports and answers to copy requests are read. Its generations are handed over as at any other notice, the other instances are told at once and with heartbeats, and neither an entry that is written again nor one that is deleted and comes back ends it; another incarnation does. Reports that say the same now go the same way.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
 #include "godwitvale/entry/segment_guard.h"
@@ -166,6 +167,9 @@
 
 	request->entry->site->read_answer(head, &info);
 	note_limit(request, &info);
+	if (info.leaving && !info.misdirected)
+		entry_note_departure(
+		    request->entry, &request->target, "answer");
 	if (info.not_run) {
 		handle_upstream_refusal(request, &info);
 		goto out;
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
 #include "godwitvale/ops/log.h"
@@ -205,9 +206,16 @@
 {
 	struct entry_request *request = entry_request_ref(owner);
 	usec_t now = g_get_monotonic_time();
+	struct site_answer info;
 	struct site_copy copy;
 
 	request->copy_fetch = NULL;
+	if (answer->head != NULL) {
+		request->entry->site->read_answer(answer->head, &info);
+		if (info.leaving)
+			entry_note_departure(
+			    request->entry, &request->copy_source, "copy");
+	}
 	request->entry->site->read_copy_answer(
 	    answer->status, answer->body, answer->len, &copy);
 	log_event(LOG_LEVEL_INFO, "handover-copy",
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -53,7 +53,6 @@
 	usec_t unreachable_until; /// refused a connection of this instance
 	usec_t suspect_until;     /// refused a connection of another instance
 	bool misdirected;         /// another upstream has its address now
-	bool leaving; /// reported by the upstream itself, before the store
 };
 
 /// Candidates of one placement.
@@ -129,12 +128,7 @@
     enum directory_change change, const struct upstream_record *record)
 {
 	uint64_t key = hash_name(record->entry.id);
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &key);
 
-	/* The upstream reported that it leaves, but is ready again. */
-	if (change == DIRECTORY_READY && health != NULL)
-		health->leaving = false;
 	if (change == DIRECTORY_REMOVED || change == DIRECTORY_RESTARTED) {
 		g_hash_table_remove(dispatch->health_by_upstream, &key);
 		rate_limits_forget(dispatch->options.rate_limits,
@@ -209,7 +203,8 @@
     const struct upstream_record *record, const struct upstream_health *health)
 {
 	return record->entry.state == UPSTREAM_READY && !health->misdirected &&
-	    !health->leaving &&
+	    !upstream_notices_is_leaving(dispatch->options.notices,
+		get_incarnation_key(&record->entry)) &&
 	    !view_is_zone_evacuated(dispatch->options.view, record->entry.zone);
 }
 
@@ -539,24 +534,40 @@
 		    g_get_monotonic_time() + DISPATCH_FULL_BACKOFF;
 }
 
-/// Finds the name of an upstream.
+/// @param dispatch  knows the upstreams
+/// @param id        id of an upstream
+/// @return hash of the upstream's id and incarnation; 0 if it isn't in the
+///         directory
+uint64_t
+dispatch_incarnation_key(const struct dispatch *dispatch, const char *id)
+{
+	const struct upstream_record *record =
+	    directory_find(view_directory(dispatch->options.view), id);
+
+	return record == NULL ? 0 : get_incarnation_key(&record->entry);
+}
+
+/// Finds an upstream by the hash of its id and incarnation.
 ///
-/// @return its id, or "-" if it isn't in the directory
-static const char *
-find_upstream_id(struct dispatch *dispatch, uint64_t incarnation_key)
+/// @param dispatch         knows the upstreams
+/// @param incarnation_key  the hash
+/// @return the upstream, or NULL if it isn't in the directory
+const struct upstream_record *
+dispatch_find_incarnation(
+    const struct dispatch *dispatch, uint64_t incarnation_key)
 {
 	GPtrArray *records =
 	    directory_list_records(view_directory(dispatch->options.view));
-	const char *id = "-";
+	const struct upstream_record *found = NULL;
 
-	for (guint i = 0; i < records->len; i++) {
+	for (guint i = 0; i < records->len && found == NULL; i++) {
 		const struct upstream_record *record = records->pdata[i];
 
 		if (get_incarnation_key(&record->entry) == incarnation_key)
-			id = record->entry.id;
+			found = record;
 	}
 	g_ptr_array_unref(records);
-	return id;
+	return found;
 }
 
 /// Logs that an upstream has named a limit, or that it has none any more.
@@ -572,12 +583,14 @@
 {
 	const char *name = change == RATE_LIMIT_LIFTED ? "upstream-limit-lifted"
 						       : "upstream-limit-named";
+	const struct upstream_record *record =
+	    dispatch_find_incarnation(dispatch, statement->upstream);
 
 	series_add(&entry_metric_upstream_changes, name, NULL, 1);
 	log_event(LOG_LEVEL_INFO, name,
 	    "upstream=%s limit=%.2f source=%s age_ms=%" G_GINT64_FORMAT,
-	    find_upstream_id(dispatch, statement->upstream), statement->rate,
-	    source, (g_get_monotonic_time() - statement->at) / USEC_PER_MSEC);
+	    record == NULL ? "-" : record->entry.id, statement->rate, source,
+	    (g_get_monotonic_time() - statement->at) / USEC_PER_MSEC);
 }
 
 /// Records the limit that an upstream has named in an answer.
@@ -624,33 +637,15 @@
 	pool_close_idle(dispatch->options.pool, target->address);
 }
 
-/// Records that an upstream has itself reported that it leaves.
-///
-/// @param dispatch  holds the health of the upstream
-/// @param id        id of the upstream
-/// @return false if this was already recorded
-bool
-dispatch_set_leaving(struct dispatch *dispatch, const char *id)
-{
-	struct upstream_health *health = get_health(dispatch, hash_name(id));
-
-	if (health->leaving)
-		return false;
-	health->leaving = true;
-	return true;
-}
-
-/// @param dispatch  holds the health of the upstream
+/// @param dispatch  knows what upstreams have said
 /// @param target    the upstream
-/// @return whether the upstream has itself reported that it leaves
+/// @return whether the upstream has itself said that it leaves
 bool
 dispatch_is_leaving(
     const struct dispatch *dispatch, const struct dispatch_target *target)
 {
-	const struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
-
-	return health != NULL && health->leaving;
+	return upstream_notices_is_leaving(
+	    dispatch->options.notices, target->incarnation_key);
 }
 
 /// Lists the upstreams that refused a connection of this instance within
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -11,6 +11,7 @@
 #include "godwitvale/core/outlier.h"
 #include "godwitvale/core/placement.h"
 #include "godwitvale/core/rate_limits.h"
+#include "godwitvale/core/upstream_notices.h"
 #include "godwitvale/entry/entry_settings.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
@@ -44,6 +45,7 @@
 	struct view *view;
 	struct loads *loads;
 	struct rate_limits *rate_limits;
+	struct upstream_notices *notices;
 	struct pool *pool;
 	struct membership *membership;
 };
@@ -66,7 +68,10 @@
     struct dispatch *dispatch, const struct dispatch_target *target);
 void dispatch_set_misdirected(
     struct dispatch *dispatch, const struct dispatch_target *target);
-bool dispatch_set_leaving(struct dispatch *dispatch, const char *id);
+uint64_t dispatch_incarnation_key(
+    const struct dispatch *dispatch, const char *id);
+const struct upstream_record *dispatch_find_incarnation(
+    const struct dispatch *dispatch, uint64_t incarnation_key);
 enum rate_limit_change dispatch_set_limit(struct dispatch *dispatch,
     const struct dispatch_target *target, double rate);
 void dispatch_log_limit_change(struct dispatch *dispatch,
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -97,6 +97,38 @@
 		entry->update_source = g_idle_add(on_update_due, entry);
 }
 
+/// Prepares the handover of the generations at an upstream that leaves.
+static void
+begin_departure(struct entry *entry, const char *id, const char *address,
+    const char *source)
+{
+	series_add(
+	    &entry_metric_upstream_changes, "upstream-says-leaving", NULL, 1);
+	log_event(LOG_LEVEL_INFO, "upstream-says-leaving",
+	    "upstream=%s address=%s source=%s outcome=not-used", id, address,
+	    source);
+	g_hash_table_replace(entry->departing, g_strdup(id), g_strdup(address));
+	schedule_update(entry);
+}
+
+/// Handles an upstream's statement that it leaves: it gets no new requests, its
+/// generations are handed over, and the other instances are told.
+///
+/// @param entry   instance that has heard the statement
+/// @param target  the upstream
+/// @param source  kind of the answer with the statement, in one word
+void
+entry_note_departure(struct entry *entry, const struct dispatch_target *target,
+    const char *source)
+{
+	if (target->incarnation_key == 0 ||
+	    !upstream_notices_set_leaving(entry->notices,
+		target->incarnation_key, g_get_monotonic_time()))
+		return;
+	begin_departure(entry, target->id, target->address, source);
+	peers_send_departures(entry->peers);
+}
+
 /// Schedules the placement of waiting requests, because there may be capacity
 /// for them.
 ///
@@ -278,6 +310,22 @@
 		entry_schedule_placement(entry);
 }
 
+/// Peers callback: another instance has heard that an upstream leaves.
+static void
+on_departure_reported(void *owner, uint64_t upstream, usec_t at)
+{
+	struct entry *entry = owner;
+	const struct upstream_record *record;
+
+	if (!upstream_notices_set_leaving(entry->notices, upstream, at) ||
+	    entry->dispatch == NULL)
+		return;
+	record = dispatch_find_incarnation(entry->dispatch, upstream);
+	if (record != NULL)
+		begin_departure(entry, record->entry.id, record->entry.address,
+		    "another-instance");
+}
+
 static const struct peers_vtable peers_vtable = {
     .is_store_reachable = can_reach_store,
     .peer_reached_store = on_store_reached_by_peer,
@@ -285,6 +333,7 @@
     .list_unreachable = list_unreachable,
     .unreachable_reported = on_unreachable_reported,
     .limit_reported = on_limit_reported,
+    .departure_reported = on_departure_reported,
 };
 
 /// @return CLOCK_BOOTTIME minus the monotonic clock, in microseconds. It grows
@@ -347,6 +396,7 @@
 	reports_tick(entry->reports, now);
 	segment_guard_tick(entry->guard, now);
 	rate_limits_tick(entry->rate_limits, now);
+	upstream_notices_tick(entry->notices, now);
 	pool_expire_idle(entry->pool, now);
 	entry_request_place_waiting(entry);
 	check_leaving(entry, now);
@@ -436,6 +486,7 @@
 	    .loads = entry->loads,
 	    .quarantine = segment_guard_quarantine(entry->guard),
 	    .rate_limits = entry->rate_limits,
+	    .notices = entry->notices,
 	    .pool = entry->pool,
 	};
 
@@ -452,6 +503,7 @@
 	    .view = entry->view,
 	    .loads = entry->loads,
 	    .rate_limits = entry->rate_limits,
+	    .notices = entry->notices,
 	    .pool = entry->pool,
 	    .membership = peers_membership(entry->peers),
 	};
@@ -483,6 +535,7 @@
 	entry->pool = pool_new();
 	entry->loads = loads_new();
 	entry->rate_limits = rate_limits_new();
+	entry->notices = upstream_notices_new();
 	entry->waiting = wait_queue_new();
 	entry->estimate = estimate_new();
 	entry->requests = g_hash_table_new(NULL, NULL);
@@ -526,6 +579,7 @@
 	g_clear_pointer(&entry->departing, g_hash_table_unref);
 	g_clear_pointer(&entry->loads, loads_free);
 	g_clear_pointer(&entry->rate_limits, rate_limits_free);
+	g_clear_pointer(&entry->notices, upstream_notices_free);
 	g_clear_pointer(&entry->loop, g_main_loop_unref);
 }
 
--- a/src/godwitvale/entry/entry_defs.h
+++ b/src/godwitvale/entry/entry_defs.h
@@ -21,6 +21,7 @@
 	struct pool *pool;
 	struct loads *loads;
 	struct rate_limits *rate_limits;
+	struct upstream_notices *notices;
 	struct view *view;
 	struct peers *peers;
 	struct store *store;
--- a/src/godwitvale/entry/reports.c
+++ b/src/godwitvale/entry/reports.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_request.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
@@ -33,6 +34,7 @@
 	struct reports *reports;
 	char *id;
 	char *address;
+	uint64_t incarnation_key; /// of the engine when the query was made
 	struct fetch *fetch;
 	guint timer;
 };
@@ -75,24 +77,41 @@
 	g_free(reports);
 }
 
+/// Checks whether an engine has said that it leaves, in its report or beside
+/// it.
+///
+/// @param report  filled in if the answer is a report
+static bool
+says_leaving(const struct entry *entry, const struct fetch_response *answer,
+    struct site_report *report)
+{
+	struct site_answer info = {.leaving = false};
+
+	*report = (struct site_report){.leaves_in = -1};
+	if (answer->head != NULL)
+		entry->site->read_answer(answer->head, &info);
+	if (answer->status == 200 &&
+	    entry->site->read_report(answer->body, answer->len, report) &&
+	    report->leaving)
+		return true;
+	return info.leaving;
+}
+
 /// Fetch callback: an engine's report was received, or the query failed.
 static void
 on_report(void *owner, const struct fetch_response *answer)
 {
 	struct report_query *query = owner;
 	struct entry *entry = query->reports->entry;
-	const struct upstream_record *record;
 	struct site_report report;
 
 	query->fetch = NULL;
-	record = directory_find(view_directory(entry->view), query->id);
-	if (answer->status == 200 && record != NULL &&
-	    entry->site->read_report(answer->body, answer->len, &report) &&
-	    report.leaving) {
-		if (dispatch_set_leaving(entry->dispatch, query->id))
-			log_event(LOG_LEVEL_INFO, "upstream-reports-leaving",
-			    "upstream=%s gone_in_ms=%" G_GINT64_FORMAT,
-			    query->id, report.leaves_in / USEC_PER_MSEC);
+	if (says_leaving(entry, answer, &report)) {
+		struct dispatch_target target = {.id = query->id,
+		    .address = query->address,
+		    .incarnation_key = query->incarnation_key};
+
+		entry_note_departure(entry, &target, "report");
 		entry_request_handle_leaving_upstream(entry, query->id,
 		    report.leaves_in < 0
 			? 0
@@ -110,6 +129,8 @@
 	query->reports = reports;
 	query->id = g_strdup(id);
 	query->address = g_strdup(address);
+	query->incarnation_key =
+	    dispatch_incarnation_key(reports->entry->dispatch, id);
 	g_hash_table_add(reports->queries, query);
 	return query;
 }
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -13,6 +13,7 @@
 const FLEET_SOUND = 32;
 const FLEET_VERDICTS = 8;
 const FLEET_LIMITS_MAX = 64;
+const FLEET_DEPARTURES_MAX = 64;
 const FLEET_ITEMS = 4096;
 const FLEET_VALUE_BYTES = 1048576;
 
@@ -109,12 +110,23 @@
 	fleet_limit limits<FLEET_LIMITS_MAX>;
 };
 
+/* An upstream that has said that it leaves. */
+struct fleet_departure {
+	unsigned hyper upstream; /* hash of its id and incarnation */
+	unsigned int age_ms;
+};
+
+struct fleet_departures {
+	fleet_departure departures<FLEET_DEPARTURES_MAX>;
+};
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
 	FLEET_WORK = 3,
 	FLEET_EVIDENCE = 4,
-	FLEET_LIMITS = 5
+	FLEET_LIMITS = 5,
+	FLEET_DEPARTURES = 6
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -128,6 +140,8 @@
 	fleet_evidence evidence;
 case FLEET_LIMITS:
 	fleet_limits limits;
+case FLEET_DEPARTURES:
+	fleet_departures departures;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -251,6 +251,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_departure (XDR *xdrs, fleet_departure *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_departures (XDR *xdrs, fleet_departures *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->departures.departures_val, (u_int *) &objp->departures.departures_len, FLEET_DEPARTURES_MAX,
+		sizeof (fleet_departure), (xdrproc_t) xdr_fleet_departure))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_kind (XDR *xdrs, fleet_kind *objp)
 {
@@ -289,6 +312,10 @@
 		 if (!xdr_fleet_limits (xdrs, &objp->fleet_message_u.limits))
 			 return FALSE;
 		break;
+	case FLEET_DEPARTURES:
+		 if (!xdr_fleet_departures (xdrs, &objp->fleet_message_u.departures))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -23,6 +23,7 @@
 #define FLEET_SOUND 32
 #define FLEET_VERDICTS 8
 #define FLEET_LIMITS_MAX 64
+#define FLEET_DEPARTURES_MAX 64
 #define FLEET_ITEMS 4096
 #define FLEET_VALUE_BYTES 1048576
 
@@ -156,12 +157,27 @@
 };
 typedef struct fleet_limits fleet_limits;
 
+struct fleet_departure {
+	u_quad_t upstream;
+	u_int age_ms;
+};
+typedef struct fleet_departure fleet_departure;
+
+struct fleet_departures {
+	struct {
+		u_int departures_len;
+		fleet_departure *departures_val;
+	} departures;
+};
+typedef struct fleet_departures fleet_departures;
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
 	FLEET_WORK = 3,
 	FLEET_EVIDENCE = 4,
 	FLEET_LIMITS = 5,
+	FLEET_DEPARTURES = 6,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -173,6 +189,7 @@
 		fleet_work work;
 		fleet_evidence evidence;
 		fleet_limits limits;
+		fleet_departures departures;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -201,6 +218,8 @@
 extern  bool_t xdr_fleet_evidence (XDR *, fleet_evidence*);
 extern  bool_t xdr_fleet_limit (XDR *, fleet_limit*);
 extern  bool_t xdr_fleet_limits (XDR *, fleet_limits*);
+extern  bool_t xdr_fleet_departure (XDR *, fleet_departure*);
+extern  bool_t xdr_fleet_departures (XDR *, fleet_departures*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_message (XDR *, fleet_message*);
 extern  bool_t xdr_fleet_snapshot (XDR *, fleet_snapshot*);
@@ -217,6 +236,8 @@
 extern bool_t xdr_fleet_evidence ();
 extern bool_t xdr_fleet_limit ();
 extern bool_t xdr_fleet_limits ();
+extern bool_t xdr_fleet_departure ();
+extern bool_t xdr_fleet_departures ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_message ();
 extern bool_t xdr_fleet_snapshot ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -49,7 +49,7 @@
 /// keeps the datagram to about the size of one Ethernet packet.
 #define PEERS_CHANGE_BYTES_MAX 1400
 /// Number of instances that get what this instance knows of prompt segments and
-/// upstreams' limits with each heartbeat. Each of them passes it on, so that it
+/// upstreams with each heartbeat. Each of them passes it on, so that it
 /// also reaches instances that were restarted or can't be reached from here.
 #define PEERS_GOSSIP_FANOUT 3
 /// Size of the buffers for encoded and received datagrams, in bytes.
@@ -355,8 +355,47 @@
 	g_ptr_array_unref(members);
 }
 
-/// Sends what this instance knows of prompt segments and of upstreams' limits
-/// to some random live members.
+/// Encodes the upstreams that leave, as a message.
+///
+/// @return number of bytes; 0 if none leaves
+static size_t
+encode_departures(struct peers *peers, usec_t now, char *bytes, size_t size)
+{
+	struct upstream_departure departures[FLEET_DEPARTURES_MAX];
+	fleet_departure wire[FLEET_DEPARTURES_MAX];
+	fleet_message message = {.kind = FLEET_DEPARTURES};
+	fleet_departures *sent = &message.fleet_message_u.departures;
+	size_t n = upstream_notices_list_departures(
+	    peers->options.notices, now, departures, FLEET_DEPARTURES_MAX);
+
+	if (n == 0)
+		return 0;
+	for (size_t i = 0; i < n; i++)
+		wire[i] = (fleet_departure){departures[i].upstream,
+		    (u_int)((now - departures[i].at) / USEC_PER_MSEC)};
+	sent->departures.departures_len = (u_int)n;
+	sent->departures.departures_val = wire;
+	return fleet_message_encode(&message, bytes, size);
+}
+
+/// Reports the upstreams of which another instance has heard that they leave.
+static void
+handle_departures(struct peers *peers, const fleet_departures *received)
+{
+	const struct peers_options *options = &peers->options;
+	usec_t now = g_get_monotonic_time();
+
+	for (u_int i = 0; i < received->departures.departures_len; i++) {
+		const fleet_departure *wire =
+		    &received->departures.departures_val[i];
+
+		options->vtable->departure_reported(options->owner,
+		    wire->upstream, now - (usec_t)wire->age_ms * USEC_PER_MSEC);
+	}
+}
+
+/// Sends what this instance knows of prompt segments and of what upstreams say
+/// of themselves to some random live members.
 static void
 gossip(struct peers *peers)
 {
@@ -371,6 +410,9 @@
 	    peers->options.rate_limits, now, bytes, sizeof(bytes));
 	if (len > 0)
 		send_datagram_to_some(peers, bytes, len);
+	len = encode_departures(peers, now, bytes, sizeof(bytes));
+	if (len > 0)
+		send_datagram_to_some(peers, bytes, len);
 }
 
 /// Sends the evidence on prompt segments to all instances. Called when this
@@ -403,6 +445,21 @@
 		send_datagram_to_all(peers, bytes, len);
 }
 
+/// Sends the upstreams that leave to all instances. Called when one has said
+/// so.
+///
+/// @param peers  sends them to all its targets
+void
+peers_send_departures(struct peers *peers)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	size_t len = encode_departures(
+	    peers, g_get_monotonic_time(), bytes, sizeof(bytes));
+
+	if (len > 0)
+		send_datagram_to_all(peers, bytes, len);
+}
+
 /// Passes a message to the handler for its kind.
 static void
 handle_message(struct peers *peers, const fleet_message *message)
@@ -427,6 +484,9 @@
 		    peers->options.vtable->limit_reported,
 		    peers->options.owner);
 		break;
+	case FLEET_DEPARTURES:
+		handle_departures(peers, &message->fleet_message_u.departures);
+		break;
 	}
 }
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -10,6 +10,7 @@
 #include "godwitvale/core/membership.h"
 #include "godwitvale/core/quarantine.h"
 #include "godwitvale/core/rate_limits.h"
+#include "godwitvale/core/upstream_notices.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
@@ -32,6 +33,9 @@
 	/// Another instance reports a limit of an upstream, or its end.
 	void (*limit_reported)(void *owner, enum rate_limit_change change,
 	    const struct rate_limit_statement *statement);
+	/// Another instance reports that an upstream leaves. `upstream` is the
+	/// hash of its id and incarnation.
+	void (*departure_reported)(void *owner, uint64_t upstream, usec_t at);
 };
 
 /// Options of the peers.
@@ -47,6 +51,7 @@
 	struct loads *loads;
 	struct quarantine *quarantine;
 	struct rate_limits *rate_limits;
+	struct upstream_notices *notices;
 	struct pool *pool;
 };
 
@@ -59,6 +64,7 @@
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
 void peers_send_evidence(struct peers *peers);
 void peers_send_limits(struct peers *peers);
+void peers_send_departures(struct peers *peers);
 void peers_forget_all(struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
 
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -89,6 +89,7 @@
 	bool misdirected; /// another upstream uses the address now
 	bool is_signed;   /// has the field that shows that an upstream sent it
 	bool is_stream;
+	bool leaving; /// the upstream leaves
 	enum site_limit limit;
 	/// Requests a second that the upstream takes from all instances
 	/// together; valid with SITE_LIMIT_NAMED.
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -33,6 +33,7 @@
 	struct http_server *server;
 	GHashTable *runs; /// set of struct run *
 	bool draining;
+	bool says_leaving; /// its answers say that it leaves
 	char mode[16];
 	unsigned start_count;
 };
@@ -84,6 +85,8 @@
 	http_head_add(head, "Attempt-Id", run->id);
 	http_head_add(head, "Response-Seal", run->worker->id);
 	http_head_add(head, "Keep-Alive", "timeout=5");
+	if (run->worker->says_leaving)
+		http_head_add(head, "Server-Leaving", "1");
 	if (run->worker->site->limit != NULL)
 		http_head_add(head, "Server-Limit", run->worker->site->limit);
 }
@@ -457,6 +460,7 @@
 	worker->server = http_server_new(&options, NULL);
 	worker->start_count++;
 	worker->draining = false;
+	worker->says_leaving = false;
 	return worker->server != NULL;
 }
 
@@ -511,12 +515,13 @@
 ///
 /// @param worker  the worker
 /// @param mode    state of the worker: "ready" or "draining" (writes its entry
-///     with this state), "gone" (stops; the entry stays), "leave" (stops and
-///     deletes the entry), "back" (starts again), "cutruns" (aborts all runs);
-///     or its way to respond: "well" (as usual), "shed" (rejects requests),
-///     "mute" (doesn't respond), "mutecopy" (doesn't respond to copy calls),
-///     "cutstart" (closes a stream's connection before its first event),
-///     "reset" (closes the connection), "wrongresume" (status 500 for
+///     with this state), "saysleaving" (only its answers say that it leaves,
+///     until it starts again), "gone" (stops; the entry stays), "leave" (stops
+///     and deletes the entry), "back" (starts again), "cutruns" (aborts all
+///     runs); or its way to respond: "well" (as usual), "shed" (rejects
+///     requests), "mute" (doesn't respond), "mutecopy" (doesn't respond to copy
+///     calls), "cutstart" (closes a stream's connection before its first
+///     event), "reset" (closes the connection), "wrongresume" (status 500 for
 ///     resumed streams); for plain services also "cut" (closes the connection
 ///     within the body), "errors" (status 500), "big" (large body)
 /// @return false when there is no such mode
@@ -529,6 +534,8 @@
 	if (strcmp(mode, "ready") == 0 || strcmp(mode, "draining") == 0) {
 		worker->draining = strcmp(mode, "draining") == 0;
 		publish_entry(worker);
+	} else if (strcmp(mode, "saysleaving") == 0) {
+		worker->says_leaving = true;
 	} else if (strcmp(mode, "gone") == 0) {
 		worker_stop(worker);
 	} else if (strcmp(mode, "leave") == 0) {
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -296,6 +296,10 @@
 	    {503, "X", "1", ""},
 	    {421, "Instance-Id", "i-2", "not-run misdirected"},
 	    {200, "Content-Type", "text/event-stream; charset=utf-8", "stream"},
+	    {200, "Server-Leaving", "1", "leaving"},
+	    {503, "server-leaving", "1", "leaving"},
+	    {200, "Server-Leaving", "0", ""},
+	    {200, "Server-Leaving", "", ""},
 	};
 
 	(void)state;
@@ -308,11 +312,12 @@
 		head.status = rows[i].status;
 		http_head_add(&head, rows[i].field, rows[i].value);
 		platform_read_answer(&head, &answer);
-		g_snprintf(text, sizeof(text), "%s%s%s%s",
+		g_snprintf(text, sizeof(text), "%s%s%s%s%s",
 		    answer.not_run ? "not-run" : "",
 		    answer.misdirected ? " misdirected" : "",
 		    answer.is_signed ? "signed" : "",
-		    answer.is_stream ? "stream" : "");
+		    answer.is_stream ? "stream" : "",
+		    answer.leaving ? "leaving" : "");
 		assert_string_equal(text, rows[i].expected);
 		http_head_clear(&head);
 	}
