--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -97,11 +97,17 @@
 		entry->update_source = g_idle_add(on_update_due, entry);
 }
 
-/// Prepares the handover of the generations at an upstream that leaves.
+/// Prepares the handover of the generations at an upstream that leaves, unless
+/// this was done when the store said the same.
 static void
 begin_departure(struct entry *entry, const char *id, const char *address,
     const char *source)
 {
+	const struct upstream_record *record =
+	    directory_find(view_directory(entry->view), id);
+
+	if (record == NULL || record->entry.state != UPSTREAM_READY)
+		return;
 	series_add(
 	    &entry_metric_upstream_changes, "upstream-says-leaving", NULL, 1);
 	log_event(LOG_LEVEL_INFO, "upstream-says-leaving",
