A pause that an upstream asks for is kept

If all upstreams of a service are paused or limited for longer than a request may wait, it is refused at once, and its caller comes back after the earliest end, spread over half the time until then.

--- /dev/null
+++ b/src/godwitvale/core/eligibility.c
@@ -0,0 +1,92 @@
+/* Combines all reasons not to send a request to an upstream. */
+#include "godwitvale/core/eligibility.h"
+
+#include <stddef.h>
+
+static const char *const reason_names[] = {
+    [ELIGIBLE] = "eligible",
+    [INELIGIBLE_DRAINING] = "draining",
+    [INELIGIBLE_LEAVING] = "leaving",
+    [INELIGIBLE_RELOCATED] = "relocated",
+    [INELIGIBLE_EVACUATED] = "evacuated",
+    [INELIGIBLE_TRIED] = "tried",
+    [INELIGIBLE_EJECTED] = "ejected",
+    [INELIGIBLE_PAUSED] = "paused",
+    [INELIGIBLE_FULL] = "full",
+    [INELIGIBLE_LIMITED] = "limited",
+    [INELIGIBLE_COLD] = "cold",
+    [INELIGIBLE_CONNECTIONS] = "connections",
+};
+
+/// @param reason  why an upstream may not get a request
+/// @return the reason as one word, for log lines
+const char *
+eligibility_reason_name(enum eligibility_reason reason)
+{
+	return reason_names[reason];
+}
+
+/// Returns why an upstream is out of service.
+///
+/// @return ELIGIBLE if it is in service
+static enum eligibility_reason
+find_service_reason(const struct eligibility_inputs *inputs)
+{
+	if (inputs->is_draining)
+		return INELIGIBLE_DRAINING;
+	if (inputs->is_leaving)
+		return INELIGIBLE_LEAVING;
+	if (inputs->is_relocated)
+		return INELIGIBLE_RELOCATED;
+	if (inputs->is_evacuated)
+		return INELIGIBLE_EVACUATED;
+	return ELIGIBLE;
+}
+
+/// @param inputs  what is known of an upstream
+/// @return whether it takes requests at all, regardless of its load and health
+bool
+eligibility_is_in_service(const struct eligibility_inputs *inputs)
+{
+	return find_service_reason(inputs) == ELIGIBLE;
+}
+
+/// Adds a reason that ends at a time, unless another one lasts longer.
+static void
+add_reason(struct eligibility *eligibility, usec_t now,
+    enum eligibility_reason reason, usec_t until)
+{
+	if (until <= now || until <= eligibility->until)
+		return;
+	eligibility->reason = reason;
+	eligibility->until = until;
+}
+
+/// Decides whether an upstream may get a request.
+///
+/// @param inputs  what is known of the upstream
+/// @param now     current time
+/// @return the reason that lasts longest, or ELIGIBLE. Permits for a cold
+///         upstream and connections come back at an unknown time, and count as
+///         ending at once.
+struct eligibility
+eligibility_check(const struct eligibility_inputs *inputs, usec_t now)
+{
+	struct eligibility result = {.reason = find_service_reason(inputs)};
+
+	if (result.reason == ELIGIBLE && inputs->was_tried)
+		result.reason = INELIGIBLE_TRIED;
+	if (result.reason != ELIGIBLE) {
+		result.until = USEC_NEVER;
+		return result;
+	}
+	add_reason(&result, now, INELIGIBLE_EJECTED, inputs->ejected_until);
+	add_reason(&result, now, INELIGIBLE_PAUSED, inputs->paused_until);
+	add_reason(&result, now, INELIGIBLE_FULL, inputs->full_until);
+	add_reason(&result, now, INELIGIBLE_LIMITED, inputs->limit_permit_at);
+	if (result.reason == ELIGIBLE && inputs->lacks_cold_permit)
+		result = (struct eligibility){INELIGIBLE_COLD, now};
+	if (result.reason == ELIGIBLE && inputs->lacks_connections)
+		result = (struct eligibility){INELIGIBLE_CONNECTIONS, now};
+	return result;
+}
--- /dev/null
+++ b/src/godwitvale/core/eligibility.h
@@ -0,0 +1,63 @@
+/*
+ * Decides whether an upstream may get a request now, and if not, why and until
+ * when. All reasons not to use an upstream come together here.
+ *
+ * Load pattern: an upstream in trouble shows it in several ways at once. It
+ * turns requests away and asks for a pause, names a limit, is still cold, or is
+ * ejected for its errors. Each of these protects it for its own time, and the
+ * longest one counts. When all upstreams of a service are in trouble, the
+ * earliest end tells a caller when to come back.
+ */
+#ifndef GODWITVALE_CORE_ELIGIBILITY_H
+#define GODWITVALE_CORE_ELIGIBILITY_H
+
+#include <stdbool.h>
+
+#include "godwitvale/core/time_defs.h"
+
+/// Why an upstream may not get a request.
+enum eligibility_reason {
+	ELIGIBLE = 0,
+	/* It is out of service. */
+	INELIGIBLE_DRAINING,
+	INELIGIBLE_LEAVING,   /// it has itself said that it leaves
+	INELIGIBLE_RELOCATED, /// another upstream has its address
+	INELIGIBLE_EVACUATED, /// its zone is evacuated
+	/* It is in service, but may not be used by this request. */
+	INELIGIBLE_TRIED, /// the request was sent to it before
+	/* It is in service, but may not be used for a while. */
+	INELIGIBLE_EJECTED,
+	INELIGIBLE_PAUSED,      /// it has asked for a pause
+	INELIGIBLE_FULL,        /// it has turned requests away
+	INELIGIBLE_LIMITED,     /// the limit that it has named is used up
+	INELIGIBLE_COLD,        /// this instance's share of its cold rate is
+	INELIGIBLE_CONNECTIONS, /// this instance's share of connections is
+};
+
+/// What is known of an upstream. A time that isn't in the future has no effect.
+struct eligibility_inputs {
+	bool is_draining;
+	bool is_leaving;
+	bool is_relocated;
+	bool is_evacuated;
+	bool was_tried;
+	usec_t ejected_until;
+	usec_t paused_until;
+	usec_t full_until;
+	usec_t limit_permit_at; /// USEC_NEVER: other instances use it up
+	bool lacks_cold_permit;
+	bool lacks_connections;
+};
+
+/// Whether an upstream may get a request.
+struct eligibility {
+	enum eligibility_reason reason;
+	usec_t until; /// when the reason ends; USEC_NEVER: unknown or never
+};
+
+bool eligibility_is_in_service(const struct eligibility_inputs *inputs);
+struct eligibility eligibility_check(
+    const struct eligibility_inputs *inputs, usec_t now);
+const char *eligibility_reason_name(enum eligibility_reason reason);
+
+#endif
--- a/src/godwitvale/core/retry_after.c
+++ b/src/godwitvale/core/retry_after.c
@@ -16,9 +16,27 @@
 /// Retry time, before jitter, of a request in quarantine. A quarantine that
 /// turns out to be wrong is lifted after about this time.
 #define RETRY_AFTER_QUARANTINE_SPAN (30 * USEC_PER_SEC)
+/// Callers that are told of the same moment return over this part of the time
+/// until then.
+#define RETRY_AFTER_SPREAD 0.5
 /// Shortest retry time; a shorter one would make callers retry in a busy loop.
 #define RETRY_AFTER_MIN (50 * USEC_PER_MSEC)
 
+/// Spreads callers that are told of the same moment: they return after it, over
+/// half the time until then.
+///
+/// @param span    time until a retry may be served
+/// @param jitter  random number from 0 to 1 that spreads the callers
+/// @return span from now, at least RETRY_AFTER_MIN and never before that moment
+usec_t
+retry_after_spread(usec_t span, double jitter)
+{
+	usec_t spread = (usec_t)((double)span * RETRY_AFTER_SPREAD * jitter);
+
+	return span + spread < RETRY_AFTER_MIN ? RETRY_AFTER_MIN
+					       : span + spread;
+}
+
 /// Computes the time after which a refused caller may retry.
 ///
 /// @param reason          why the request is refused
--- a/src/godwitvale/core/retry_after.h
+++ b/src/godwitvale/core/retry_after.h
@@ -25,6 +25,7 @@
 	RETRY_AFTER_QUARANTINED,
 };
 
+usec_t retry_after_spread(usec_t span, double jitter);
 usec_t retry_after_span(enum retry_after_reason reason, usec_t target_latency,
     usec_t time_left, double jitter);
 
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -75,6 +75,25 @@
 	    request->entry->dispatch, request->service);
 }
 
+/// Notes the pause that an upstream asks for as it turns a request away.
+static void
+note_pause(struct entry_request *request, const struct site_answer *info)
+{
+	if (info->pause == SITE_STATEMENT_NONE)
+		return;
+	log_event(LOG_LEVEL_INFO, "upstream-asks-pause",
+	    "id=%s upstream=%s for_ms=%" G_GINT64_FORMAT " outcome=%s",
+	    request->params.id, request->target.id,
+	    info->pause == SITE_STATEMENT_MADE
+		? info->pause_span / USEC_PER_MSEC
+		: -1,
+	    info->pause == SITE_STATEMENT_MADE ? "paused"
+					       : "unreadable-ignored");
+	if (info->pause == SITE_STATEMENT_MADE)
+		dispatch_set_pause(request->entry->dispatch, &request->target,
+		    info->pause_span);
+}
+
 /// Handles an upstream's statement that it has not run the request: sends the
 /// request to another upstream or refuses it.
 static void
@@ -145,14 +164,14 @@
 {
 	struct entry *entry = request->entry;
 
-	if (info->limit == SITE_LIMIT_UNREADABLE) {
+	if (info->limit == SITE_STATEMENT_UNREADABLE) {
 		log_event(LOG_LEVEL_WARN, "upstream-limit-unreadable",
 		    "id=%s upstream=%s outcome=ignored", request->params.id,
 		    request->target.id);
 		return;
 	}
 	request->named_limit =
-	    info->limit == SITE_LIMIT_NAMED ? info->rate_limit : -1;
+	    info->limit == SITE_STATEMENT_MADE ? info->rate_limit : -1;
 	if (dispatch_set_limit(entry->dispatch, &request->target,
 		request->named_limit) != RATE_LIMIT_SAME)
 		peers_send_limits(entry->peers);
@@ -167,6 +186,7 @@
 
 	request->entry->site->read_answer(head, &info);
 	note_limit(request, &info);
+	note_pause(request, &info);
 	if (info.leaving && !info.misdirected)
 		entry_note_departure(
 		    request->entry, &request->target, "answer");
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -197,17 +197,6 @@
 	return false;
 }
 
-/// Checks whether an upstream is in service, regardless of its load.
-static bool
-is_in_service(const struct dispatch *dispatch,
-    const struct upstream_record *record, const struct upstream_health *health)
-{
-	return record->entry.state == UPSTREAM_READY && !health->misdirected &&
-	    !upstream_notices_is_leaving(dispatch->options.notices,
-		get_incarnation_key(&record->entry)) &&
-	    !view_is_zone_evacuated(dispatch->options.view, record->entry.zone);
-}
-
 /// Returns the mean event interval of all engines of a service; creates it if
 /// it doesn't exist.
 static struct event_interval *
@@ -224,14 +213,39 @@
 	return interval;
 }
 
-/// Returns when this instance may send a request to an upstream that may have
-/// named a limit.
-static usec_t
-next_permit_at(const struct dispatch *dispatch, usec_t now,
-    const struct upstream_record *record)
+/// Collects what is known of an upstream that decides whether a request may be
+/// sent to it. `service` may be NULL for the decision whether the upstream is
+/// in service.
+static struct eligibility_inputs
+collect_inputs(struct dispatch *dispatch, usec_t now,
+    const struct dispatch_request *request, const struct service *service,
+    const struct upstream_record *record, struct upstream_health *health)
 {
-	return rate_limits_next_permit(dispatch->options.rate_limits, now,
-	    get_incarnation_key(&record->entry), dispatch->options.membership);
+	const struct dispatch_options *options = &dispatch->options;
+	uint64_t incarnation_key = get_incarnation_key(&record->entry);
+	bool cold = service->cold_rate > 0 && is_cold(dispatch, now, record);
+
+	if (cold)
+		configure_cold_share(dispatch, now, health, service);
+	return (struct eligibility_inputs){
+	    .is_draining = record->entry.state != UPSTREAM_READY,
+	    .is_leaving =
+		upstream_notices_is_leaving(options->notices, incarnation_key),
+	    .is_relocated = health->misdirected,
+	    .is_evacuated =
+		view_is_zone_evacuated(options->view, record->entry.zone),
+	    .was_tried = was_tried(request, hash_name(record->entry.id)),
+	    .ejected_until = health->outlier.ejected_until,
+	    .paused_until = upstream_notices_paused_until(
+		options->notices, incarnation_key),
+	    .full_until = health->full_until,
+	    .limit_permit_at = rate_limits_next_permit(options->rate_limits,
+		now, incarnation_key, options->membership),
+	    .lacks_cold_permit =
+		cold && !fleet_share_has_permit(&health->cold_share, now),
+	    .lacks_connections = are_connections_used_up(
+		dispatch, service, record->entry.address),
+	};
 }
 
 /// Fills in one candidate: its load, penalties, and whether it is excluded.
@@ -239,7 +253,7 @@
 fill_candidate(struct dispatch *dispatch, usec_t now,
     const struct dispatch_request *request, const struct service *service,
     const struct upstream_record *record, struct upstream_health *health,
-    struct place_candidate *candidate)
+    const struct eligibility_inputs *inputs, struct place_candidate *candidate)
 {
 	const char *zone = request->zone == NULL
 	    ? dispatch->options.settings->zone
@@ -253,10 +267,8 @@
 	    .memory_tokens = (int32_t)service->engine.memory_tokens,
 	    .same_zone = strcmp(record->entry.zone, zone) == 0,
 	};
-	if (cold) {
-		configure_cold_share(dispatch, now, health, service);
+	if (cold)
 		candidate->penalty += DISPATCH_COLD_PENALTY;
-	}
 	if (outlier_is_on_trial(&health->outlier, now))
 		candidate->penalty += DISPATCH_TRIAL_PENALTY;
 	if (record->missing_deadline != 0)
@@ -265,11 +277,7 @@
 	    get_service_event_interval(dispatch, service->name));
 	if (now < health->suspect_until)
 		candidate->penalty += DISPATCH_SUSPECT_PENALTY;
-	candidate->excluded = was_tried(request, hash_name(record->entry.id)) ||
-	    now < health->full_until ||
-	    (cold && !fleet_share_has_permit(&health->cold_share, now)) ||
-	    next_permit_at(dispatch, now, record) > now ||
-	    are_connections_used_up(dispatch, service, record->entry.address);
+	candidate->excluded = eligibility_check(inputs, now).reason != ELIGIBLE;
 }
 
 /// Checks whether ejected upstreams may be excluded from placement. If too many
@@ -288,35 +296,41 @@
 {
 	const GPtrArray *records = directory_get_service_records(
 	    view_directory(dispatch->options.view), request->service);
+	guint n_records = records == NULL ? 0 : records->len;
+	struct eligibility_inputs *inputs =
+	    g_new(struct eligibility_inputs, n_records + 1);
 	size_t n_ejected = 0;
-	size_t n_all = 0;
+	size_t n_in_service;
 
 	list->n = 0;
-	for (guint i = 0; records != NULL && i < records->len; i++) {
+	list->candidates = g_new(struct place_candidate, n_records + 1);
+	list->records = g_new(const struct upstream_record *, n_records + 1);
+	for (guint i = 0; i < n_records; i++) {
 		const struct upstream_record *record = records->pdata[i];
-		struct upstream_health *health =
-		    get_health(dispatch, hash_name(record->entry.id));
 
-		if (!is_in_service(dispatch, record, health))
+		inputs[list->n] =
+		    collect_inputs(dispatch, now, request, service, record,
+			get_health(dispatch, hash_name(record->entry.id)));
+		if (!eligibility_is_in_service(&inputs[list->n]))
 			continue;
-		n_all++;
-		n_ejected += outlier_is_ejected(&health->outlier, now);
+		n_ejected += inputs[list->n].ejected_until > now;
+		list->records[list->n++] = record;
 	}
-	list->candidates = g_new(struct place_candidate, n_all + 1);
-	list->records = g_new(const struct upstream_record *, n_all + 1);
-	for (guint i = 0; records != NULL && i < records->len; i++) {
-		const struct upstream_record *record = records->pdata[i];
-		struct upstream_health *health =
-		    get_health(dispatch, hash_name(record->entry.id));
+	n_in_service = list->n;
+	list->n = 0;
+	for (size_t i = 0; i < n_in_service; i++) {
+		const struct upstream_record *record = list->records[i];
 
-		if (!is_in_service(dispatch, record, health) ||
-		    (outlier_is_ejected(&health->outlier, now) &&
-			may_exclude_ejected(n_ejected, n_all)))
+		if (inputs[i].ejected_until > now &&
+		    may_exclude_ejected(n_ejected, n_in_service))
 			continue;
-		fill_candidate(dispatch, now, request, service, record, health,
-		    &list->candidates[list->n]);
+		inputs[i].ejected_until = 0;
+		fill_candidate(dispatch, now, request, service, record,
+		    get_health(dispatch, hash_name(record->entry.id)),
+		    &inputs[i], &list->candidates[list->n]);
 		list->records[list->n++] = record;
 	}
+	g_free(inputs);
 }
 
 /// Returns a random number from 0 to 1.
@@ -390,35 +404,36 @@
 	return outcome;
 }
 
-/// Returns when this instance may send a request to an upstream that hasn't got
-/// it yet, as far as the limits that upstreams have named decide.
+/// Finds the upstream that may get a request first.
 ///
 /// @param dispatch  provides the candidates
 /// @param request   a request for which there is no upstream now
-/// @return current time if the limits aren't the reason; USEC_NEVER if other
-///         instances use up all limits
-usec_t
-dispatch_next_permit(
+/// @return why that upstream may not get it now, and until when; ELIGIBLE if an
+///         upstream may get it, but has no capacity
+struct eligibility
+dispatch_find_earliest(
     struct dispatch *dispatch, const struct dispatch_request *request)
 {
+	const struct service *service = deployment_find_service(
+	    view_deployment(dispatch->options.view), request->service);
 	const GPtrArray *records = directory_get_service_records(
 	    view_directory(dispatch->options.view), request->service);
+	struct eligibility earliest = {INELIGIBLE_DRAINING, USEC_NEVER};
 	usec_t now = g_get_monotonic_time();
-	usec_t earliest = USEC_NEVER;
-	bool found = false;
 
-	for (guint i = 0; records != NULL && i < records->len; i++) {
+	for (guint i = 0;
+	     service != NULL && records != NULL && i < records->len; i++) {
 		const struct upstream_record *record = records->pdata[i];
-		uint64_t key = hash_name(record->entry.id);
-
-		if (!is_in_service(
-			dispatch, record, get_health(dispatch, key)) ||
-		    was_tried(request, key))
-			continue;
-		found = true;
-		earliest = MIN(earliest, next_permit_at(dispatch, now, record));
+		const struct eligibility_inputs inputs =
+		    collect_inputs(dispatch, now, request, service, record,
+			get_health(dispatch, hash_name(record->entry.id)));
+		struct eligibility found = eligibility_check(&inputs, now);
+
+		if (eligibility_is_in_service(&inputs) && !inputs.was_tried &&
+		    found.until <= earliest.until)
+			earliest = found;
 	}
-	return found ? earliest : now;
+	return earliest;
 }
 
 /// Frees the strings of a target and resets it.
@@ -617,6 +632,19 @@
 	return change;
 }
 
+/// Records that an upstream wants nothing from this instance for a while.
+///
+/// @param dispatch  knows what upstreams have said
+/// @param target    the upstream
+/// @param span      length of the pause
+void
+dispatch_set_pause(struct dispatch *dispatch,
+    const struct dispatch_target *target, usec_t span)
+{
+	upstream_notices_set_pause(dispatch->options.notices,
+	    g_get_monotonic_time(), target->incarnation_key, span);
+}
+
 /// Records that another upstream has an upstream's address now. The upstream
 /// gets no more requests, and the connections to its address are dropped.
 ///
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -6,6 +6,7 @@
 #ifndef GODWITVALE_ENTRY_DISPATCH_H
 #define GODWITVALE_ENTRY_DISPATCH_H
 
+#include "godwitvale/core/eligibility.h"
 #include "godwitvale/core/loads.h"
 #include "godwitvale/core/membership.h"
 #include "godwitvale/core/outlier.h"
@@ -56,8 +57,10 @@
     enum directory_change change, const struct upstream_record *record);
 enum place_outcome dispatch_place(struct dispatch *dispatch,
     const struct dispatch_request *request, struct dispatch_target *target);
-usec_t dispatch_next_permit(
+struct eligibility dispatch_find_earliest(
     struct dispatch *dispatch, const struct dispatch_request *request);
+void dispatch_set_pause(struct dispatch *dispatch,
+    const struct dispatch_target *target, usec_t span);
 void dispatch_target_clear(struct dispatch_target *target);
 void dispatch_record_first_request(
     struct dispatch *dispatch, const char *service);
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -315,27 +315,46 @@
 /// which the caller may retry. A request that may have run fails with status
 /// 502 instead, because a retry might run it twice.
 ///
-/// @param request  request to end; the caller holds a reference
-/// @param reason   determines the time to retry
-/// @param outcome  one word for the log and the metrics
-void
-entry_request_refuse(struct entry_request *request,
+/// @param request   request to end; the caller holds a reference
+/// @param retry_at  earliest time at which a retry may be served; USEC_NEVER:
+///                  unknown, `reason` determines the time
+/// @param reason    why the request is refused
+/// @param outcome   one word for the log and the metrics
+static void
+refuse_until(struct entry_request *request, usec_t retry_at,
     enum retry_after_reason reason, const char *outcome)
 {
 	usec_t target =
 	    request->route == NULL ? 0 : request->route->target_latency;
-	usec_t retry_after;
+	double jitter = g_random_double();
+	usec_t span;
 
 	if (request->verdict != VERDICT_NOT_RUN) {
 		entry_request_fail(request, 502, outcome);
 		return;
 	}
-	retry_after = retry_after_span(
-	    reason, target, time_left(request), g_random_double());
-	send_own_response(request, 503, retry_after);
+	if (retry_at == USEC_NEVER)
+		span = retry_after_span(
+		    reason, target, time_left(request), jitter);
+	else
+		span = retry_after_spread(
+		    retry_at - g_get_monotonic_time(), jitter);
+	send_own_response(request, 503, span);
 	entry_request_finish(request, 503, outcome);
 }
 
+/// Refuses a request that has not run and won't run; see refuse_until().
+///
+/// @param request  request to end; the caller holds a reference
+/// @param reason   determines the time to retry
+/// @param outcome  one word for the log and the metrics
+void
+entry_request_refuse(struct entry_request *request,
+    enum retry_after_reason reason, const char *outcome)
+{
+	refuse_until(request, USEC_NEVER, reason, outcome);
+}
+
 /// Ends a request because a quarantine covers it. Cancels its attempt, so that
 /// its upstream doesn't begin to answer it.
 ///
@@ -590,15 +609,26 @@
 	};
 }
 
-/// Checks whether all upstreams have named limits that leave no room for a
-/// request for as long as it may wait.
+/// Refuses a request at once if no upstream will take it for as long as it may
+/// wait, because all of them have asked for a pause or named limits.
+///
+/// @param request  request for which there is no upstream now
+/// @return false if waiting makes sense
 static bool
-is_wait_hopeless(const struct entry_request *request)
+refuse_if_hopeless(struct entry_request *request)
 {
 	const struct dispatch_request wanted = make_dispatch_request(request);
+	struct eligibility earliest =
+	    dispatch_find_earliest(request->entry->dispatch, &wanted);
 
-	return dispatch_next_permit(request->entry->dispatch, &wanted) >
-	    get_wait_deadline(request);
+	if (earliest.until <= get_wait_deadline(request) ||
+	    (earliest.reason != INELIGIBLE_PAUSED &&
+		earliest.reason != INELIGIBLE_LIMITED))
+		return false;
+	refuse_until(request, earliest.until, RETRY_AFTER_LIMITED,
+	    earliest.reason == INELIGIBLE_PAUSED ? "upstreams-paused"
+						 : "upstreams-limited");
+	return true;
 }
 
 /// Tries to place a request, and sends it if an upstream has capacity.
@@ -633,10 +663,7 @@
 	case PLACE_FOUND:
 		break;
 	case PLACE_FULL:
-		if (is_wait_hopeless(request))
-			entry_request_refuse(
-			    request, RETRY_AFTER_LIMITED, "upstreams-limited");
-		else
+		if (!refuse_if_hopeless(request))
 			enqueue_request(request);
 		break;
 	default:
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -60,6 +60,9 @@
     {"quarantined",
 	"its prompt has a segment that crashes engines (see "
 	"segments-quarantined and upstream-cut-at-start)"},
+    {"upstreams-paused",
+	"every upstream of its service has asked for a pause (see "
+	"upstream-asks-pause)"},
     {"upstreams-limited",
 	"every upstream of its service has named a limit that other requests "
 	"use up (see upstream-limit-named)"},
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -76,11 +76,11 @@
 	const char *backup;       /// upstream that keeps a copy; NULL: none
 };
 
-/// What an answer says of a limit on its upstream's requests.
-enum site_limit {
-	SITE_LIMIT_NONE = 0, /// names none, so none is in force
-	SITE_LIMIT_NAMED,
-	SITE_LIMIT_UNREADABLE, /// names something that isn't a number
+/// Whether an answer states a number.
+enum site_statement {
+	SITE_STATEMENT_NONE = 0,
+	SITE_STATEMENT_MADE,
+	SITE_STATEMENT_UNREADABLE, /// states something that isn't a number
 };
 
 /// Fields in the head of an upstream's answer.
@@ -90,10 +90,16 @@
 	bool is_signed;   /// has the field that shows that an upstream sent it
 	bool is_stream;
 	bool leaving; /// the upstream leaves
-	enum site_limit limit;
+	/// Whether it names a limit; without one, none is in force.
+	enum site_statement limit;
 	/// Requests a second that the upstream takes from all instances
-	/// together; valid with SITE_LIMIT_NAMED.
+	/// together; valid with SITE_STATEMENT_MADE.
 	double rate_limit;
+	/// Whether it turns the request away and asks for a pause.
+	enum site_statement pause;
+	/// Time for which the upstream wants nothing from this instance; valid
+	/// with SITE_STATEMENT_MADE.
+	usec_t pause_span;
 };
 
 /// Outcome of a request to copy a generation to another upstream.
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -27,6 +27,9 @@
 	char *deadly_segments;
 	/// Limit that all workers name, as written in the field; NULL: none.
 	char *limit;
+	/// Pause that workers ask for as they turn requests away, as written in
+	/// the field; NULL: none.
+	char *pause;
 };
 
 struct site_store *site_store_new(struct site_state *site, uint16_t port);
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -221,7 +221,8 @@
 
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
-/// /ctl/deadly/SEGMENT,..., /ctl/limit/RATE or /ctl/limit/none.
+/// /ctl/deadly/SEGMENT,..., /ctl/limit/RATE or /ctl/limit/none, /ctl/pause with
+/// the value of the field.
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -253,6 +254,9 @@
 		g_clear_pointer(&store->site->limit, g_free);
 		if (strcmp(name, "none") != 0)
 			store->site->limit = g_strdup(name);
+	} else if (strcmp(command, "pause") == 0) {
+		g_free(store->site->pause);
+		store->site->pause = g_strdup(value);
 	} else if (strcmp(command, "calls") == 0) {
 		g_snprintf(reply, sizeof(reply), "%u\n", store->call_count);
 	} else {
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -244,13 +244,18 @@
 
 /// Rejects a request, and reports that it wasn't and won't be executed.
 static void
-shed_request(struct http_call *call, const char *id)
+shed_request(
+    const struct worker *worker, struct http_call *call, const char *id)
 {
 	struct http_head head;
 
 	http_head_init(&head);
 	head.status = 503;
 	http_head_add(&head, "Not-Executed", "1");
+	if (worker->site->pause != NULL)
+		http_head_add(&head, "Retry-After", worker->site->pause);
+	printf("shed %s %s\n", id == NULL ? "-" : id, worker->id);
+	fflush(stdout);
 	if (id != NULL)
 		http_head_add(&head, "Attempt-Id", id);
 	http_call_respond(call, &head, "", 0);
@@ -275,7 +280,7 @@
 	}
 	if (id == NULL || strcmp(worker->mode, "shed") == 0 ||
 	    (copy != NULL && !consume_copy(worker, copy))) {
-		shed_request(call, id);
+		shed_request(worker, call, id);
 		return;
 	}
 	count_run(worker, id, copy == NULL ? "begun" : "resumed");
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -328,22 +328,22 @@
 {
 	static const struct {
 		const char *text;
-		enum site_limit limit;
+		enum site_statement limit;
 		double rate;
 	} rows[] = {
-	    {NULL, SITE_LIMIT_NONE, 0},
-	    {"6.5", SITE_LIMIT_NAMED, 6.5},
-	    {"0", SITE_LIMIT_NAMED, 0},
-	    {"0.25", SITE_LIMIT_NAMED, 0.25},
-	    {"1000000000", SITE_LIMIT_NAMED, 1e9},
-	    {"", SITE_LIMIT_UNREADABLE, 0},
-	    {"-1", SITE_LIMIT_UNREADABLE, 0},
-	    {"inf", SITE_LIMIT_UNREADABLE, 0},
-	    {"nan", SITE_LIMIT_UNREADABLE, 0},
-	    {"0x10", SITE_LIMIT_UNREADABLE, 0},
-	    {"1e9", SITE_LIMIT_UNREADABLE, 0},
-	    {"5, 7", SITE_LIMIT_UNREADABLE, 0},
-	    {"1.2.3", SITE_LIMIT_UNREADABLE, 0},
+	    {NULL, SITE_STATEMENT_NONE, 0},
+	    {"6.5", SITE_STATEMENT_MADE, 6.5},
+	    {"0", SITE_STATEMENT_MADE, 0},
+	    {"0.25", SITE_STATEMENT_MADE, 0.25},
+	    {"1000000000", SITE_STATEMENT_MADE, 1e9},
+	    {"", SITE_STATEMENT_UNREADABLE, 0},
+	    {"-1", SITE_STATEMENT_UNREADABLE, 0},
+	    {"inf", SITE_STATEMENT_UNREADABLE, 0},
+	    {"nan", SITE_STATEMENT_UNREADABLE, 0},
+	    {"0x10", SITE_STATEMENT_UNREADABLE, 0},
+	    {"1e9", SITE_STATEMENT_UNREADABLE, 0},
+	    {"5, 7", SITE_STATEMENT_UNREADABLE, 0},
+	    {"1.2.3", SITE_STATEMENT_UNREADABLE, 0},
 	};
 
 	(void)state;
@@ -357,12 +357,55 @@
 			http_head_add(&head, "Server-Limit", rows[i].text);
 		platform_read_answer(&head, &answer);
 		assert_int_equal(answer.limit, rows[i].limit);
-		if (rows[i].limit == SITE_LIMIT_NAMED)
+		if (rows[i].limit == SITE_STATEMENT_MADE)
 			assert_true(answer.rate_limit == rows[i].rate);
 		http_head_clear(&head);
 	}
 }
 
+static void
+pauses_that_upstreams_ask_for_are_read(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *text;
+		enum site_statement pause;
+		usec_t span;
+	} rows[] = {
+	    {503, NULL, SITE_STATEMENT_NONE, 0},
+	    {503, "2", SITE_STATEMENT_MADE, 2 * USEC_PER_SEC},
+	    {503, "0.25", SITE_STATEMENT_MADE, 250 * USEC_PER_MSEC},
+	    {503, "0", SITE_STATEMENT_MADE, 0},
+	    {503, "99999999999999999999", SITE_STATEMENT_MADE,
+		G_MAXINT32 * USEC_PER_SEC},
+	    {503, "-3", SITE_STATEMENT_UNREADABLE, 0},
+	    {503, "soon", SITE_STATEMENT_UNREADABLE, 0},
+	    {503, "", SITE_STATEMENT_UNREADABLE, 0},
+	    {503, "nan", SITE_STATEMENT_UNREADABLE, 0},
+	    {503, "2, 4", SITE_STATEMENT_UNREADABLE, 0},
+	    {503, "Fri, 04 Dec 2026 10:00:00 GMT", SITE_STATEMENT_UNREADABLE,
+		0},
+	    {429, "2", SITE_STATEMENT_NONE, 0},
+	    {200, "2", SITE_STATEMENT_NONE, 0},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct site_answer answer;
+		struct http_head head;
+
+		http_head_init(&head);
+		head.status = rows[i].status;
+		if (rows[i].text != NULL)
+			http_head_add(&head, "Retry-After", rows[i].text);
+		platform_read_answer(&head, &answer);
+		assert_int_equal(answer.pause, rows[i].pause);
+		if (rows[i].pause == SITE_STATEMENT_MADE)
+			assert_int_equal(answer.pause_span, rows[i].span);
+		http_head_clear(&head);
+	}
+}
+
 static void
 copy_requests_are_translated(void **state)
 {
@@ -436,6 +479,7 @@
 	    cmocka_unit_test(malformed_request_fields_are_tolerated),
 	    cmocka_unit_test(response_heads_are_classified),
 	    cmocka_unit_test(limits_that_upstreams_name_are_read),
+	    cmocka_unit_test(pauses_that_upstreams_ask_for_are_read),
 	    cmocka_unit_test(copy_requests_are_translated),
 	    cmocka_unit_test(reports_state_departure_time),
 	};
