--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -16,13 +16,21 @@
 	GHashTable *records;    /// id -> struct record *
 	GHashTable *by_service; /// service -> GPtrArray * of struct record *
 	GHashTable *by_address; /// address -> struct record * of its upstream
-	GHashTable *tombstones; /// id -> uint64_t *, revision of the deletion
+	GHashTable *tombstones; /// id -> struct tombstone *
 	struct handle_table *handles;
 	usec_t store_regained_at; /// end of the last outage; 0: no outage yet
 	bool store_lost;          /// the store is unreachable
 	uint64_t list_epoch;      /// number of full lists begun
 };
 
+/// An upstream whose entry was deleted. Its last known entry had this
+/// incarnation and sequence number; 0: no entry was known.
+struct tombstone {
+	uint64_t revision; /// of the deletion
+	uint64_t incarnation;
+	uint64_t sequence;
+};
+
 /// A record with its private data. `upstream` must stay the first field,
 /// because lookups return a pointer to the record as a pointer to `upstream`.
 struct record {
@@ -119,15 +127,20 @@
 /// Records the deletion of an upstream's entry, so that older entries of the
 /// same id don't restore the upstream.
 static void
-add_tombstone(struct directory *directory, const char *id, uint64_t revision)
+add_tombstone(struct directory *directory, const char *id, uint64_t revision,
+    const struct record *record)
 {
-	uint64_t *tombstone;
+	struct tombstone *tombstone;
 
 	if (g_hash_table_size(directory->tombstones) >=
 	    DIRECTORY_TOMBSTONES_MAX)
 		g_hash_table_remove_all(directory->tombstones);
-	tombstone = g_new(uint64_t, 1);
-	*tombstone = revision;
+	tombstone = g_new0(struct tombstone, 1);
+	tombstone->revision = revision;
+	if (record != NULL) {
+		tombstone->incarnation = record->upstream.entry.incarnation;
+		tombstone->sequence = record->upstream.entry.sequence;
+	}
 	g_hash_table_replace(directory->tombstones, g_strdup(id), tombstone);
 }
 
@@ -188,7 +201,7 @@
 	if (previous->upstream.revision > revision)
 		return false;
 	add_tombstone(directory, previous->upstream.entry.id,
-	    previous->upstream.revision);
+	    previous->upstream.revision, previous);
 	remove_record(directory, previous);
 	return true;
 }
@@ -229,6 +242,46 @@
 	    strcmp(old->address, entry->address) != 0;
 }
 
+/// Checks whether an entry was written after the one with an incarnation and a
+/// sequence number.
+static bool
+is_written_later(
+    const struct upstream_entry *entry, uint64_t incarnation, uint64_t sequence)
+{
+	if (entry->incarnation != incarnation)
+		return entry->incarnation > incarnation;
+	return entry->sequence > sequence;
+}
+
+/// Checks whether an entry is one of a restored store's copy that was written
+/// before the known entry of the upstream.
+static bool
+is_stale_copy(const struct record *record, const struct upstream_entry *entry,
+    uint64_t revision)
+{
+	const struct upstream_entry *known = &record->upstream.entry;
+
+	if (store_revision_era(revision) <=
+	    store_revision_era(record->upstream.revision))
+		return false;
+	return entry->incarnation < known->incarnation ||
+	    (entry->incarnation == known->incarnation &&
+		entry->sequence < known->sequence);
+}
+
+/// Checks whether an upstream is known to be gone although there is an entry.
+static bool
+is_buried(const struct tombstone *tombstone, const struct upstream_entry *entry,
+    uint64_t revision)
+{
+	if (tombstone->revision >= revision)
+		return true;
+	return store_revision_era(revision) >
+	    store_revision_era(tombstone->revision) &&
+	    !is_written_later(
+		entry, tombstone->incarnation, tombstone->sequence);
+}
+
 /// Adds or updates an upstream from its entry in the store.
 ///
 /// @param directory  directory to update
@@ -237,35 +290,37 @@
 /// @param revision   store revision of the entry, which is ignored if a
 ///                   deletion of this or a newer revision is known; an entry
 ///                   that isn't newer than the known entry only ends a hold
-void
+/// @return whether the entry is newer than what was known
+bool
 directory_put_entry(struct directory *directory, usec_t now,
     const struct upstream_entry *entry, uint64_t revision)
 {
 	struct record *record =
 	    g_hash_table_lookup(directory->records, entry->id);
-	const uint64_t *tombstone =
+	const struct tombstone *tombstone =
 	    g_hash_table_lookup(directory->tombstones, entry->id);
 	enum upstream_state old_state;
 	bool was_cold;
 
-	if (tombstone != NULL && *tombstone >= revision)
-		return;
+	if (tombstone != NULL && is_buried(tombstone, entry, revision))
+		return false;
 	if (tombstone != NULL)
 		g_hash_table_remove(directory->tombstones, entry->id);
 	if (record == NULL) {
 		add_record(directory, now, entry, revision);
-		return;
+		return true;
 	}
 	record->list_epoch = directory->list_epoch;
-	if (record->upstream.revision >= revision) {
+	if (record->upstream.revision >= revision ||
+	    is_stale_copy(record, entry, revision)) {
 		record->upstream.missing_deadline = 0;
-		return;
+		return false;
 	}
 	if (entry_shows_restart(record, entry)) {
 		notify_listener(directory, DIRECTORY_RESTARTED, record);
 		remove_record(directory, record);
 		add_record(directory, now, entry, revision);
-		return;
+		return true;
 	}
 	old_state = record->upstream.entry.state;
 	was_cold = record->upstream.cold_until > now;
@@ -277,6 +332,7 @@
 		    record);
 	if (!was_cold && record->upstream.cold_until > now)
 		notify_listener(directory, DIRECTORY_COLD, record);
+	return true;
 }
 
 /// Checks whether the store is unreachable, or became reachable again less than
@@ -325,7 +381,7 @@
 
 	if (record != NULL && record->upstream.revision >= revision)
 		return;
-	add_tombstone(directory, id, revision);
+	add_tombstone(directory, id, revision, record);
 	if (record != NULL)
 		handle_missing_entry(directory, now, record);
 }
@@ -417,6 +473,18 @@
 	}
 }
 
+/// Handles a restore of the store from a copy. Upstreams that the copy lacks
+/// are held until they have had time to write their entries again.
+///
+/// @param directory  directory to update
+/// @param now        current time
+void
+directory_on_store_restored(struct directory *directory, usec_t now)
+{
+	directory->store_lost = true;
+	directory_on_store_regained(directory, now);
+}
+
 /// Removes the held upstreams whose `missing_deadline` has passed.
 ///
 /// @param directory  directory to update
--- a/src/godwitvale/core/directory.h
+++ b/src/godwitvale/core/directory.h
@@ -8,11 +8,16 @@
  * so that it gets no new requests. During an outage and shortly after it, an
  * upstream whose entry is deleted is held: it stays in the directory until it
  * has had time to write its entry again.
+ *
+ * A store that was restored from a copy shows entries of some seconds ago. Of
+ * the entries of one upstream, the one with the later incarnation, or the
+ * higher sequence number, is newer, whatever their revisions are.
  */
 #ifndef GODWITVALE_CORE_DIRECTORY_H
 #define GODWITVALE_CORE_DIRECTORY_H
 
 #include "godwitvale/core/deployment_defs.h"
+#include "godwitvale/core/store_revision.h"
 
 /// Time after the end of a store outage within which running upstreams write
 /// their entries again if the leases expired during the outage.
@@ -55,7 +60,7 @@
 
 struct directory *directory_new(directory_listener listener, void *owner);
 void directory_free(struct directory *directory);
-void directory_put_entry(struct directory *directory, usec_t now,
+bool directory_put_entry(struct directory *directory, usec_t now,
     const struct upstream_entry *entry, uint64_t revision);
 void directory_put_unreadable_entry(
     struct directory *directory, usec_t now, const char *id, uint64_t revision);
@@ -65,6 +70,7 @@
 void directory_end_full_list(
     struct directory *directory, usec_t now, uint64_t as_of);
 void directory_on_store_lost(struct directory *directory);
+void directory_on_store_restored(struct directory *directory, usec_t now);
 void directory_on_store_regained(struct directory *directory, usec_t now);
 void directory_tick(struct directory *directory, usec_t now);
 
--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -136,6 +136,8 @@
 	    !member->store_reachable && !can_any_member_reach_store(membership);
 	member->directory_revision = heartbeat->directory_revision;
 	member->config_revision = heartbeat->config_revision;
+	member->config_version = heartbeat->config_version;
+	member->store_era = heartbeat->store_era;
 	member->store_reachable = heartbeat->store_reachable;
 	member->leaving = heartbeat->leaving;
 	member->last_heartbeat_at = now;
@@ -245,11 +247,38 @@
 	return g_hash_table_lookup(membership->members, name);
 }
 
-/// @param membership  membership to search
-/// @return a random one of the members with the highest `config_revision`; NULL
-///         when there are no members
-const struct member *
-membership_find_newest_config(const struct membership *membership)
+/// Compares two members by a property.
+///
+/// @return negative, zero or positive, as the first one is older, the same or
+///         newer
+typedef int (*member_compare)(
+    const struct member *member, const struct member *other);
+
+/// Compares configurations: by version, and by revision if a version is
+/// unknown.
+static int
+compare_configs(const struct member *member, const struct member *other)
+{
+	if (member->config_version != other->config_version)
+		return member->config_version < other->config_version ? -1 : 1;
+	if (member->config_revision != other->config_revision)
+		return member->config_revision < other->config_revision ? -1
+									: 1;
+	return 0;
+}
+
+/// Compares the eras of the members' data.
+static int
+compare_eras(const struct member *member, const struct member *other)
+{
+	if (member->store_era == other->store_era)
+		return 0;
+	return member->store_era < other->store_era ? -1 : 1;
+}
+
+/// Finds a random one of the members that are the newest by a comparison.
+static const struct member *
+find_newest(const struct membership *membership, member_compare compare)
 {
 	const struct member *newest = NULL;
 	gint32 n_newest = 0;
@@ -259,14 +288,13 @@
 	g_hash_table_iter_init(&iter, membership->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct member *member = value;
+		int order = newest == NULL ? 1 : compare(member, newest);
 
-		if (newest != NULL &&
-		    member->config_revision < newest->config_revision)
+		if (order < 0)
 			continue;
-		if (newest == NULL ||
-		    member->config_revision > newest->config_revision)
+		if (order > 0)
 			n_newest = 0;
-		/* Members with equal revisions are equally likely. */
+		/* Equal members are equally likely. */
 		n_newest++;
 		if (g_rand_int_range(membership->rand, 0, n_newest) == 0)
 			newest = member;
@@ -274,6 +302,25 @@
 	return newest;
 }
 
+/// @param membership  membership to query
+/// @return a random one of the members with the newest configuration; NULL when
+///         there are no members
+const struct member *
+membership_find_newest_config(const struct membership *membership)
+{
+	return find_newest(membership, compare_configs);
+}
+
+/// @param membership  membership to query
+/// @return a random one of the members with data of the latest era of the
+/// store;
+///         NULL when there are no members
+const struct member *
+membership_find_newest_era(const struct membership *membership)
+{
+	return find_newest(membership, compare_eras);
+}
+
 /// Returns the rank of this instance for a task that only some instances may
 /// perform, by rendezvous hashing. Instances that see the same members agree on
 /// the ranks; the two sides of a network partition each have their own.
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -30,9 +30,11 @@
 	uint64_t directory_revision;
 	/// store revision of the configuration that the sender knows
 	uint64_t config_revision;
-	usec_t interval;      /// time until the sender's next heartbeat
-	bool store_reachable; /// the sender can read the store
-	bool leaving;         /// the sender is shutting down
+	uint64_t config_version; /// of the sender; 0: unknown
+	uint64_t store_era;      /// of the sender's data; 0: unknown
+	usec_t interval;         /// time until the sender's next heartbeat
+	bool store_reachable;    /// the sender can read the store
+	bool leaving;            /// the sender is shutting down
 };
 
 /// Another instance. Fields without a comment are those of its last heartbeat.
@@ -43,6 +45,8 @@
 	uint64_t incarnation;
 	uint64_t directory_revision;
 	uint64_t config_revision;
+	uint64_t config_version;
+	uint64_t store_era;
 	usec_t last_heartbeat_at;
 	/// when the member counts as lost; each heartbeat postpones it
 	usec_t lost_deadline;
@@ -83,6 +87,8 @@
     const struct membership *membership);
 unsigned membership_task_rank(
     const struct membership *membership, uint64_t task);
+const struct member *membership_find_newest_era(
+    const struct membership *membership);
 GPtrArray *membership_list(const struct membership *membership);
 
 #endif
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -193,7 +193,7 @@
 	    "upstream=%s service=%s address=%s zone=%s "
 	    "revision=%" G_GUINT64_FORMAT " cold_ms=%" G_GINT64_FORMAT,
 	    record->entry.id, record->entry.service, record->entry.address,
-	    record->entry.zone, record->revision,
+	    record->entry.zone, store_revision_number(record->revision),
 	    record->entry.cold_left / USEC_PER_MSEC);
 	if (entry->dispatch == NULL)
 		return;
@@ -332,6 +332,16 @@
 		    "another-instance");
 }
 
+/// Peers callback: another instance has data of a later era of the store.
+static void
+on_later_era_reported(void *owner, uint64_t era)
+{
+	const struct entry *entry = owner;
+
+	if (entry->store != NULL)
+		store_note_era(entry->store, era);
+}
+
 static const struct peers_vtable peers_vtable = {
     .is_store_reachable = can_reach_store,
     .peer_reached_store = on_store_reached_by_peer,
@@ -340,6 +350,7 @@
     .unreachable_reported = on_unreachable_reported,
     .limit_reported = on_limit_reported,
     .departure_reported = on_departure_reported,
+    .later_era_reported = on_later_era_reported,
 };
 
 /// @return CLOCK_BOOTTIME minus the monotonic clock, in microseconds. It grows
--- a/src/godwitvale/fleet/fleet_codec.c
+++ b/src/godwitvale/fleet/fleet_codec.c
@@ -3,9 +3,65 @@
 
 #include <string.h>
 
+#include "godwitvale/core/store_revision.h"
+
+/// Size of a trailer, in bytes.
+#define TRAILER_BYTES 16
 /// Maximum size of a snapshot, in bytes.
 #define SNAPSHOT_BYTES_MAX (8u * 1024 * 1024)
 
+/// Encodes or decodes a trailer.
+static bool
+convert_trailer(XDR *xdr, struct fleet_trailer *trailer)
+{
+	return xdr_u_quad_t(xdr, (u_quad_t *)&trailer->era) &&
+	    xdr_u_quad_t(xdr, (u_quad_t *)&trailer->config_version);
+}
+
+/// Appends a trailer to an encoded message.
+///
+/// @param trailer  not changed
+/// @param bytes    the message
+/// @param len      length of the message; 0: it could not be encoded
+/// @param size     size of `bytes`
+/// @return length with the trailer; 0 when it doesn't fit
+size_t
+fleet_trailer_append(
+    const struct fleet_trailer *trailer, char *bytes, size_t len, size_t size)
+{
+	struct fleet_trailer copy = *trailer;
+	XDR xdr;
+	bool ok;
+
+	if (len == 0 || len + TRAILER_BYTES > size)
+		return 0;
+	xdrmem_create(&xdr, bytes + len, TRAILER_BYTES, XDR_ENCODE);
+	ok = convert_trailer(&xdr, &copy);
+	xdr_destroy(&xdr);
+	return ok ? len + TRAILER_BYTES : 0;
+}
+
+/// Reads the trailer after a message.
+///
+/// @param bytes    received data
+/// @param len      length of the data
+/// @param end      where the message ends
+/// @param trailer  filled in; zeroes when there is none
+void
+fleet_trailer_read(
+    const char *bytes, size_t len, size_t end, struct fleet_trailer *trailer)
+{
+	XDR xdr;
+
+	memset(trailer, 0, sizeof(*trailer));
+	if (end + TRAILER_BYTES > len)
+		return;
+	xdrmem_create(&xdr, (char *)bytes + end, TRAILER_BYTES, XDR_DECODE);
+	if (!convert_trailer(&xdr, trailer))
+		memset(trailer, 0, sizeof(*trailer));
+	xdr_destroy(&xdr);
+}
+
 /// Encodes a message.
 ///
 /// @param message  not changed
@@ -30,10 +86,12 @@
 /// @param bytes    received data
 /// @param len      number of bytes
 /// @param message  filled in; free with fleet_message_clear()
+/// @param trailer  filled in; zeroes when there is none
 /// @return false when the bytes are not a valid message; nothing is to be freed
 ///         then
 bool
-fleet_message_decode(const char *bytes, size_t len, fleet_message *message)
+fleet_message_decode(const char *bytes, size_t len, fleet_message *message,
+    struct fleet_trailer *trailer)
 {
 	XDR xdr;
 	bool ok;
@@ -41,6 +99,8 @@
 	memset(message, 0, sizeof(*message));
 	xdrmem_create(&xdr, (char *)bytes, (u_int)len, XDR_DECODE);
 	ok = xdr_fleet_message(&xdr, message);
+	if (ok)
+		fleet_trailer_read(bytes, len, xdr_getpos(&xdr), trailer);
 	xdr_destroy(&xdr);
 	if (!ok)
 		fleet_message_clear(message);
@@ -66,7 +126,7 @@
 	fleet_item wire = {
 	    .kind = (int)item->kind,
 	    .name = item->name,
-	    .revision = item->revision,
+	    .revision = store_revision_number(item->revision),
 	    .deleted = item->value == NULL,
 	};
 	gsize len = 0;
@@ -83,9 +143,10 @@
 ///
 /// @param items    wire items; copied
 /// @param n_items  number of items
+/// @param era      era of the items' revisions
 /// @return struct site_item *; free with g_ptr_array_unref()
 GPtrArray *
-fleet_items_to_site(const fleet_item *items, size_t n_items)
+fleet_items_to_site(const fleet_item *items, size_t n_items, uint64_t era)
 {
 	GPtrArray *list = g_ptr_array_new_with_free_func(site_item_free);
 
@@ -99,7 +160,7 @@
 		item = g_new0(struct site_item, 1);
 		item->kind = (enum site_item_kind)wire->kind;
 		item->name = g_strdup(wire->name);
-		item->revision = wire->revision;
+		item->revision = store_revision_make(era, wire->revision);
 		if (!wire->deleted)
 			item->value = g_bytes_new(
 			    wire->value.value_val, wire->value.value_len);
@@ -111,27 +172,33 @@
 /// Encodes a snapshot.
 ///
 /// @param snapshot  not changed
+/// @param trailer   not changed
 /// @return the encoded bytes, or NULL when the snapshot is too large
 GBytes *
-fleet_snapshot_encode(const fleet_snapshot *snapshot)
+fleet_snapshot_encode(
+    const fleet_snapshot *snapshot, const struct fleet_trailer *trailer)
 {
 	u_int size = (u_int)xdr_sizeof(
 	    (xdrproc_t)xdr_fleet_snapshot, (fleet_snapshot *)snapshot);
 	char *bytes;
+	size_t len;
 	XDR xdr;
 	bool ok;
 
 	if (size > SNAPSHOT_BYTES_MAX)
 		return NULL;
-	bytes = g_malloc(size);
+	bytes = g_malloc(size + TRAILER_BYTES);
 	xdrmem_create(&xdr, bytes, size, XDR_ENCODE);
 	ok = xdr_fleet_snapshot(&xdr, (fleet_snapshot *)snapshot);
 	xdr_destroy(&xdr);
-	if (!ok) {
+	len = ok
+	    ? fleet_trailer_append(trailer, bytes, size, size + TRAILER_BYTES)
+	    : 0;
+	if (len == 0) {
 		g_free(bytes);
 		return NULL;
 	}
-	return g_bytes_new_take(bytes, size);
+	return g_bytes_new_take(bytes, len);
 }
 
 /// Decodes a snapshot.
@@ -139,19 +206,23 @@
 /// @param bytes     received data
 /// @param len       number of bytes
 /// @param snapshot  filled in; free with xdr_free()
+/// @param trailer   filled in; zeroes when there is none
 /// @return false when the bytes are not a valid snapshot; nothing is to be
 ///         freed then
 bool
-fleet_snapshot_decode(const char *bytes, size_t len, fleet_snapshot *snapshot)
+fleet_snapshot_decode(const char *bytes, size_t len, fleet_snapshot *snapshot,
+    struct fleet_trailer *trailer)
 {
 	XDR xdr;
 	bool ok;
 
 	memset(snapshot, 0, sizeof(*snapshot));
-	if (len > SNAPSHOT_BYTES_MAX)
+	if (len > SNAPSHOT_BYTES_MAX + TRAILER_BYTES)
 		return false;
 	xdrmem_create(&xdr, (char *)bytes, (u_int)len, XDR_DECODE);
 	ok = xdr_fleet_snapshot(&xdr, snapshot);
+	if (ok)
+		fleet_trailer_read(bytes, len, xdr_getpos(&xdr), trailer);
 	xdr_destroy(&xdr);
 	if (!ok)
 		xdr_free((xdrproc_t)xdr_fleet_snapshot, (char *)snapshot);
--- a/src/godwitvale/fleet/fleet_codec.h
+++ b/src/godwitvale/fleet/fleet_codec.h
@@ -8,15 +8,28 @@
 #include "godwitvale/fleet/fleet_wire_xdr.h"
 #include "godwitvale/site/site.h"
 
+/// What follows a message or a snapshot. Earlier builds neither send nor read
+/// it.
+struct fleet_trailer {
+	uint64_t era; /// store era of the revisions in the message; 0: unknown
+	uint64_t config_version; /// of the sender; 0: unknown
+};
+
+size_t fleet_trailer_append(
+    const struct fleet_trailer *trailer, char *bytes, size_t len, size_t size);
+void fleet_trailer_read(
+    const char *bytes, size_t len, size_t end, struct fleet_trailer *trailer);
 size_t fleet_message_encode(
     const fleet_message *message, char *bytes, size_t size);
-bool fleet_message_decode(
-    const char *bytes, size_t len, fleet_message *message);
+bool fleet_message_decode(const char *bytes, size_t len, fleet_message *message,
+    struct fleet_trailer *trailer);
 void fleet_message_clear(fleet_message *message);
 fleet_item fleet_item_from_store_item(const struct site_item *item);
-GPtrArray *fleet_items_to_site(const fleet_item *items, size_t n_items);
-GBytes *fleet_snapshot_encode(const fleet_snapshot *snapshot);
-bool fleet_snapshot_decode(
-    const char *bytes, size_t len, fleet_snapshot *snapshot);
+GPtrArray *fleet_items_to_site(
+    const fleet_item *items, size_t n_items, uint64_t era);
+GBytes *fleet_snapshot_encode(
+    const fleet_snapshot *snapshot, const struct fleet_trailer *trailer);
+bool fleet_snapshot_decode(const char *bytes, size_t len,
+    fleet_snapshot *snapshot, struct fleet_trailer *trailer);
 
 #endif
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -186,6 +186,18 @@
 	    peers->n_heartbeats % PEERS_ADDRESS_LIST_PERIOD == 0;
 }
 
+/// Encodes a message with revisions of the store, and their era.
+static size_t
+encode_with_trailer(struct peers *peers, const fleet_message *message,
+    uint64_t era, char *bytes, size_t size)
+{
+	const struct fleet_trailer trailer = {
+	    era, view_config_version(peers->options.view)};
+	size_t len = fleet_message_encode(message, bytes, size);
+
+	return fleet_trailer_append(&trailer, bytes, len, size);
+}
+
 /// Sends a heartbeat and sets the time of the next one.
 static void
 send_heartbeat(struct peers *peers)
@@ -208,9 +220,10 @@
 	    .ip = peers->ip,
 	    .incarnation = peers->incarnation,
 	    .interval_ms = heartbeat_interval_ms(peers),
-	    .directory_revision =
-		view_revision(options->view, SITE_SCOPE_UPSTREAMS),
-	    .config_revision = view_config_revision(options->view),
+	    .directory_revision = store_revision_number(
+		view_revision(options->view, SITE_SCOPE_UPSTREAMS)),
+	    .config_revision =
+		store_revision_number(view_config_revision(options->view)),
 	    .reads_store = options->vtable->is_store_reachable(options->owner),
 	    .leaving = peers->leaving,
 	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
@@ -224,7 +237,8 @@
 	heartbeat->gone.gone_len = (u_int)options->vtable->list_unreachable(
 	    options->owner, unreachable, FLEET_GONE);
 	heartbeat->gone.gone_val = unreachable;
-	len = fleet_message_encode(&message, bytes, sizeof(bytes));
+	len = encode_with_trailer(
+	    peers, &message, view_era(options->view), bytes, sizeof(bytes));
 	if (len > 0)
 		send_datagram_to_all(peers, bytes, len);
 }
@@ -284,7 +298,8 @@
 
 /// Applies a heartbeat.
 static void
-handle_heartbeat(struct peers *peers, const fleet_beat *received)
+handle_heartbeat(struct peers *peers, const fleet_beat *received,
+    const struct fleet_trailer *trailer)
 {
 	const struct peers_options *options = &peers->options;
 	usec_t now = g_get_monotonic_time();
@@ -294,6 +309,8 @@
 	    .incarnation = received->incarnation,
 	    .directory_revision = received->directory_revision,
 	    .config_revision = received->config_revision,
+	    .config_version = trailer->config_version,
+	    .store_era = trailer->era,
 	    .interval = received->interval_ms * USEC_PER_MSEC,
 	    .store_reachable = received->reads_store,
 	    .leaving = received->leaving,
@@ -320,21 +337,31 @@
 }
 
 /// Applies changes of the upstreams. Ignores them when earlier changes are
-/// missing, as the view must not skip any.
+/// missing, as the view must not skip any, and when they are of another era of
+/// the store. Members of earlier builds name no era.
 static void
-handle_changes(struct peers *peers, const fleet_news *changes)
+handle_changes(struct peers *peers, const fleet_news *changes,
+    const struct fleet_trailer *trailer)
 {
-	struct view *view = peers->options.view;
+	const struct peers_options *options = &peers->options;
+	struct view *view = options->view;
+	uint64_t revision = view_revision(view, SITE_SCOPE_UPSTREAMS);
+	uint64_t era = trailer->era;
 	GPtrArray *items;
 
-	if (strcmp(changes->name, peers->name) == 0 ||
-	    view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 ||
-	    changes->after > view_revision(view, SITE_SCOPE_UPSTREAMS))
+	if (strcmp(changes->name, peers->name) == 0 || revision == 0)
+		return;
+	if (era == 0 && !view_has_seen_restore(view))
+		era = store_revision_era(revision);
+	if (era > store_revision_era(revision))
+		options->vtable->later_era_reported(options->owner, era);
+	if (era != store_revision_era(revision) ||
+	    store_revision_make(era, changes->after) > revision)
 		return;
 	items = fleet_items_to_site(
-	    changes->items.items_val, changes->items.items_len);
+	    changes->items.items_val, changes->items.items_len, era);
 	view_apply_changes(view, g_get_monotonic_time(), SITE_SCOPE_UPSTREAMS,
-	    items, changes->as_of);
+	    items, store_revision_make(era, changes->as_of));
 	g_ptr_array_unref(items);
 }
 
@@ -462,14 +489,16 @@
 
 /// Passes a message to the handler for its kind.
 static void
-handle_message(struct peers *peers, const fleet_message *message)
+handle_message(struct peers *peers, const fleet_message *message,
+    const struct fleet_trailer *trailer)
 {
 	switch (message->kind) {
 	case FLEET_BEAT:
-		handle_heartbeat(peers, &message->fleet_message_u.beat);
+		handle_heartbeat(
+		    peers, &message->fleet_message_u.beat, trailer);
 		break;
 	case FLEET_NEWS:
-		handle_changes(peers, &message->fleet_message_u.news);
+		handle_changes(peers, &message->fleet_message_u.news, trailer);
 		break;
 	case FLEET_WORK:
 		handle_load_update(peers, &message->fleet_message_u.work);
@@ -496,17 +525,19 @@
 {
 	struct peers *peers = data;
 	static char bytes[PEERS_BUFFER_BYTES];
+	struct fleet_trailer trailer;
 	fleet_message message;
 	ssize_t len;
 
 	(void)condition;
 	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0) {
-		if (!fleet_message_decode(bytes, (size_t)len, &message)) {
+		if (!fleet_message_decode(
+			bytes, (size_t)len, &message, &trailer)) {
 			log_event(LOG_LEVEL_WARN, "peer-message-unreadable",
 			    "bytes=%zd outcome=dropped", len);
 			continue;
 		}
-		handle_message(peers, &message);
+		handle_message(peers, &message, &trailer);
 		fleet_message_clear(&message);
 	}
 	return G_SOURCE_CONTINUE;
@@ -525,12 +556,13 @@
 	*changes = (fleet_news){
 	    .name = peers->name,
 	    .incarnation = peers->incarnation,
-	    .after = after,
-	    .as_of = as_of,
+	    .after = store_revision_number(after),
+	    .as_of = store_revision_number(as_of),
 	    .items = {.items_len = batch->len,
 		.items_val = (fleet_item *)(void *)batch->data},
 	};
-	len = fleet_message_encode(&message, bytes, sizeof(bytes));
+	len = encode_with_trailer(
+	    peers, &message, store_revision_era(as_of), bytes, sizeof(bytes));
 	if (len > 0)
 		send_datagram_to_all(peers, bytes, len);
 }
@@ -583,8 +615,9 @@
 		if (batch->len > 0 &&
 		    bytes + wire.value.value_len > PEERS_CHANGE_BYTES_MAX) {
 			uint64_t last_revision =
-			    g_array_index(batch, fleet_item, batch->len - 1)
-				.revision;
+			    store_revision_make(store_revision_era(as_of),
+				g_array_index(batch, fleet_item, batch->len - 1)
+				    .revision);
 
 			send_change_batch(peers, batch, after, last_revision);
 			after = last_revision;
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -33,6 +33,8 @@
 	/// Another instance reports a limit of an upstream, or its end.
 	void (*limit_reported)(void *owner, enum rate_limit_change change,
 	    const struct rate_limit_statement *statement);
+	/// Another instance has data of a later era of the store.
+	void (*later_era_reported)(void *owner, uint64_t era);
 	/// Another instance reports that an upstream leaves. `upstream` is the
 	/// hash of its id and incarnation.
 	void (*departure_reported)(void *owner, uint64_t upstream, usec_t at);
--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -59,13 +59,13 @@
 
 /// Applies a snapshot from a peer to the view.
 static void
-apply_snapshot(
-    struct snapshot_sync *snapshot_sync, const fleet_snapshot *snapshot)
+apply_snapshot(struct snapshot_sync *snapshot_sync,
+    const fleet_snapshot *snapshot, uint64_t era)
 {
 	struct view *view = snapshot_sync->view;
 	usec_t now = g_get_monotonic_time();
 	GPtrArray *items = fleet_items_to_site(
-	    snapshot->items.items_val, snapshot->items.items_len);
+	    snapshot->items.items_val, snapshot->items.items_len, era);
 	GPtrArray *scope_items[] = {g_ptr_array_new(), g_ptr_array_new()};
 
 	for (guint i = 0; i < items->len; i++) {
@@ -77,14 +77,16 @@
 		    item);
 	}
 	log_event(LOG_LEVEL_INFO, "peer-snapshot",
-	    "directory_revision=%" G_GUINT64_FORMAT
+	    "era=%" G_GUINT64_FORMAT " directory_revision=%" G_GUINT64_FORMAT
 	    " operator_revision=%" G_GUINT64_FORMAT " items=%u",
-	    snapshot->directory_revision, snapshot->operator_revision,
+	    era, snapshot->directory_revision, snapshot->operator_revision,
 	    items->len);
 	view_apply_list(view, now, SITE_SCOPE_UPSTREAMS,
-	    scope_items[SITE_SCOPE_UPSTREAMS], snapshot->directory_revision);
+	    scope_items[SITE_SCOPE_UPSTREAMS],
+	    store_revision_make(era, snapshot->directory_revision));
 	view_apply_list(view, now, SITE_SCOPE_OPERATOR,
-	    scope_items[SITE_SCOPE_OPERATOR], snapshot->operator_revision);
+	    scope_items[SITE_SCOPE_OPERATOR],
+	    store_revision_make(era, snapshot->operator_revision));
 	g_ptr_array_unref(scope_items[0]);
 	g_ptr_array_unref(scope_items[1]);
 	g_ptr_array_unref(items);
@@ -95,36 +97,60 @@
 on_snapshot(void *owner, const struct fetch_response *answer)
 {
 	struct snapshot_sync *snapshot_sync = owner;
+	struct fleet_trailer trailer;
 	fleet_snapshot snapshot;
 
 	snapshot_sync->fetch = NULL;
 	if (answer->status != 200 ||
-	    !fleet_snapshot_decode(answer->body, answer->len, &snapshot)) {
+	    !fleet_snapshot_decode(
+		answer->body, answer->len, &snapshot, &trailer)) {
 		log_event(LOG_LEVEL_WARN, "peer-snapshot-failed",
 		    "status=%u reason=%s", answer->status,
 		    answer->failure == NULL ? "unreadable" : answer->failure);
 		return;
 	}
-	apply_snapshot(snapshot_sync, &snapshot);
+	if (trailer.era != 0)
+		apply_snapshot(snapshot_sync, &snapshot, trailer.era);
+	else if (!view_has_seen_restore(snapshot_sync->view))
+		apply_snapshot(
+		    snapshot_sync, &snapshot, view_era(snapshot_sync->view));
+	else
+		log_event(LOG_LEVEL_WARN, "peer-snapshot-failed",
+		    "status=%u reason=no-era", answer->status);
 	xdr_free((xdrproc_t)xdr_fleet_snapshot, (char *)&snapshot);
 }
 
-/// Finds a member that has a newer configuration, or that has upstreams while
-/// this instance has none.
+/// Checks whether a member has a newer configuration than this instance.
+/// Members of earlier builds don't report its version.
+static bool
+has_newer_config(const struct view *view, const struct member *member)
+{
+	if (member->config_version != 0)
+		return member->config_version > view_config_version(view);
+	return !view_has_seen_restore(view) &&
+	    member->config_revision >
+	    store_revision_number(view_config_revision(view));
+}
+
+/// Finds a member that has a newer configuration or data of a later era of the
+/// store, or that has upstreams while this instance has none.
 ///
-/// @return the member with the newest configuration, or NULL when it has no
-///         data that this instance lacks
+/// @return a member with the newest such data, or NULL
 static const struct member *
 find_newer_member(const struct snapshot_sync *snapshot_sync)
 {
 	const struct view *view = snapshot_sync->view;
 	const struct member *newest =
 	    membership_find_newest_config(snapshot_sync->membership);
+	const struct member *latest =
+	    membership_find_newest_era(snapshot_sync->membership);
 
 	if (newest == NULL || newest->config_revision == 0)
 		return NULL;
-	if (newest->config_revision > view_config_revision(view))
+	if (has_newer_config(view, newest))
 		return newest;
+	if (latest->store_era > view_era(view) && latest->config_revision != 0)
+		return latest;
 	return view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 &&
 		newest->directory_revision > 0
 	    ? newest
@@ -173,16 +199,22 @@
 /// Encodes all items of a view, for an instance that requests a snapshot.
 ///
 /// @param view  not changed
-/// @return the bytes, or NULL when the view has no items or they are too large
+/// @return the bytes, or NULL when the view has no items, they are too large,
+/// or
+///         they are of different eras of the store
 GBytes *
 snapshot_sync_encode(const struct view *view)
 {
 	GPtrArray *items = view_list_items(view);
 	GArray *wire = g_array_new(false, false, sizeof(fleet_item));
 	fleet_snapshot snapshot = {
-	    .directory_revision = view_revision(view, SITE_SCOPE_UPSTREAMS),
-	    .operator_revision = view_revision(view, SITE_SCOPE_OPERATOR),
+	    .directory_revision = store_revision_number(
+		view_revision(view, SITE_SCOPE_UPSTREAMS)),
+	    .operator_revision =
+		store_revision_number(view_revision(view, SITE_SCOPE_OPERATOR)),
 	};
+	const struct fleet_trailer trailer = {
+	    view_era(view), view_config_version(view)};
 	GBytes *bytes = NULL;
 
 	for (guint i = 0; i < items->len; i++) {
@@ -192,8 +224,8 @@
 	}
 	snapshot.items.items_len = wire->len;
 	snapshot.items.items_val = (fleet_item *)(void *)wire->data;
-	if (wire->len > 0)
-		bytes = fleet_snapshot_encode(&snapshot);
+	if (wire->len > 0 && view_is_of_one_era(view))
+		bytes = fleet_snapshot_encode(&snapshot, &trailer);
 	g_array_unref(wire);
 	g_ptr_array_unref(items);
 	return bytes;
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -35,6 +35,12 @@
 /// whether they still confirm it.
 #define STORE_PEER_DATA_CHECK_INTERVAL (100 * USEC_PER_MSEC)
 
+/// After a restore of the store all instances read it anew. Their lists are
+/// spread over this time for each instance of the fleet.
+#define STORE_RESTORE_SPREAD_PER_INSTANCE (2 * USEC_PER_MSEC)
+/// Delay until a call is repeated whose answer is of an earlier era.
+#define STORE_OLD_ERA_PAUSE (100 * USEC_PER_MSEC)
+
 /// Reads one scope of the store.
 struct scope_reader {
 	struct store *store;
@@ -53,6 +59,7 @@
 	struct store_options options;
 	struct scope_reader readers[2]; /// by enum site_scope
 	uint64_t calls;                 /// started so far
+	uint64_t era; /// latest era of the store that is known; 0: none
 };
 
 static void start_call(struct scope_reader *reader);
@@ -119,7 +126,8 @@
 	log_event(LOG_LEVEL_WARN, "store-call-failed",
 	    "scope=%s reason=\"%s\" status=%u revision=%" G_GUINT64_FORMAT,
 	    scope_name(reader->scope), reason, status,
-	    view_revision(reader->store->options.view, reader->scope));
+	    store_revision_number(
+		view_revision(reader->store->options.view, reader->scope)));
 	reader->reachable = false;
 	g_clear_pointer(&reader->pages, g_ptr_array_unref);
 	backoff_record_failure(&reader->backoff, g_get_monotonic_time(),
@@ -232,6 +240,80 @@
 		start_call(reader);
 }
 
+/// Discards what a reader has read of an earlier era, and lists the items anew
+/// after a random delay.
+static void
+restart_reader(struct scope_reader *reader)
+{
+	const struct store_options *options = &reader->store->options;
+	unsigned n_instances = options->vtable->fleet_size(options->owner);
+
+	g_clear_pointer(&reader->fetch, fetch_cancel);
+	g_clear_pointer(&reader->pages, g_ptr_array_unref);
+	reader->has_list = false;
+	schedule_call(reader,
+	    (usec_t)(g_random_double() * n_instances *
+		(double)STORE_RESTORE_SPREAD_PER_INSTANCE));
+}
+
+/// Handles the news that the store is in a later era: its revisions don't
+/// continue those that are known, so all items are listed anew.
+///
+/// @param store  client that lists the items
+/// @param era    an era of the store; one that isn't later than the known one
+///               is ignored
+void
+store_note_era(struct store *store, uint64_t era)
+{
+	const struct view *view = store->options.view;
+	bool is_first = store->era == 0 &&
+	    view_revision(view, SITE_SCOPE_UPSTREAMS) == 0 &&
+	    view_revision(view, SITE_SCOPE_OPERATOR) == 0;
+
+	if (era <= store->era)
+		return;
+	log_event(is_first ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+	    "store-era-changed",
+	    "era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT " outcome=%s",
+	    era, store->era, is_first ? "first" : "list");
+	store->era = era;
+	for (size_t i = 0; !is_first && i < G_N_ELEMENTS(store->readers); i++)
+		restart_reader(&store->readers[i]);
+}
+
+/// Checks whether an answer is of the era that is known, which a later one
+/// replaces. Otherwise the answer must be discarded; another call is scheduled.
+static bool
+check_era(struct scope_reader *reader, uint64_t era)
+{
+	struct store *store = reader->store;
+
+	if (era == 0 || era == store->era)
+		return true;
+	if (era > store->era) {
+		store_note_era(store, era);
+		return reader->timer == 0;
+	}
+	log_event(LOG_LEVEL_WARN, "store-answer-of-old-era",
+	    "scope=%s era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT
+	    " outcome=dropped",
+	    scope_name(reader->scope), era, store->era);
+	schedule_call(reader, STORE_OLD_ERA_PAUSE);
+	return false;
+}
+
+/// Completes the revisions of a reply, of which the adapter reads the numbers.
+static void
+set_reply_era(struct site_reply *reply, uint64_t era)
+{
+	reply->as_of = store_revision_make(era, reply->as_of);
+	for (guint i = 0; i < reply->items->len; i++) {
+		struct site_item *item = reply->items->pdata[i];
+
+		item->revision = store_revision_make(era, item->revision);
+	}
+}
+
 /// Fetch callback: a call was answered or has failed.
 static void
 on_answer(void *owner, const struct fetch_response *answer)
@@ -242,11 +324,15 @@
 	struct site_reply *reply;
 
 	reader->fetch = NULL;
+	if (answer->head != NULL &&
+	    !check_era(reader, store->options.site->read_era(answer->head)))
+		return;
 	if (answer->status != 0 && !reader->is_list_call &&
 	    store->options.site->is_history_lost(answer->status)) {
 		log_event(LOG_LEVEL_INFO, "store-history-lost",
 		    "scope=%s after=%" G_GUINT64_FORMAT " outcome=list",
-		    scope_name(reader->scope), reader->watch_after);
+		    scope_name(reader->scope),
+		    store_revision_number(reader->watch_after));
 		reader->has_list = false;
 		start_call(reader);
 		return;
@@ -264,6 +350,7 @@
 		g_error_free(error);
 		return;
 	}
+	set_reply_era(reply, store->era);
 	handle_success(reader);
 	if (reader->is_list_call)
 		handle_page(reader, reply);
@@ -282,6 +369,10 @@
 	const char *after = NULL;
 
 	*wait = 0;
+	/* Another instance's snapshot may be of another era. */
+	if (store_revision_era(view_revision(reader->store->options.view,
+		reader->scope)) != reader->store->era)
+		reader->has_list = false;
 	reader->is_list_call = !reader->has_list;
 	if (reader->is_list_call) {
 		if (reader->pages != NULL) {
@@ -300,7 +391,8 @@
 		    : STORE_OPERATOR_WAIT;
 	reader->watch_after =
 	    view_revision(reader->store->options.view, reader->scope);
-	return site->watch_target(reader->scope, reader->watch_after, *wait);
+	return site->watch_target(
+	    reader->scope, store_revision_number(reader->watch_after), *wait);
 }
 
 /// Checks whether other instances read this scope on behalf of this one and
--- a/src/godwitvale/fleet/store.h
+++ b/src/godwitvale/fleet/store.h
@@ -41,6 +41,7 @@
 bool store_is_reachable(const struct store *store);
 void store_restart_calls(struct store *store);
 void store_shorten_backoff(struct store *store);
+void store_note_era(struct store *store, uint64_t era);
 uint64_t store_call_count(const struct store *store);
 
 #endif
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -9,6 +9,10 @@
 /// lost. Instances that read the store get several answers a second.
 #define VIEW_STORE_LOST_TIMEOUT (1500 * USEC_PER_MSEC)
 
+/// An evacuation that a restored store lacks stays in force for this long,
+/// unless the operators write it again or end it before.
+#define VIEW_EVACUATION_HOLD (30 * USEC_PER_SEC)
+
 /// State of one scope of the store.
 struct scope_state {
 	uint64_t revision;   /// of the store; 0: nothing received yet
@@ -23,12 +27,16 @@
 	struct directory *directory;
 	GHashTable *evacuated; /// zone name -> struct zone_state *
 	bool store_lost;
+	bool has_seen_restore; /// a later era has followed an earlier one
 };
 
 /// State of a zone that is or was evacuated.
 struct zone_state {
 	bool evacuated;
 	usec_t returned_at; /// end of the last evacuation; 0: none ended
+	/// when the evacuation ends unless it is written again, because a
+	/// restored store lacks it; 0: the store has it
+	usec_t held_until;
 };
 
 /// Directory callback: passes a change to the listener.
@@ -78,7 +86,9 @@
 /// Makes a configuration current if its version is newer than that of the
 /// current configuration. A deleted or unreadable configuration leaves the
 /// current one unchanged.
-static void
+///
+/// @return whether it is current now
+static bool
 apply_config(struct view *view, const struct site_item *item)
 {
 	GError *error = NULL;
@@ -89,8 +99,8 @@
 	if (item->value == NULL) {
 		log_event(LOG_LEVEL_WARN, "config-deleted",
 		    "revision=%" G_GUINT64_FORMAT " outcome=kept",
-		    item->revision);
-		return;
+		    store_revision_number(item->revision));
+		return false;
 	}
 	text = g_bytes_get_data(item->value, &len);
 	deployment =
@@ -98,23 +108,24 @@
 	if (deployment == NULL) {
 		log_event(LOG_LEVEL_ERROR, "config-unreadable",
 		    "revision=%" G_GUINT64_FORMAT " reason=\"%s\" outcome=kept",
-		    item->revision, error->message);
+		    store_revision_number(item->revision), error->message);
 		g_error_free(error);
-		return;
+		return false;
 	}
 	if (view->deployment != NULL &&
 	    deployment->version <= view->deployment->version) {
 		deployment_unref(deployment);
-		return;
+		return false;
 	}
 	deployment_unref(view->deployment);
 	view->deployment = deployment;
 	log_event(LOG_LEVEL_INFO, "config-in-force",
 	    "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
 	    " routes=%u organisations=%u",
-	    deployment->version, deployment->revision, deployment->routes->len,
-	    deployment->organisations->len);
+	    deployment->version, store_revision_number(deployment->revision),
+	    deployment->routes->len, deployment->organisations->len);
 	view->options.vtable->config_changed(view->options.owner, deployment);
+	return true;
 }
 
 /// Records that a zone is evacuated, or that its evacuation has ended.
@@ -130,6 +141,7 @@
 		zone = g_new0(struct zone_state, 1);
 		g_hash_table_insert(view->evacuated, g_strdup(name), zone);
 	}
+	zone->held_until = 0;
 	if (zone->evacuated == evacuated)
 		return;
 	zone->evacuated = evacuated;
@@ -142,18 +154,21 @@
 }
 
 /// Passes an upstream's entry, or its deletion, to the directory.
-static void
+///
+/// @return whether the item is newer than what was known
+static bool
 apply_upstream(struct view *view, usec_t now, const struct site_item *item)
 {
 	GError *error = NULL;
 	gsize len;
 	const char *text;
 	struct upstream_entry *entry;
+	bool accepted;
 
 	if (item->value == NULL) {
 		directory_delete_entry(
 		    view->directory, now, item->name, item->revision);
-		return;
+		return true;
 	}
 	text = g_bytes_get_data(item->value, &len);
 	entry =
@@ -162,14 +177,17 @@
 		log_event(LOG_LEVEL_WARN, "upstream-entry-unreadable",
 		    "upstream=%s revision=%" G_GUINT64_FORMAT
 		    " reason=\"%s\" outcome=not-used",
-		    item->name, item->revision, error->message);
+		    item->name, store_revision_number(item->revision),
+		    error->message);
 		g_error_free(error);
 		directory_put_unreadable_entry(
 		    view->directory, now, item->name, item->revision);
-		return;
+		return true;
 	}
-	directory_put_entry(view->directory, now, entry, item->revision);
+	accepted =
+	    directory_put_entry(view->directory, now, entry, item->revision);
 	site_entry_free(entry);
+	return accepted;
 }
 
 /// Creates the label that identifies an item. Items from peers have no store
@@ -180,24 +198,29 @@
 	return g_strdup_printf("%d/%s", item->kind, item->name);
 }
 
-/// Saves an item for snapshots, or removes it when it is deleted.
-///
-/// @return false when the saved item is as new or newer
+/// Checks whether the saved version of an item is as new or newer.
 static bool
+is_saved(const struct scope_state *state, const struct site_item *item)
+{
+	char *label = make_label(item);
+	const struct site_item *saved =
+	    g_hash_table_lookup(state->items, label);
+
+	g_free(label);
+	return saved != NULL && saved->revision >= item->revision;
+}
+
+/// Saves an item for snapshots, or removes it when it is deleted.
+static void
 save_item(struct scope_state *state, const struct site_item *item)
 {
 	char *label = make_label(item);
-	const struct site_item *old = g_hash_table_lookup(state->items, label);
 	struct site_item *copy;
 
-	if (old != NULL && old->revision >= item->revision) {
-		g_free(label);
-		return false;
-	}
 	if (item->value == NULL) {
 		g_hash_table_remove(state->items, label);
 		g_free(label);
-		return true;
+		return;
 	}
 	copy = g_new0(struct site_item, 1);
 	copy->kind = item->kind;
@@ -205,31 +228,35 @@
 	copy->value = g_bytes_ref(item->value);
 	copy->revision = item->revision;
 	g_hash_table_replace(state->items, label, copy);
-	return true;
 }
 
-/// Applies one item.
+/// Applies one item, and saves it unless something newer is known.
 static void
 apply_item(struct view *view, usec_t now, struct scope_state *state,
     const struct site_item *item)
 {
-	if (item->kind == SITE_ITEM_OTHER)
-		return;
-	if (!save_item(state, item) && item->kind != SITE_ITEM_UPSTREAM)
-		return;
+	bool saved = is_saved(state, item);
+	bool accepted = false;
+
 	switch (item->kind) {
 	case SITE_ITEM_CONFIG:
-		apply_config(view, item);
+		accepted = !saved && apply_config(view, item);
 		break;
 	case SITE_ITEM_EVACUATION:
-		apply_evacuation(view, now, item->name, item->value != NULL);
+		if (!saved)
+			apply_evacuation(
+			    view, now, item->name, item->value != NULL);
+		accepted = !saved;
 		break;
 	case SITE_ITEM_UPSTREAM:
-		apply_upstream(view, now, item);
+		/* A known entry ends a hold. */
+		accepted = apply_upstream(view, now, item) && !saved;
 		break;
 	default:
 		break;
 	}
+	if (accepted)
+		save_item(state, item);
 }
 
 /// Records that a scope is up to date with a revision. If the store counted as
@@ -246,15 +273,36 @@
 		return;
 	view->store_lost = false;
 	log_event(LOG_LEVEL_INFO, "store-view-regained",
-	    "revision=%" G_GUINT64_FORMAT, revision);
+	    "revision=%" G_GUINT64_FORMAT, store_revision_number(revision));
 	directory_on_store_regained(view->directory, now);
 }
 
+/// Handles an evacuation that a full list doesn't contain: ends it, or holds it
+/// if the list is the first one after a restore of the store.
+///
+/// @return whether it has ended
+static bool
+handle_unlisted_evacuation(
+    struct view *view, usec_t now, const char *name, bool is_restored)
+{
+	struct zone_state *zone = g_hash_table_lookup(view->evacuated, name);
+
+	if (zone != NULL && zone->evacuated && is_restored) {
+		zone->held_until = now + VIEW_EVACUATION_HOLD;
+		log_event(LOG_LEVEL_WARN, "zone-evacuation-held",
+		    "zone=%s reason=store-restored", name);
+	}
+	if (zone != NULL && zone->held_until != 0)
+		return false;
+	apply_evacuation(view, now, name, false);
+	return true;
+}
+
 /// Ends evacuations and removes saved items that a full list doesn't contain.
 /// The configuration stays in any case.
 static void
 remove_unlisted(struct view *view, usec_t now, enum site_scope scope,
-    GHashTable *listed, uint64_t as_of)
+    GHashTable *listed, uint64_t as_of, bool is_restored)
 {
 	struct scope_state *state = &view->scopes[scope];
 	GHashTableIter iter;
@@ -265,18 +313,25 @@
 	while (g_hash_table_iter_next(&iter, &label, &value)) {
 		struct site_item *item = value;
 
-		if (item->revision > as_of ||
+		if (item->revision > as_of || item->kind == SITE_ITEM_CONFIG ||
 		    g_hash_table_contains(listed, label))
 			continue;
-		if (item->kind == SITE_ITEM_EVACUATION)
-			apply_evacuation(view, now, item->name, false);
-		if (item->kind != SITE_ITEM_CONFIG)
-			g_hash_table_iter_remove(&iter);
+		if (item->kind == SITE_ITEM_EVACUATION &&
+		    !handle_unlisted_evacuation(
+			view, now, item->name, is_restored))
+			continue;
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
 /// Applies a full list of the items in a scope.
 ///
+/// If the list is of a later era than the view, the store was restored from a
+/// copy. Nothing that is in force goes back until it is written again: the
+/// configuration with the highest version stays, evacuations and upstreams that
+/// the copy lacks are held, and upstreams that are known to leave or to be gone
+/// aren't revived.
+///
 /// @param view   updated
 /// @param now    current time
 /// @param scope  scope of the items
@@ -288,12 +343,25 @@
     GPtrArray *items, uint64_t as_of)
 {
 	struct scope_state *state = &view->scopes[scope];
+	bool is_restored = state->revision != 0 &&
+	    store_revision_era(as_of) > store_revision_era(state->revision);
 	GHashTable *listed;
 
 	if (as_of < state->revision)
 		return;
+	view->has_seen_restore = view->has_seen_restore || is_restored;
+	if (is_restored)
+		log_event(LOG_LEVEL_WARN, "store-restored",
+		    "scope=%d era=%" G_GUINT64_FORMAT
+		    " revision=%" G_GUINT64_FORMAT
+		    " known_revision=%" G_GUINT64_FORMAT " items=%u",
+		    (int)scope, store_revision_era(as_of),
+		    store_revision_number(as_of),
+		    store_revision_number(state->revision), items->len);
 	confirm_revision(view, now, scope, as_of);
 	listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (scope == SITE_SCOPE_UPSTREAMS && is_restored)
+		directory_on_store_restored(view->directory, now);
 	if (scope == SITE_SCOPE_UPSTREAMS)
 		directory_begin_full_list(view->directory);
 	for (guint i = 0; i < items->len; i++) {
@@ -304,7 +372,7 @@
 	}
 	if (scope == SITE_SCOPE_UPSTREAMS)
 		directory_end_full_list(view->directory, now, as_of);
-	remove_unlisted(view, now, scope, listed, as_of);
+	remove_unlisted(view, now, scope, listed, as_of, is_restored);
 	g_hash_table_unref(listed);
 }
 
@@ -314,18 +382,45 @@
 /// @param now    current time
 /// @param scope  scope of the items
 /// @param items  struct site_item *, in the order of the changes; not kept
-/// @param as_of  store revision after the changes
+/// @param as_of  store revision after the changes; changes of another era than
+///               that of the view are ignored
 void
 view_apply_changes(struct view *view, usec_t now, enum site_scope scope,
     GPtrArray *items, uint64_t as_of)
 {
+	uint64_t known = view->scopes[scope].revision;
+
+	if (known != 0 &&
+	    store_revision_era(as_of) != store_revision_era(known))
+		return;
 	confirm_revision(view, now, scope, as_of);
 	for (guint i = 0; i < items->len; i++)
 		apply_item(view, now, &view->scopes[scope], items->pdata[i]);
 }
 
+/// Ends held evacuations whose time is over.
+static void
+end_held_evacuations(struct view *view, usec_t now)
+{
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	g_hash_table_iter_init(&iter, view->evacuated);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct zone_state *zone = value;
+		const struct site_item item = {
+		    .kind = SITE_ITEM_EVACUATION, .name = name};
+
+		if (zone->held_until == 0 || now < zone->held_until)
+			continue;
+		apply_evacuation(view, now, name, false);
+		save_item(&view->scopes[SITE_SCOPE_OPERATOR], &item);
+	}
+}
+
 /// Marks the store as lost after a timeout without confirmation, and removes
-/// held upstreams whose deadline has passed.
+/// held upstreams whose deadline has passed, and held evacuations.
 ///
 /// @param view  updated
 /// @param now   current time
@@ -339,11 +434,12 @@
 		view->store_lost = true;
 		log_event(LOG_LEVEL_WARN, "store-view-lost",
 		    "revision=%" G_GUINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
-		    state->revision,
+		    store_revision_number(state->revision),
 		    (now - state->confirmed_at) / USEC_PER_MSEC);
 		directory_on_store_lost(view->directory);
 	}
 	directory_tick(view->directory, now);
+	end_held_evacuations(view, now);
 }
 
 /// Marks all data as out of date, after this process was paused. It counts as
@@ -366,6 +462,43 @@
 	return view->scopes[scope].revision;
 }
 
+/// @param view  view to query
+/// @return the era of the store that all of its data has reached
+uint64_t
+view_era(const struct view *view)
+{
+	return MIN(
+	    store_revision_era(view->scopes[SITE_SCOPE_UPSTREAMS].revision),
+	    store_revision_era(view->scopes[SITE_SCOPE_OPERATOR].revision));
+}
+
+/// @param view  view to query
+/// @return whether the data of all scopes is of the same era of the store
+bool
+view_is_of_one_era(const struct view *view)
+{
+	return store_revision_era(
+		   view->scopes[SITE_SCOPE_UPSTREAMS].revision) ==
+	    store_revision_era(view->scopes[SITE_SCOPE_OPERATOR].revision);
+}
+
+/// @param view  view to query
+/// @return whether the store was restored since this process started, so that
+///         data without an era can't be put in order
+bool
+view_has_seen_restore(const struct view *view)
+{
+	return view->has_seen_restore;
+}
+
+/// @param view  view to query
+/// @return version of the current configuration; 0: there is none
+uint64_t
+view_config_version(const struct view *view)
+{
+	return view->deployment == NULL ? 0 : view->deployment->version;
+}
+
 /// @param view  view to query
 /// @return store revision of the current configuration; 0: there is none
 uint64_t
--- a/src/godwitvale/fleet/view.h
+++ b/src/godwitvale/fleet/view.h
@@ -8,6 +8,7 @@
 
 #include "godwitvale/core/deployment.h"
 #include "godwitvale/core/directory.h"
+#include "godwitvale/core/store_revision.h"
 #include "godwitvale/site/site.h"
 
 struct view;
@@ -40,6 +41,10 @@
 void view_mark_stale(struct view *view);
 
 uint64_t view_revision(const struct view *view, enum site_scope scope);
+uint64_t view_era(const struct view *view);
+bool view_is_of_one_era(const struct view *view);
+bool view_has_seen_restore(const struct view *view);
+uint64_t view_config_version(const struct view *view);
 uint64_t view_config_revision(const struct view *view);
 usec_t view_confirmed_at(const struct view *view, enum site_scope scope);
 bool view_is_complete(const struct view *view);
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -30,16 +30,18 @@
 /// One item of the store, or its deletion.
 struct site_item {
 	enum site_item_kind kind;
-	char *key;         /// key in the store; NULL if a peer sent the item
-	char *name;        /// part of the key after the prefix of the kind
-	GBytes *value;     /// NULL if the item was deleted
-	uint64_t revision; /// store revision of its last change
+	char *key;     /// key in the store; NULL if a peer sent the item
+	char *name;    /// part of the key after the prefix of the kind
+	GBytes *value; /// NULL if the item was deleted
+	/// Store revision of its last change. The adapter reads the number
+	/// only; see core/store_revision.h.
+	uint64_t revision;
 };
 
 /// Parsed reply of the store.
 struct site_reply {
 	GPtrArray *items; /// struct site_item *
-	uint64_t as_of;   /// store revision of the reply
+	uint64_t as_of;   /// store revision of the reply; a number only, too
 	bool has_more;    /// another page follows the last item
 };
 
@@ -142,6 +144,8 @@
 	    const char *body, size_t len, GError **error);
 	/// @return whether a status means that the store has lost its history
 	bool (*is_history_lost)(unsigned status);
+	/// Reads the store's era from the head of any of its answers; 0: none.
+	uint64_t (*read_era)(const struct http_head *head);
 
 	/// Parses a configuration.
 	struct deployment *(*read_config)(
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -177,6 +177,28 @@
 	g_free(target);
 }
 
+static void
+era_of_the_store_is_read(void **state)
+{
+	static const struct {
+		const char *text;
+		uint64_t era;
+	} rows[] = {{NULL, 0}, {"1", 1}, {"17", 17}, {"", 0}, {"-1", 0},
+	    {"two", 0}, {"99999999999999999999", 0}};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct http_head head;
+
+		http_head_init(&head);
+		head.status = 410;
+		if (rows[i].text != NULL)
+			http_head_add(&head, "Store-Era", rows[i].text);
+		assert_int_equal(platform_read_era(&head), rows[i].era);
+		http_head_clear(&head);
+	}
+}
+
 /// Fields that only the system may set are removed from a caller's request,
 /// whatever their values are.
 static void
@@ -474,6 +496,7 @@
 	    cmocka_unit_test(invalid_configurations_are_rejected),
 	    cmocka_unit_test(invalid_upstream_entries_are_rejected),
 	    cmocka_unit_test(store_replies_are_read),
+	    cmocka_unit_test(era_of_the_store_is_read),
 	    cmocka_unit_test(reserved_request_fields_are_replaced),
 	    cmocka_unit_test(shared_segments_of_a_prompt_are_read),
 	    cmocka_unit_test(malformed_request_fields_are_tolerated),
