Entry: a stream with an endless or missing event counts as the engine's failure

Callers saw: 502 although another engine could have gone on with the stream; the engine's failure was counted nowhere, so it was never ejected.

Cause: the request was ended where the events are split, past the code that records results and resumes streams. Change: such a stream fails like one that is cut: recorded once, then resumed, retried or failed.

Test: functional/entry_open_ended, endless-event; before: no attempt-failed line and outcome stream-broken.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -332,7 +332,7 @@
 		       &request->splitter, data, len, on_event, request) &&
 	    !request->is_done) {
 		entry_request_cancel_exchange(request);
-		entry_request_fail(request, 502, "stream-broken");
+		answer_vtable()->failed(request, EXCHANGE_GARBLED);
 	}
 	if (!request->is_done && request->exchange != NULL &&
 	    http_call_unsent_bytes(request->call) > ANSWER_UNSENT_BYTES_MAX) {
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -46,7 +46,6 @@
     {"unreachable", "%s could not be reached"},
     {"resume-refused", "%s refused to resume from the copy"},
     {"resume-failed", "%s answered the attempt to resume with an error"},
-    {"stream-broken", "events from %s were missing or too long"},
     {"deadline",
 	"no final answer came from %s within the time limit of the "
 	"caller or the route"},
--- a/test/functional/entry_open_ended.sh
+++ b/test/functional/entry_open_ended.sh
@@ -31,4 +31,6 @@
 stream half-event
 stream no-event
 stream reset
+stream endless-event
+echo "counted: $(grep -c '"attempt-failed","id":"s-endless-event"' "$workdir/e1.log")"
 stream well
