HTTP: skip only so much before a response

Callers saw: an engine that sent interim responses (1xx) without end, or a response to another request with an endless body, kept the request until its deadline or until 4 GB were skipped; the instance was busy all the while.

Cause: interim responses and bytes of skipped bodies were not counted. Change: an exchange fails after 16 interim responses or 256 KB of skipped bodies.

Test: functional/entry_endless; before: 'endless-interim: 504' after 20 s, 'endless-other' after 2.4 s at full processor use.

--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -14,6 +14,10 @@
 #define EXCHANGE_BODY_BYTES_MAX ((uint64_t)1 << 32)
 /// Responses to earlier requests that are skipped before the exchange fails.
 #define EXCHANGE_SKIPS_MAX 2
+/// Interim responses (status 1xx) that are skipped before the exchange fails.
+#define EXCHANGE_INTERIM_MAX 16
+/// Bytes of skipped responses' bodies after which the exchange fails.
+#define EXCHANGE_SKIPPED_BYTES_MAX (256 * 1024)
 /// An idle connection is used until this long before the upstream's idle
 /// timeout, in milliseconds. Without the margin a request could be in flight
 /// when the upstream closes the connection.
@@ -31,6 +35,8 @@
 	struct http_reader reader;
 	usec_t idle_timeout; /// how long the connection may be kept idle
 	unsigned skipped_count;
+	unsigned interim_count;
+	size_t skipped_bytes;
 	bool reused;
 	bool is_head_request; /// responses have no body
 	bool skipping;        /// the current response is not this request's
@@ -123,6 +129,7 @@
 	exchange->skipping = false;
 	if (reader->head.status < 200) {
 		exchange->skipping = true;
+		exchange->interim_count++;
 		return;
 	}
 	if (exchange->options.echo_field != NULL) {
@@ -146,6 +153,8 @@
 {
 	struct exchange *exchange = owner;
 
+	if (exchange->skipping)
+		exchange->skipped_bytes += len;
 	if (exchange->skipping || exchange->finished)
 		return;
 	exchange->options.vtable->body(exchange->options.owner, data, len);
@@ -180,6 +189,16 @@
 	vtable->complete(owner);
 }
 
+/// Checks whether more was skipped than an upstream in order would send before
+/// the response.
+static bool
+has_skipped_too_much(const struct exchange *exchange)
+{
+	return exchange->skipped_count > EXCHANGE_SKIPS_MAX ||
+	    exchange->interim_count > EXCHANGE_INTERIM_MAX ||
+	    exchange->skipped_bytes > EXCHANGE_SKIPPED_BYTES_MAX;
+}
+
 /// Handles the end of a message: completes the exchange, or continues with
 /// the next message when this one was skipped.
 ///
@@ -193,8 +212,7 @@
 		complete_exchange(exchange);
 		return false;
 	}
-	if (exchange->skipped_count > EXCHANGE_SKIPS_MAX ||
-	    !exchange->reader.head.keep_alive) {
+	if (!exchange->reader.head.keep_alive) {
 		fail_exchange(exchange, EXCHANGE_NO_ANSWER);
 		return false;
 	}
@@ -225,6 +243,8 @@
 		else if (exchange->reader.progress == HTTP_COMPLETE &&
 		    !finish_message(exchange, len > 0))
 			break;
+		else if (has_skipped_too_much(exchange))
+			fail_exchange(exchange, EXCHANGE_NO_ANSWER);
 	}
 	exchange->callback_depth--;
 	if (exchange->finished)
