HTTP: bodies of reports and copy outcomes are bounded at 64 KB

An upstream whose report has an endless body could take 16 MB of memory for each query, with several queries a second to several engines at once, on machines of 110 MB.

Cause: one limit for the store's lists and for upstreams' reports. Change: each fetch names its limit. Test: http_exchange_test, body_of_a_fetch_exceeds_its_limit; the option is new, so it doesn't build on the code before.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -110,6 +110,7 @@
 	char *target =
 	    request->entry->site->drop_copy_target(request->handover.handle);
 	const struct fetch_options options = {
+	    .max_body = FETCH_UPSTREAM_BYTES_MAX,
 	    .pool = request->entry->pool,
 	    .address = request->copy_source.address,
 	    .method = "DELETE",
@@ -245,6 +246,7 @@
 send_copy_request(struct entry_request *request, enum handover_step step)
 {
 	struct fetch_options options = {
+	    .max_body = FETCH_UPSTREAM_BYTES_MAX,
 	    .pool = request->entry->pool,
 	    .address = request->copy_source.address,
 	    .method = "POST",
--- a/src/godwitvale/entry/reports.c
+++ b/src/godwitvale/entry/reports.c
@@ -141,6 +141,7 @@
 {
 	struct entry *entry = query->reports->entry;
 	const struct fetch_options options = {
+	    .max_body = FETCH_UPSTREAM_BYTES_MAX,
 	    .pool = entry->pool,
 	    .address = query->address,
 	    .method = "GET",
--- a/src/godwitvale/entry/segment_guard.c
+++ b/src/godwitvale/entry/segment_guard.c
@@ -272,6 +272,7 @@
 	struct segment_guard *guard = request->entry->guard;
 	const struct site_request *params = &request->params;
 	struct fetch_options options = {
+	    .max_body = FETCH_UPSTREAM_BYTES_MAX,
 	    .pool = request->entry->pool,
 	    .address = request->target.address,
 	    .method = "GET",
--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -166,6 +166,7 @@
 {
 	const struct member *member = find_newer_member(snapshot_sync);
 	struct fetch_options options = {
+	    .max_body = FETCH_BYTES_MAX,
 	    .pool = snapshot_sync->pool,
 	    .method = "GET",
 	    .target = SNAPSHOT_SYNC_TARGET,
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -429,6 +429,7 @@
 {
 	struct store *store = reader->store;
 	struct fetch_options options = {
+	    .max_body = FETCH_BYTES_MAX,
 	    .pool = store->options.pool,
 	    .address = store->options.address,
 	    .method = "GET",
--- a/src/godwitvale/http/fetch.c
+++ b/src/godwitvale/http/fetch.c
@@ -11,6 +11,7 @@
 	struct exchange *exchange;
 	struct http_head head; /// of the response
 	GString *body;
+	size_t max_body;
 	guint timer;
 };
 
@@ -59,7 +60,7 @@
 {
 	struct fetch *fetch = owner;
 
-	if (fetch->body->len + len > FETCH_BYTES_MAX) {
+	if (fetch->body->len + len > fetch->max_body) {
 		exchange_cancel(fetch->exchange);
 		fetch->exchange = NULL;
 		complete_fetch(fetch, "too-long");
@@ -130,6 +131,7 @@
 	exchange_options.body_len = strlen(exchange_options.body);
 	fetch->handler = options->handler;
 	fetch->owner = options->owner;
+	fetch->max_body = options->max_body;
 	fetch->body = g_string_new(NULL);
 	http_head_init(&fetch->head);
 	http_head_init(&head);
--- a/src/godwitvale/http/fetch.h
+++ b/src/godwitvale/http/fetch.h
@@ -9,8 +9,11 @@
 #include "godwitvale/http/head.h"
 #include "godwitvale/http/pool.h"
 
-/// Longest accepted response body, in bytes.
+/// Longest accepted response body of a store or another instance, in bytes.
 #define FETCH_BYTES_MAX (16 * 1024 * 1024)
+/// Longest accepted response body of an upstream, in bytes: a report or the
+/// outcome of a copy.
+#define FETCH_UPSTREAM_BYTES_MAX (64 * 1024)
 
 /// Outcome of a request.
 struct fetch_response {
@@ -33,6 +36,7 @@
 	const char *target;
 	const char *body;      /// JSON, or NULL for a request without a body
 	usec_t deadline;       /// on the monotonic clock
+	size_t max_body;       /// longest accepted response body, in bytes
 	fetch_handler handler; /// called once, unless the fetch is cancelled
 	void *owner;
 };
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -237,6 +237,7 @@
 		struct soak_call *call = soak->calls->pdata[i];
 		char *target = g_strdup_printf("/ctl/runs/%s", call->id);
 		const struct fetch_options options = {
+		    .max_body = FETCH_BYTES_MAX,
 		    .pool = soak->pool,
 		    .address = address,
 		    .method = "GET",
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -136,6 +136,7 @@
 	char *address = g_strdup_printf("127.0.0.1:%u", soak->store_port);
 	char *target = g_strdup_printf("/ctl/%s", path);
 	const struct fetch_options options = {
+	    .max_body = FETCH_BYTES_MAX,
 	    .pool = soak->pool,
 	    .address = address,
 	    .method = "POST",
--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include "godwitvale/http/exchange.h"
+#include "godwitvale/http/fetch.h"
 
 /// What an upstream does with the connection after each response: keeps it
 /// open, closes it or resets it.
@@ -381,6 +382,56 @@
 	upstream_close(&upstream);
 }
 
+/// Fetch callback: records the outcome as text.
+static void
+on_fetched(void *owner, const struct fetch_response *response)
+{
+	struct transcript *transcript = owner;
+
+	g_string_append_printf(transcript->text, "%u %s", response->status,
+	    response->failure == NULL ? response->body : response->failure);
+	g_main_loop_quit(transcript->loop);
+}
+
+/// An endless body must not fill the memory; the connection is closed.
+static void
+body_of_a_fetch_exceeds_its_limit(void **state)
+{
+	static const struct {
+		size_t max_body;
+		const char *expected;
+	} rows[] = {{2, "200 hi"}, {1, "0 too-long"}};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const char *const responses[] = {
+		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", NULL};
+		struct transcript transcript = {g_string_new(NULL),
+		    g_main_loop_new(NULL, FALSE), NULL, false};
+		struct pool *pool = pool_new();
+		struct upstream upstream;
+		struct fetch_options options = {
+		    .pool = pool,
+		    .method = "GET",
+		    .target = "/",
+		    .deadline = g_get_monotonic_time() + 60 * USEC_PER_SEC,
+		    .max_body = rows[i].max_body,
+		    .handler = on_fetched,
+		    .owner = &transcript,
+		};
+
+		upstream_open(&upstream, responses, KEEP);
+		options.address = upstream.address;
+		fetch_start(&options);
+		g_main_loop_run(transcript.loop);
+		assert_string_equal(transcript.text->str, rows[i].expected);
+		g_main_loop_unref(transcript.loop);
+		g_string_free(transcript.text, TRUE);
+		pool_free(pool);
+		upstream_close(&upstream);
+	}
+}
+
 int
 main(void)
 {
@@ -391,6 +442,7 @@
 	    cmocka_unit_test(extra_response_closes_idle_connection),
 	    cmocka_unit_test(idle_connections_have_a_deadline),
 	    cmocka_unit_test(cancel_inside_callback_is_safe),
+	    cmocka_unit_test(body_of_a_fetch_exceeds_its_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
