Soak: statements of upstreams, deadly segments, restores; metrics of each

The fault soak now also draws: prompt segments that crash engines, limits, pauses (one of them unreadable), answers cut at their start, upstreams that say that they leave, and restores of the store from a copy, after which the operators and the workers write again what is missing. It checks besides that no instance puts segments in quarantine that never crash an engine.

Metrics: gauges for limited and paused upstreams, quarantines and the store's era.

--- a/src/godwitvale/core/quarantine.c
+++ b/src/godwitvale/core/quarantine.c
@@ -611,6 +611,14 @@
 	return n;
 }
 
+/// @param quarantine  verdicts
+/// @return number of verdicts in force
+size_t
+quarantine_count_verdicts(const struct quarantine *quarantine)
+{
+	return quarantine->n_verdicts;
+}
+
 /// Lists the verdicts in force.
 ///
 /// @param quarantine  verdicts
--- a/src/godwitvale/core/quarantine.h
+++ b/src/godwitvale/core/quarantine.h
@@ -98,6 +98,7 @@
 void quarantine_tick(struct quarantine *quarantine, usec_t now);
 size_t quarantine_list_crashes(const struct quarantine *quarantine,
     struct quarantine_crash *crashes, size_t max);
+size_t quarantine_count_verdicts(const struct quarantine *quarantine);
 size_t quarantine_list_verdicts(const struct quarantine *quarantine,
     struct quarantine_verdict *verdicts, size_t max);
 size_t quarantine_list_sound(const struct quarantine *quarantine,
--- a/src/godwitvale/core/rate_limits.c
+++ b/src/godwitvale/core/rate_limits.c
@@ -75,6 +75,21 @@
 	return g_hash_table_lookup(limits->limits, &upstream);
 }
 
+/// @param limits  table to count
+/// @return number of limits in force
+unsigned
+rate_limits_count(const struct rate_limits *limits)
+{
+	unsigned n = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, limits->limits);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((const struct limit *)value)->statement.rate >= 0;
+	return n;
+}
+
 /// Checks whether two limits differ so much that all instances must know.
 static bool
 differs(double known, double rate)
--- a/src/godwitvale/core/rate_limits.h
+++ b/src/godwitvale/core/rate_limits.h
@@ -50,6 +50,7 @@
     struct rate_limits *limits, const struct rate_limit_statement *statement);
 enum rate_limit_change rate_limits_merge(struct rate_limits *limits, usec_t now,
     const struct rate_limit_statement *statement);
+unsigned rate_limits_count(const struct rate_limits *limits);
 bool rate_limits_is_limited(
     const struct rate_limits *limits, uint64_t upstream);
 usec_t rate_limits_next_permit(struct rate_limits *limits, usec_t now,
--- a/src/godwitvale/core/upstream_notices.c
+++ b/src/godwitvale/core/upstream_notices.c
@@ -126,6 +126,23 @@
 	return notice == NULL ? 0 : notice->paused_until;
 }
 
+/// @param notices  table to count
+/// @param now      current time
+/// @return number of upstreams that want a pause
+unsigned
+upstream_notices_count_paused(
+    const struct upstream_notices *notices, usec_t now)
+{
+	unsigned n = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, notices->notices);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += now < ((const struct notice *)value)->paused_until;
+	return n;
+}
+
 /// Forgets old notices.
 ///
 /// @param notices  table to check
--- a/src/godwitvale/core/upstream_notices.h
+++ b/src/godwitvale/core/upstream_notices.h
@@ -42,6 +42,8 @@
     uint64_t upstream, usec_t span);
 usec_t upstream_notices_paused_until(
     const struct upstream_notices *notices, uint64_t upstream);
+unsigned upstream_notices_count_paused(
+    const struct upstream_notices *notices, usec_t now);
 void upstream_notices_tick(struct upstream_notices *notices, usec_t now);
 size_t upstream_notices_list_departures(const struct upstream_notices *notices,
     usec_t now, struct upstream_departure *departures, size_t max);
--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -7,6 +7,7 @@
 
 #include "godwitvale/core/hash.h"
 #include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/fleet/snapshot_sync.h"
 #include "godwitvale/ops/log.h"
 
@@ -114,6 +115,16 @@
 		directory_size(view_directory(entry->view))},
 	    {"entry_peers", "Other instances alive.",
 		membership_size(peers_membership(entry->peers)) - 1},
+	    {"entry_limited_upstreams", "Upstreams with a limit in force.",
+		rate_limits_count(entry->rate_limits)},
+	    {"entry_paused_upstreams", "Upstreams that want a pause.",
+		upstream_notices_count_paused(
+		    entry->notices, g_get_monotonic_time())},
+	    {"entry_quarantines", "Quarantines of prompt segments in force.",
+		quarantine_count_verdicts(
+		    segment_guard_quarantine(entry->guard))},
+	    {"entry_store_era", "Era of the store's data; 0: it names none.",
+		view_era(entry->view)},
 	    {"entry_store_reachable", "Whether the store answers.",
 		store_is_reachable(entry->store)},
 	    {"entry_ready", "Whether callers may be sent here.",
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -43,6 +43,7 @@
 bool worker_set_mode(struct worker *worker, const char *mode);
 const char *worker_address(const struct worker *worker);
 bool worker_is_running(const struct worker *worker);
+void worker_rewrite_all(struct site_state *site);
 
 struct raw_worker *raw_worker_new(struct site_state *site, const char *spec);
 void raw_worker_set_mode(struct raw_worker *worker, const char *mode);
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -10,6 +10,8 @@
 
 /// Number of past changes that watch calls can still return.
 #define HISTORY_MAX 1000
+/// From a restore until what it lacks is written again, in milliseconds.
+#define REWRITE_DELAY_MS 1000
 
 /// Current value of an item.
 struct item {
@@ -47,6 +49,7 @@
 	uint64_t era;      /// rises with each restore
 	GHashTable *saved; /// copy to restore: key -> struct item *
 	uint64_t saved_revision;
+	GHashTable *lost; /// items before a drill; NULL: all is written again
 };
 
 static void
@@ -283,6 +286,44 @@
 	store->era++;
 }
 
+/// Loop callback: some time after a restore the operators and the workers write
+/// again what is missing; the entries of workers that are gone expire.
+static gboolean
+on_rewrite(gpointer data)
+{
+	struct site_store *store = data;
+	GHashTable *lost = store->lost;
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	store->lost = NULL;
+	g_hash_table_iter_init(&iter, lost);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct item *item =
+		    g_hash_table_lookup(store->items, key);
+		const char *text = ((const struct item *)value)->value;
+
+		if (g_str_has_prefix(key, "op/") &&
+		    (item == NULL || strcmp(item->value, text) != 0))
+			site_store_put(store, key, text);
+	}
+	g_hash_table_unref(lost);
+	worker_rewrite_all(store->site);
+	return G_SOURCE_REMOVE;
+}
+
+/// Restores the store from the saved copy, and lets all be written again.
+static void
+play_drill(struct site_store *store)
+{
+	if (store->saved == NULL || store->lost != NULL)
+		return;
+	store->lost = copy_items(store->items);
+	restore_copy(store);
+	g_timeout_add(REWRITE_DELAY_MS, on_rewrite, store);
+}
+
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
 /// /ctl/deadly/SEGMENT,..., /ctl/limit/RATE or /ctl/limit/none, /ctl/pause with
@@ -310,6 +351,8 @@
 			save_copy(store);
 		else if (strcmp(name, "restore") == 0)
 			restore_copy(store);
+		else if (strcmp(name, "drill") == 0)
+			play_drill(store);
 		else
 			site_store_set_mode(store, name);
 	} else if (strcmp(command, "runs") == 0) {
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -579,3 +579,25 @@
 {
 	return worker->server != NULL;
 }
+
+/// Writes the entries of all running workers again, and deletes the others.
+///
+/// @param site  the simulated platform
+void
+worker_rewrite_all(struct site_state *site)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, site->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+		char *key = g_strdup_printf("servers/%s", worker->id);
+
+		if (worker_is_running(worker))
+			publish_entry(worker);
+		else
+			site_store_delete(site->store, key);
+		g_free(key);
+	}
+}
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -74,6 +74,7 @@
 void soak_world_ctl(struct soak *soak, const char *path, const char *body);
 void soak_world_configure(struct soak *soak);
 void soak_world_check_ends(struct soak *soak);
+void soak_world_check_logs(struct soak *soak);
 
 /* soak_plan.c */
 void soak_plan_step(struct soak *soak);
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -99,6 +99,21 @@
 static const struct exchange_vtable vtable = {
     on_head, on_body, on_complete, on_failed};
 
+/// Adds the segments of a prompt: one that all share, one of a few, its own.
+static void
+add_segments(struct soak_call *call, struct http_head *head)
+{
+	static const char *const segments[] = {
+	    "dead1", "dead2", "5a1", "5a2", "5a3", "5a4", "5a5", "5a6"};
+	char *text = g_strdup_printf("c0:9,%s:9,%x:9",
+	    segments[g_rand_int_range(
+		call->soak->rand, 0, G_N_ELEMENTS(segments))],
+	    0x10000 + call->soak->calls->len);
+
+	http_head_add(head, "Prefix-Hash", text);
+	g_free(text);
+}
+
 /// Sends one request to some instance.
 static void
 send_call(struct soak *soak)
@@ -142,6 +157,7 @@
 
 		http_head_add(&head, "Token-Usage", tokens);
 		g_free(tokens);
+		add_segments(call, &head);
 	}
 	if (call->kind != CALL_CHECK)
 		http_head_add(&head, "Content-Length", "0");
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -174,6 +174,7 @@
 	for (int i = 0; i < 3; i++)
 		g_source_remove(sources[i]);
 	soak_callers_check(&soak);
+	soak_world_check_logs(&soak);
 	soak_callers_free(&soak);
 	soak_world_stop(&soak);
 	ok = soak.failures->len == 0;
@@ -198,6 +199,8 @@
 	int span = 10;
 	char *bindir = NULL;
 	const GOptionEntry entries[] = {
+	    {"first-port", 0, 0, G_OPTION_ARG_INT, &first_port,
+		"port from which free ones are taken", "PORT"},
 	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &bindir,
 		"Where the programs are", "DIR"},
 	    {"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "How many", "N"},
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -10,9 +10,31 @@
     "lm1", "lm2", "lm3", "shop1", "shop2"};
 static const char *const worker_modes[] = {"draining", "ready", "gone", "leave",
     "back", "back", "back", "well", "well", "shed", "mute", "reset", "cut",
-    "errors"};
+    "cutstart", "saysleaving", "errors"};
 static const char *const store_modes[] = {
     "busy", "silent", "forget", "up", "up", "up"};
+/// What upstreams say of themselves, prompts that crash them, and a store that
+/// is restored from a copy: control calls and their bodies.
+static const struct {
+	const char *path;
+	const char *body;
+} statements[] = {
+    {"deadly/dead1", ""},
+    {"deadly/dead1,dead2", ""},
+    {"deadly/none", ""},
+    {"limit/0.5", ""},
+    {"limit/3", ""},
+    {"limit/40", ""},
+    {"limit/many", ""},
+    {"limit/none", ""},
+    {"limit/none", ""},
+    {"pause", "1.5"},
+    {"pause", "0.2"},
+    {"pause", "Fri, 04 Dec 2026 10:00:00 GMT"},
+    {"store/save", ""},
+    {"store/drill", ""},
+    {"store/drill", ""},
+};
 static const char *const link_names[] = {"well", "slow", "one-way", "silent"};
 
 /// Draws a number below another.
@@ -71,6 +93,16 @@
 	g_free(path);
 }
 
+/// Makes upstreams say something, or restores the store.
+static void
+hit_statement(struct soak *soak)
+{
+	int i = draw(soak, G_N_ELEMENTS(statements));
+
+	soak_note(soak, "%s %s", statements[i].path, statements[i].body);
+	soak_world_ctl(soak, statements[i].path, statements[i].body);
+}
+
 /// Does something to a link.
 static void
 hit_link(struct soak *soak)
@@ -102,7 +134,7 @@
 	const char *mode;
 	char *path;
 
-	switch (draw(soak, 10)) {
+	switch (draw(soak, 13)) {
 	case 0:
 	case 1:
 	case 2:
@@ -124,6 +156,11 @@
 		soak_world_ctl(soak, path, "");
 		g_free(path);
 		break;
+	case 9:
+	case 10:
+	case 11:
+		hit_statement(soak);
+		break;
 	default:
 		soak_note(soak, "configuration");
 		soak_world_configure(soak);
@@ -145,6 +182,8 @@
 	soak_link_set(soak->store_link, LINK_WELL);
 	soak_link_reset(soak->store_link);
 	soak_world_ctl(soak, "store/up", "");
+	soak_world_ctl(soak, "deadly/none", "");
+	soak_world_ctl(soak, "limit/none", "");
 	for (int i = 0; i < SOAK_WORKERS; i++) {
 		static const char *const steps[] = {"back", "ready", "well"};
 
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -248,6 +248,32 @@
 	}
 }
 
+/// Checks that no instance has put segments in quarantine of which none ever
+/// crashes an engine.
+///
+/// @param soak  the run
+void
+soak_world_check_logs(struct soak *soak)
+{
+	for (int i = 0; i < SOAK_ENTRIES; i++) {
+		char *path = g_strdup_printf(
+		    "%s/%s.log", soak->dir, soak->entries[i].name);
+		char *text = NULL;
+		char **lines;
+
+		if (!g_file_get_contents(path, &text, NULL, NULL))
+			text = g_strdup("");
+		lines = g_strsplit(text, "\n", -1);
+		for (char **line = lines; *line != NULL; line++)
+			if (strstr(*line, "\"segments-quarantined\"") != NULL &&
+			    strstr(*line, "dead") == NULL)
+				soak_fail(soak, "wrong verdict: %s", *line);
+		g_strfreev(lines);
+		g_free(text);
+		g_free(path);
+	}
+}
+
 /// Ends one process that this run has started, and waits for it.
 static void
 end_process(GPid pid)
