--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -199,8 +199,6 @@
 	int span = 10;
 	char *bindir = NULL;
 	const GOptionEntry entries[] = {
-	    {"first-port", 0, 0, G_OPTION_ARG_INT, &first_port,
-		"port from which free ones are taken", "PORT"},
 	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &bindir,
 		"Where the programs are", "DIR"},
 	    {"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "How many", "N"},
