--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -174,7 +174,7 @@
 	    info->limit == SITE_STATEMENT_MADE ? info->rate_limit : -1;
 	if (dispatch_set_limit(entry->dispatch, &request->target,
 		request->named_limit) != RATE_LIMIT_SAME)
-		peers_send_limits(entry->peers);
+		peers_broadcast(entry->peers, PEERS_LIMITS);
 }
 
 /// Exchange callback: the head of an answer has arrived.
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -1,20 +1,15 @@
 /*
- * Chooses an upstream for each request and records the results: health,
- * ejections, loads and retries.
+ * Chooses an upstream for each request, and keeps account of loads and retries.
+ * dispatch_upstream.c records what is learnt of the upstreams.
  */
-#include "godwitvale/entry/dispatch.h"
+#include "godwitvale/entry/dispatch_state.h"
 
 #include <string.h>
 
-#include "godwitvale/core/fleet_share.h"
 #include "godwitvale/core/hash.h"
-#include "godwitvale/core/event_interval.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/ops/log.h"
 
-/// An upstream that reports that it is full gets no requests for this long:
-/// other instances get the same report, and its queue must drain first.
-#define DISPATCH_FULL_BACKOFF (100 * USEC_PER_MSEC)
 /// Share of an upstream's connections that the instances divide among
 /// themselves. The rest is a reserve for connections that are closing.
 #define DISPATCH_CONNECTION_SHARE 0.85
@@ -27,34 +22,12 @@
 /// Placement penalty of an upstream that refused a connection of another
 /// instance. It is high enough to place the upstream last.
 #define DISPATCH_SUSPECT_PENALTY 2.0
-/// How long an upstream counts as unreachable after it refused a connection.
-/// Other instances are told, and use the same period.
-#define DISPATCH_SUSPECT_PERIOD (3 * USEC_PER_SEC)
 /// Largest share of a service's upstreams that ejection may exclude. If more
 /// are ejected, none is excluded.
 #define DISPATCH_MAX_EJECTED_SHARE 0.8
 /// Placement penalty of a cold upstream.
 #define DISPATCH_COLD_PENALTY 0.2
 
-struct dispatch {
-	struct dispatch_options options;
-	GHashTable *health_by_upstream; /// id hash -> struct upstream_health *
-	GHashTable *retry_shares;       /// service -> struct fleet_share *
-	GHashTable *event_intervals;    /// service -> struct event_interval *
-	GRand *rand;
-};
-
-/// Health of one upstream, as observed by this instance.
-struct upstream_health {
-	struct outlier outlier;
-	struct event_interval event_interval;
-	struct fleet_share cold_share; /// permits for requests while it is cold
-	usec_t full_until;
-	usec_t unreachable_until; /// refused a connection of this instance
-	usec_t suspect_until;     /// refused a connection of another instance
-	bool misdirected;         /// another upstream has its address now
-};
-
 /// Candidates of one placement.
 struct candidate_list {
 	struct place_candidate *candidates;
@@ -111,9 +84,10 @@
 	return health;
 }
 
-/// @return hash of an upstream's id and incarnation
-static uint64_t
-get_incarnation_key(const struct upstream_entry *entry)
+/// @param entry  an upstream's entry
+/// @return hash of the upstream's id and incarnation
+uint64_t
+dispatch_make_incarnation_key(const struct upstream_entry *entry)
 {
 	return hash_pair(hash_name(entry->id), (uint64_t)entry->incarnation);
 }
@@ -132,7 +106,7 @@
 	if (change == DIRECTORY_REMOVED || change == DIRECTORY_RESTARTED) {
 		g_hash_table_remove(dispatch->health_by_upstream, &key);
 		rate_limits_forget(dispatch->options.rate_limits,
-		    get_incarnation_key(&record->entry));
+		    dispatch_make_incarnation_key(&record->entry));
 		pool_close_idle(dispatch->options.pool, record->entry.address);
 	}
 }
@@ -199,8 +173,12 @@
 
 /// Returns the mean event interval of all engines of a service; creates it if
 /// it doesn't exist.
-static struct event_interval *
-get_service_event_interval(struct dispatch *dispatch, const char *service)
+///
+/// @param dispatch  holds the intervals
+/// @param service   name of the service
+/// @return the interval, owned by the dispatch
+struct event_interval *
+dispatch_get_service_interval(struct dispatch *dispatch, const char *service)
 {
 	struct event_interval *interval =
 	    g_hash_table_lookup(dispatch->event_intervals, service);
@@ -222,7 +200,8 @@
     const struct upstream_record *record, struct upstream_health *health)
 {
 	const struct dispatch_options *options = &dispatch->options;
-	uint64_t incarnation_key = get_incarnation_key(&record->entry);
+	uint64_t incarnation_key =
+	    dispatch_make_incarnation_key(&record->entry);
 	bool cold = service->cold_rate > 0 && is_cold(dispatch, now, record);
 
 	if (cold)
@@ -274,7 +253,7 @@
 	if (record->missing_deadline != 0)
 		candidate->penalty += DISPATCH_TRIAL_PENALTY;
 	candidate->penalty += event_interval_penalty(&health->event_interval,
-	    get_service_event_interval(dispatch, service->name));
+	    dispatch_get_service_interval(dispatch, service->name));
 	if (now < health->suspect_until)
 		candidate->penalty += DISPATCH_SUSPECT_PENALTY;
 	candidate->excluded = eligibility_check(inputs, now).reason != ELIGIBLE;
@@ -391,7 +370,8 @@
 
 		if (service->cold_rate > 0 && is_cold(dispatch, now, record))
 			fleet_share_take_permit(&health->cold_share, now);
-		target->incarnation_key = get_incarnation_key(&record->entry);
+		target->incarnation_key =
+		    dispatch_make_incarnation_key(&record->entry);
 		rate_limits_take_permit(dispatch->options.rate_limits, now,
 		    target->incarnation_key);
 		target->id = g_strdup(record->entry.id);
@@ -503,238 +483,6 @@
 	    get_retry_share(dispatch, service), g_get_monotonic_time());
 }
 
-/// Records the result of a request to an upstream, and ejects the upstream if
-/// too many requests to it have failed.
-///
-/// @param dispatch  holds the health of the upstream
-/// @param target    the upstream
-/// @param result    result of the request
-void
-dispatch_record_result(struct dispatch *dispatch,
-    const struct dispatch_target *target, enum outlier_result result)
-{
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
-
-	if (health == NULL)
-		return;
-	if (result == OUTLIER_UNREACHABLE)
-		health->unreachable_until =
-		    g_get_monotonic_time() + DISPATCH_SUSPECT_PERIOD;
-	if (!outlier_record_result(
-		&health->outlier, g_get_monotonic_time(), result))
-		return;
-	series_add(&entry_metric_ejections, target->id, NULL, 1);
-	log_event(LOG_LEVEL_WARN, "upstream-ejected",
-	    "upstream=%s ejections=%u for_ms=%" G_GINT64_FORMAT, target->id,
-	    health->outlier.ejections,
-	    (health->outlier.ejected_until - g_get_monotonic_time()) /
-		USEC_PER_MSEC);
-}
-
-/// Records that an upstream is full. It gets no requests for
-/// DISPATCH_FULL_BACKOFF.
-///
-/// @param dispatch  holds the health of the upstream
-/// @param target    the upstream
-void
-dispatch_set_full(
-    struct dispatch *dispatch, const struct dispatch_target *target)
-{
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
-
-	if (health != NULL)
-		health->full_until =
-		    g_get_monotonic_time() + DISPATCH_FULL_BACKOFF;
-}
-
-/// @param dispatch  knows the upstreams
-/// @param id        id of an upstream
-/// @return hash of the upstream's id and incarnation; 0 if it isn't in the
-///         directory
-uint64_t
-dispatch_incarnation_key(const struct dispatch *dispatch, const char *id)
-{
-	const struct upstream_record *record =
-	    directory_find(view_directory(dispatch->options.view), id);
-
-	return record == NULL ? 0 : get_incarnation_key(&record->entry);
-}
-
-/// Finds an upstream by the hash of its id and incarnation.
-///
-/// @param dispatch         knows the upstreams
-/// @param incarnation_key  the hash
-/// @return the upstream, or NULL if it isn't in the directory
-const struct upstream_record *
-dispatch_find_incarnation(
-    const struct dispatch *dispatch, uint64_t incarnation_key)
-{
-	GPtrArray *records =
-	    directory_list_records(view_directory(dispatch->options.view));
-	const struct upstream_record *found = NULL;
-
-	for (guint i = 0; i < records->len && found == NULL; i++) {
-		const struct upstream_record *record = records->pdata[i];
-
-		if (get_incarnation_key(&record->entry) == incarnation_key)
-			found = record;
-	}
-	g_ptr_array_unref(records);
-	return found;
-}
-
-/// Logs that an upstream has named a limit, or that it has none any more.
-///
-/// @param dispatch   knows the upstreams' ids
-/// @param change     how the statement changes what was known
-/// @param statement  what the upstream has said
-/// @param source     who heard it, in one word
-void
-dispatch_log_limit_change(struct dispatch *dispatch,
-    enum rate_limit_change change, const struct rate_limit_statement *statement,
-    const char *source)
-{
-	const char *name = change == RATE_LIMIT_LIFTED ? "upstream-limit-lifted"
-						       : "upstream-limit-named";
-	const struct upstream_record *record =
-	    dispatch_find_incarnation(dispatch, statement->upstream);
-
-	series_add(&entry_metric_upstream_changes, name, NULL, 1);
-	log_event(LOG_LEVEL_INFO, name,
-	    "upstream=%s limit=%.2f source=%s age_ms=%" G_GINT64_FORMAT,
-	    record == NULL ? "-" : record->entry.id, statement->rate, source,
-	    (g_get_monotonic_time() - statement->at) / USEC_PER_MSEC);
-}
-
-/// Records the limit that an upstream has named in an answer.
-///
-/// @param dispatch  knows the limits
-/// @param target    the upstream
-/// @param rate      requests a second from all instances; negative: none
-/// @return whether the other instances must learn of it at once
-enum rate_limit_change
-dispatch_set_limit(struct dispatch *dispatch,
-    const struct dispatch_target *target, double rate)
-{
-	const struct rate_limit_statement statement = {
-	    .upstream = target->incarnation_key,
-	    .rate = rate,
-	    .at = g_get_monotonic_time(),
-	};
-	enum rate_limit_change change =
-	    rate_limits_hear(dispatch->options.rate_limits, &statement);
-
-	if (change != RATE_LIMIT_SAME)
-		dispatch_log_limit_change(
-		    dispatch, change, &statement, "answer");
-	return change;
-}
-
-/// Records that an upstream wants nothing from this instance for a while.
-///
-/// @param dispatch  knows what upstreams have said
-/// @param target    the upstream
-/// @param span      length of the pause
-void
-dispatch_set_pause(struct dispatch *dispatch,
-    const struct dispatch_target *target, usec_t span)
-{
-	upstream_notices_set_pause(dispatch->options.notices,
-	    g_get_monotonic_time(), target->incarnation_key, span);
-}
-
-/// Records that another upstream has an upstream's address now. The upstream
-/// gets no more requests, and the connections to its address are dropped.
-///
-/// @param dispatch  holds the health of the upstream
-/// @param target    the upstream whose address is wrong
-void
-dispatch_set_misdirected(
-    struct dispatch *dispatch, const struct dispatch_target *target)
-{
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
-
-	log_event(LOG_LEVEL_WARN, "upstream-misdirected",
-	    "upstream=%s address=%s outcome=not-used", target->id,
-	    target->address);
-	if (health != NULL)
-		health->misdirected = true;
-	pool_close_idle(dispatch->options.pool, target->address);
-}
-
-/// @param dispatch  knows what upstreams have said
-/// @param target    the upstream
-/// @return whether the upstream has itself said that it leaves
-bool
-dispatch_is_leaving(
-    const struct dispatch *dispatch, const struct dispatch_target *target)
-{
-	return upstream_notices_is_leaving(
-	    dispatch->options.notices, target->incarnation_key);
-}
-
-/// Lists the upstreams that refused a connection of this instance within
-/// DISPATCH_SUSPECT_PERIOD.
-///
-/// @param dispatch   holds the health of the upstreams
-/// @param upstreams  filled in with hashes of ids
-/// @param max        number of elements in `upstreams`
-/// @return number of elements filled in
-size_t
-dispatch_list_unreachable(
-    struct dispatch *dispatch, uint64_t *upstreams, size_t max)
-{
-	usec_t now = g_get_monotonic_time();
-	size_t n = 0;
-	GHashTableIter iter;
-	void *key;
-	void *value;
-
-	g_hash_table_iter_init(&iter, dispatch->health_by_upstream);
-	while (n < max && g_hash_table_iter_next(&iter, &key, &value))
-		if (now <
-		    ((const struct upstream_health *)value)->unreachable_until)
-			upstreams[n++] = *(const uint64_t *)key;
-	return n;
-}
-
-/// Records that an upstream refused a connection of another instance.
-///
-/// @param dispatch  holds the health of the upstream
-/// @param upstream  hash of the upstream's id
-void
-dispatch_set_suspect(struct dispatch *dispatch, uint64_t upstream)
-{
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &upstream);
-
-	if (health != NULL)
-		health->suspect_until =
-		    g_get_monotonic_time() + DISPATCH_SUSPECT_PERIOD;
-}
-
-/// Records the interval between two events of a generation.
-///
-/// @param dispatch  holds the mean intervals of the engine and its service
-/// @param service   name of the engine's service
-/// @param target    the engine
-/// @param interval  time between the two events, in microseconds
-void
-dispatch_record_event_interval(struct dispatch *dispatch, const char *service,
-    const struct dispatch_target *target, usec_t interval)
-{
-	struct upstream_health *health =
-	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
-
-	if (health != NULL)
-		event_interval_add(&health->event_interval, interval);
-	event_interval_add(
-	    get_service_event_interval(dispatch, service), interval);
-}
-
 /// Adds load to an upstream, or removes it.
 ///
 /// @param dispatch  provides the loads
--- /dev/null
+++ b/src/godwitvale/entry/dispatch_state.h
@@ -0,0 +1,32 @@
+/* State of a dispatch, shared by dispatch.c and dispatch_upstream.c. */
+#ifndef GODWITVALE_ENTRY_DISPATCH_STATE_H
+#define GODWITVALE_ENTRY_DISPATCH_STATE_H
+
+#include "godwitvale/core/event_interval.h"
+#include "godwitvale/core/fleet_share.h"
+#include "godwitvale/entry/dispatch.h"
+
+struct dispatch {
+	struct dispatch_options options;
+	GHashTable *health_by_upstream; /// id hash -> struct upstream_health *
+	GHashTable *retry_shares;       /// service -> struct fleet_share *
+	GHashTable *event_intervals;    /// service -> struct event_interval *
+	GRand *rand;
+};
+
+/// Health of one upstream, as observed by this instance.
+struct upstream_health {
+	struct outlier outlier;
+	struct event_interval event_interval;
+	struct fleet_share cold_share; /// permits for requests while it is cold
+	usec_t full_until;
+	usec_t unreachable_until; /// refused a connection of this instance
+	usec_t suspect_until;     /// refused a connection of another instance
+	bool misdirected;         /// another upstream has its address now
+};
+
+uint64_t dispatch_make_incarnation_key(const struct upstream_entry *entry);
+struct event_interval *dispatch_get_service_interval(
+    struct dispatch *dispatch, const char *service);
+
+#endif
--- /dev/null
+++ b/src/godwitvale/entry/dispatch_upstream.c
@@ -0,0 +1,248 @@
+/*
+ * What is learnt of upstreams from their answers: results, ejections, limits,
+ * pauses, departures and addresses that are out of date.
+ */
+#include "godwitvale/core/hash.h"
+#include "godwitvale/entry/dispatch_state.h"
+#include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/ops/log.h"
+
+/// An upstream that reports that it is full gets no requests for this long:
+/// other instances get the same report, and its queue must drain first.
+#define DISPATCH_FULL_BACKOFF (100 * USEC_PER_MSEC)
+/// How long an upstream counts as unreachable after it refused a connection.
+/// Other instances are told, and use the same period.
+#define DISPATCH_SUSPECT_PERIOD (3 * USEC_PER_SEC)
+/// Records the result of a request to an upstream, and ejects the upstream if
+/// too many requests to it have failed.
+///
+/// @param dispatch  holds the health of the upstream
+/// @param target    the upstream
+/// @param result    result of the request
+void
+dispatch_record_result(struct dispatch *dispatch,
+    const struct dispatch_target *target, enum outlier_result result)
+{
+	struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+
+	if (health == NULL)
+		return;
+	if (result == OUTLIER_UNREACHABLE)
+		health->unreachable_until =
+		    g_get_monotonic_time() + DISPATCH_SUSPECT_PERIOD;
+	if (!outlier_record_result(
+		&health->outlier, g_get_monotonic_time(), result))
+		return;
+	series_add(&entry_metric_ejections, target->id, NULL, 1);
+	log_event(LOG_LEVEL_WARN, "upstream-ejected",
+	    "upstream=%s ejections=%u for_ms=%" G_GINT64_FORMAT, target->id,
+	    health->outlier.ejections,
+	    (health->outlier.ejected_until - g_get_monotonic_time()) /
+		USEC_PER_MSEC);
+}
+
+/// Records that an upstream is full. It gets no requests for
+/// DISPATCH_FULL_BACKOFF.
+///
+/// @param dispatch  holds the health of the upstream
+/// @param target    the upstream
+void
+dispatch_set_full(
+    struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+
+	if (health != NULL)
+		health->full_until =
+		    g_get_monotonic_time() + DISPATCH_FULL_BACKOFF;
+}
+
+/// @param dispatch  knows the upstreams
+/// @param id        id of an upstream
+/// @return hash of the upstream's id and incarnation; 0 if it isn't in the
+///         directory
+uint64_t
+dispatch_incarnation_key(const struct dispatch *dispatch, const char *id)
+{
+	const struct upstream_record *record =
+	    directory_find(view_directory(dispatch->options.view), id);
+
+	return record == NULL ? 0
+			      : dispatch_make_incarnation_key(&record->entry);
+}
+
+/// Finds an upstream by the hash of its id and incarnation.
+///
+/// @param dispatch         knows the upstreams
+/// @param incarnation_key  the hash
+/// @return the upstream, or NULL if it isn't in the directory
+const struct upstream_record *
+dispatch_find_incarnation(
+    const struct dispatch *dispatch, uint64_t incarnation_key)
+{
+	GPtrArray *records =
+	    directory_list_records(view_directory(dispatch->options.view));
+	const struct upstream_record *found = NULL;
+
+	for (guint i = 0; i < records->len && found == NULL; i++) {
+		const struct upstream_record *record = records->pdata[i];
+
+		if (dispatch_make_incarnation_key(&record->entry) ==
+		    incarnation_key)
+			found = record;
+	}
+	g_ptr_array_unref(records);
+	return found;
+}
+
+/// Logs that an upstream has named a limit, or that it has none any more.
+///
+/// @param dispatch   knows the upstreams' ids
+/// @param change     how the statement changes what was known
+/// @param statement  what the upstream has said
+/// @param source     who heard it, in one word
+void
+dispatch_log_limit_change(struct dispatch *dispatch,
+    enum rate_limit_change change, const struct rate_limit_statement *statement,
+    const char *source)
+{
+	const char *name = change == RATE_LIMIT_LIFTED ? "upstream-limit-lifted"
+						       : "upstream-limit-named";
+	const struct upstream_record *record =
+	    dispatch_find_incarnation(dispatch, statement->upstream);
+
+	series_add(&entry_metric_upstream_changes, name, NULL, 1);
+	log_event(LOG_LEVEL_INFO, name,
+	    "upstream=%s limit=%.2f source=%s age_ms=%" G_GINT64_FORMAT,
+	    record == NULL ? "-" : record->entry.id, statement->rate, source,
+	    (g_get_monotonic_time() - statement->at) / USEC_PER_MSEC);
+}
+
+/// Records the limit that an upstream has named in an answer.
+///
+/// @param dispatch  knows the limits
+/// @param target    the upstream
+/// @param rate      requests a second from all instances; negative: none
+/// @return whether the other instances must learn of it at once
+enum rate_limit_change
+dispatch_set_limit(struct dispatch *dispatch,
+    const struct dispatch_target *target, double rate)
+{
+	const struct rate_limit_statement statement = {
+	    .upstream = target->incarnation_key,
+	    .rate = rate,
+	    .at = g_get_monotonic_time(),
+	};
+	enum rate_limit_change change =
+	    rate_limits_hear(dispatch->options.rate_limits, &statement);
+
+	if (change != RATE_LIMIT_SAME)
+		dispatch_log_limit_change(
+		    dispatch, change, &statement, "answer");
+	return change;
+}
+
+/// Records that an upstream wants nothing from this instance for a while.
+///
+/// @param dispatch  knows what upstreams have said
+/// @param target    the upstream
+/// @param span      length of the pause
+void
+dispatch_set_pause(struct dispatch *dispatch,
+    const struct dispatch_target *target, usec_t span)
+{
+	upstream_notices_set_pause(dispatch->options.notices,
+	    g_get_monotonic_time(), target->incarnation_key, span);
+}
+
+/// Records that another upstream has an upstream's address now. The upstream
+/// gets no more requests, and the connections to its address are dropped.
+///
+/// @param dispatch  holds the health of the upstream
+/// @param target    the upstream whose address is wrong
+void
+dispatch_set_misdirected(
+    struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+
+	log_event(LOG_LEVEL_WARN, "upstream-misdirected",
+	    "upstream=%s address=%s outcome=not-used", target->id,
+	    target->address);
+	if (health != NULL)
+		health->misdirected = true;
+	pool_close_idle(dispatch->options.pool, target->address);
+}
+
+/// @param dispatch  knows what upstreams have said
+/// @param target    the upstream
+/// @return whether the upstream has itself said that it leaves
+bool
+dispatch_is_leaving(
+    const struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	return upstream_notices_is_leaving(
+	    dispatch->options.notices, target->incarnation_key);
+}
+
+/// Lists the upstreams that refused a connection of this instance within
+/// DISPATCH_SUSPECT_PERIOD.
+///
+/// @param dispatch   holds the health of the upstreams
+/// @param upstreams  filled in with hashes of ids
+/// @param max        number of elements in `upstreams`
+/// @return number of elements filled in
+size_t
+dispatch_list_unreachable(
+    struct dispatch *dispatch, uint64_t *upstreams, size_t max)
+{
+	usec_t now = g_get_monotonic_time();
+	size_t n = 0;
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, dispatch->health_by_upstream);
+	while (n < max && g_hash_table_iter_next(&iter, &key, &value))
+		if (now <
+		    ((const struct upstream_health *)value)->unreachable_until)
+			upstreams[n++] = *(const uint64_t *)key;
+	return n;
+}
+
+/// Records that an upstream refused a connection of another instance.
+///
+/// @param dispatch  holds the health of the upstream
+/// @param upstream  hash of the upstream's id
+void
+dispatch_set_suspect(struct dispatch *dispatch, uint64_t upstream)
+{
+	struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &upstream);
+
+	if (health != NULL)
+		health->suspect_until =
+		    g_get_monotonic_time() + DISPATCH_SUSPECT_PERIOD;
+}
+
+/// Records the interval between two events of a generation.
+///
+/// @param dispatch  holds the mean intervals of the engine and its service
+/// @param service   name of the engine's service
+/// @param target    the engine
+/// @param interval  time between the two events, in microseconds
+void
+dispatch_record_event_interval(struct dispatch *dispatch, const char *service,
+    const struct dispatch_target *target, usec_t interval)
+{
+	struct upstream_health *health =
+	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+
+	if (health != NULL)
+		event_interval_add(&health->event_interval, interval);
+	event_interval_add(
+	    dispatch_get_service_interval(dispatch, service), interval);
+}
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -132,7 +132,7 @@
 		target->incarnation_key, g_get_monotonic_time()))
 		return;
 	begin_departure(entry, target->id, target->address, source);
-	peers_send_departures(entry->peers);
+	peers_broadcast(entry->peers, PEERS_DEPARTURES);
 }
 
 /// Schedules the placement of waiting requests, because there may be capacity
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -1,8 +1,8 @@
 /*
- * Life cycle of a caller's request: finds its route and organisation, places
- * it, sends it and ends it with exactly one final answer. answer.c handles the
- * answers of upstreams; continuation.c moves generations away from upstreams
- * that are leaving.
+ * Life cycle of a caller's request: finds its route and organisation, sends it
+ * and ends it with exactly one final answer. entry_request_place.c places it;
+ * answer.c handles the answers of upstreams; continuation.c moves generations
+ * away from upstreams that are leaving.
  */
 #include "godwitvale/entry/entry_request.h"
 
@@ -16,10 +16,6 @@
 #include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/log.h"
 
-/// A request waits for capacity no longer than the route's target latency
-/// divided by this number. After that, a refusal with a time to retry serves
-/// the caller better.
-#define ENTRY_REQUEST_WAIT_DIVISOR 2
 /// An upstream that accepts no connection within this time is unreachable.
 #define ENTRY_REQUEST_CONNECT_TIMEOUT (600 * USEC_PER_MSEC)
 
@@ -53,48 +49,14 @@
 	g_free(request);
 }
 
-/// @return time until the request's deadline
-static usec_t
-time_left(const struct entry_request *request)
+/// @param request  request with a deadline
+/// @return time until the deadline
+usec_t
+entry_request_time_left(const struct entry_request *request)
 {
 	return request->deadline - g_get_monotonic_time();
 }
 
-/// Returns the size of the output that was forwarded to the caller so far.
-///
-/// @param request  request whose route and service are known
-/// @return tokens; 0 if the service has no engine
-uint32_t
-entry_request_count_output_tokens(const struct entry_request *request)
-{
-	const struct service *service =
-	    deployment_find_service(request->deployment, request->service);
-
-	if (service == NULL || !service->has_engine)
-		return 0;
-	return request->events_sent * service->engine.tokens_per_event;
-}
-
-/// Estimates the size of a request's complete output: the mean of the route's
-/// outputs that were at least as long as this one already is. Estimates that
-/// callers send aren't used, because their errors are larger than the variation
-/// of lengths within a route.
-///
-/// @param request  request whose route is known
-/// @return tokens, at most the maximum that the caller allows
-int32_t
-entry_request_estimate_output_tokens(const struct entry_request *request)
-{
-	uint32_t output_tokens;
-
-	if (request->output_series == NULL)
-		return request->params.max_output_tokens;
-	output_tokens = entry_request_count_output_tokens(request);
-	return MIN(
-	    (int32_t)estimate_mean(request->output_series, output_tokens),
-	    request->params.max_output_tokens);
-}
-
 /// Returns the series of output lengths of a request's service and route.
 static struct estimate_series *
 find_output_series(const struct entry_request *request)
@@ -108,60 +70,6 @@
 	return estimate_get_series(request->entry->estimate, &key);
 }
 
-/// Updates the load that a running generation counts as at its upstream. The
-/// expected size of the complete output grows with the output so far.
-///
-/// @param request  request that was sent; others are left as they are
-void
-entry_request_update_load(struct entry_request *request)
-{
-	struct load growth = {0};
-
-	if (!request->is_charged || !request->route->is_generation)
-		return;
-	growth.tokens = entry_request_make_place_request(request).tokens -
-	    request->charged_load.tokens;
-	request->charged_load.tokens += growth.tokens;
-	dispatch_adjust_load(
-	    request->entry->dispatch, &request->target, &growth, 1);
-}
-
-/// Returns a request's size, as placement needs it.
-///
-/// @param request  request whose route is known
-/// @return the size, in tokens of prompt and expected output
-struct place_request
-entry_request_make_place_request(const struct entry_request *request)
-{
-	const struct site_request *params = &request->params;
-	struct place_request place = {
-	    .is_generation = request->route->is_generation,
-	    .prompt_tokens = params->prompt_tokens,
-	    .tokens = params->prompt_tokens +
-		entry_request_estimate_output_tokens(request),
-	};
-
-	return place;
-}
-
-/// Returns the load that a request adds to an upstream until the first event
-/// arrives.
-///
-/// @param request  request whose route is known
-/// @return the load, with all prompt tokens still to be read
-struct load
-entry_request_estimate_load(const struct entry_request *request)
-{
-	struct place_request place = entry_request_make_place_request(request);
-	struct load load = {.requests = 1};
-
-	if (place.is_generation) {
-		load.tokens = place.tokens;
-		load.prompt_tokens = place.prompt_tokens;
-	}
-	return load;
-}
-
 /// Records that a request was sent to an upstream, so that it isn't placed
 /// there again. Does nothing after DISPATCH_TRIED_MAX upstreams.
 ///
@@ -210,56 +118,6 @@
 	entry_request_unref(request);
 }
 
-/// Logs the end of a request.
-static void
-log_request_end(
-    const struct entry_request *request, unsigned status, const char *outcome)
-{
-	usec_t now = g_get_monotonic_time();
-
-	log_event(status < 500 && status != 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-	    "request-ended",
-	    "id=%s route=%s upstream=%s status=%u outcome=%s verdict=%s "
-	    "attempts=%u handovers=%u events=%u last_event=%" G_GINT64_FORMAT
-	    " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d "
-	    "limit=%.2f",
-	    request->params.id == NULL ? "-" : request->params.id,
-	    request->route == NULL ? "-" : request->route->name,
-	    request->target.id == NULL ? "-" : request->target.id, status,
-	    outcome, verdict_name(request->verdict), request->attempts,
-	    request->handovers, request->events_sent, request->last_event_id,
-	    request->first_event_at == 0
-		? -1
-		: (request->first_event_at - request->arrived_at) /
-		    USEC_PER_MSEC,
-	    request->longest_gap / USEC_PER_MSEC,
-	    (now - request->arrived_at) / USEC_PER_MSEC,
-	    request->params.prompt_tokens, request->params.max_output_tokens,
-	    request->params.output_hint, request->named_limit);
-}
-
-/// Records the outcome and the times of a request that has ended.
-static void
-record_metrics(const struct entry_request *request, const char *outcome)
-{
-	const char *route =
-	    request->route == NULL ? "none" : request->route->name;
-
-	series_add(&entry_metric_requests_ended, route, outcome, 1);
-	if (request->service == NULL)
-		return;
-	series_observe(&entry_metric_request_duration, route, request->service,
-	    g_get_monotonic_time() - request->arrived_at);
-	if (request->first_event_at != 0)
-		series_observe(&entry_metric_first_event, route,
-		    request->service,
-		    request->first_event_at - request->arrived_at);
-	if (request->events_sent > 1)
-		series_observe(&entry_metric_event_gap, route, request->service,
-		    request->longest_gap);
-}
-
 /// Raises the verdict to VERDICT_MAY_HAVE_RUN if bytes of the current attempt
 /// may have been sent.
 static void
@@ -281,8 +139,8 @@
     struct entry_request *request, unsigned status, const char *outcome)
 {
 	mark_may_have_run_if_sent(request);
-	log_request_end(request, status, outcome);
-	record_metrics(request, outcome);
+	entry_request_log_end(request, status, outcome);
+	entry_request_record_metrics(request, outcome);
 	remove_request(request);
 }
 
@@ -320,8 +178,8 @@
 ///                  unknown, `reason` determines the time
 /// @param reason    why the request is refused
 /// @param outcome   one word for the log and the metrics
-static void
-refuse_until(struct entry_request *request, usec_t retry_at,
+void
+entry_request_refuse_until(struct entry_request *request, usec_t retry_at,
     enum retry_after_reason reason, const char *outcome)
 {
 	usec_t target =
@@ -335,7 +193,7 @@
 	}
 	if (retry_at == USEC_NEVER)
 		span = retry_after_span(
-		    reason, target, time_left(request), jitter);
+		    reason, target, entry_request_time_left(request), jitter);
 	else
 		span = retry_after_spread(
 		    retry_at - g_get_monotonic_time(), jitter);
@@ -343,7 +201,8 @@
 	entry_request_finish(request, 503, outcome);
 }
 
-/// Refuses a request that has not run and won't run; see refuse_until().
+/// Refuses a request that has not run and won't run; see
+/// entry_request_refuse_until().
 ///
 /// @param request  request to end; the caller holds a reference
 /// @param reason   determines the time to retry
@@ -352,7 +211,7 @@
 entry_request_refuse(struct entry_request *request,
     enum retry_after_reason reason, const char *outcome)
 {
-	refuse_until(request, USEC_NEVER, reason, outcome);
+	entry_request_refuse_until(request, USEC_NEVER, reason, outcome);
 }
 
 /// Ends a request because a quarantine covers it. Cancels its attempt, so that
@@ -487,7 +346,7 @@
 	if (request->params.id == NULL)
 		options.echo_field = NULL;
 	options.body = http_call_body(request->call, &options.body_len);
-	send.timeout = time_left(request);
+	send.timeout = entry_request_time_left(request);
 	send.upstream_id = request->target.id;
 	send.organisation =
 	    request->organisation == NULL ? NULL : request->organisation->name;
@@ -521,186 +380,6 @@
 	    (request->route->kind == ROUTE_STREAM && request->route->resumable);
 }
 
-/// @return time until which a request that begins to wait now may wait for
-///         capacity
-static usec_t
-get_wait_deadline(const struct entry_request *request)
-{
-	return MIN(request->deadline,
-	    g_get_monotonic_time() +
-		request->route->target_latency / ENTRY_REQUEST_WAIT_DIVISOR);
-}
-
-/// Adds a request to the queue of those that wait for capacity.
-static void
-enqueue_request(struct entry_request *request)
-{
-	const struct organisation *organisation = request->organisation;
-	usec_t now = g_get_monotonic_time();
-	const struct wait_queue_entry entry = {
-	    .request = request,
-	    .service = hash_name(request->service),
-	    .priority = organisation != NULL && organisation->priority >= 0
-		? (uint32_t)organisation->priority
-		: request->route->priority,
-	    .deadline = get_wait_deadline(request),
-	};
-
-	if (request->is_waiting)
-		return;
-	log_event(LOG_LEVEL_INFO, "request-waits",
-	    "id=%s route=%s priority=%u waiting=%u until_ms=%" G_GINT64_FORMAT,
-	    request->params.id == NULL ? "-" : request->params.id,
-	    request->route->name, entry.priority,
-	    wait_queue_length(request->entry->waiting),
-	    (entry.deadline - now) / USEC_PER_MSEC);
-	request->is_waiting = true;
-	request->wait_deadline = entry.deadline;
-	wait_queue_add(request->entry->waiting, &entry);
-	entry_request_set_timer(request);
-}
-
-/// Sends a request to the upstream that placement has chosen.
-static void
-start_attempt(struct entry_request *request)
-{
-	const struct site_upstream_request continuation = {
-	    .last_event = request->last_event_id};
-
-	char *segments = entry_request_format_segments(
-	    request->params.segments, request->params.n_segments);
-
-	wait_queue_remove(request->entry->waiting, request);
-	request->is_waiting = false;
-	request->attempts++;
-	log_event(LOG_LEVEL_INFO, "request-placed",
-	    "id=%s route=%s upstream=%s address=%s zone=%s attempt=%u "
-	    "config=%" G_GUINT64_FORMAT " view_age_ms=%" G_GINT64_FORMAT
-	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
-	    " segments=%s",
-	    request->params.id == NULL ? "-" : request->params.id,
-	    request->route->name, request->target.id, request->target.address,
-	    request->target.zone, request->attempts,
-	    request->deployment->version,
-	    (g_get_monotonic_time() -
-		view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS)) /
-		USEC_PER_MSEC,
-	    (g_get_monotonic_time() - request->arrived_at) / USEC_PER_MSEC,
-	    time_left(request) / USEC_PER_MSEC, segments);
-	g_free(segments);
-	if (request->attempts == 1)
-		series_observe(&entry_metric_wait, request->route->name,
-		    request->service,
-		    g_get_monotonic_time() - request->arrived_at);
-	segment_guard_note_sent(request);
-	entry_request_add_tried(request, request->target.key);
-	entry_request_send(request, &continuation);
-}
-
-/// @return the request, as placement needs it
-static struct dispatch_request
-make_dispatch_request(const struct entry_request *request)
-{
-	return (struct dispatch_request){
-	    .service = request->service,
-	    .place = entry_request_make_place_request(request),
-	    .tried = request->tried,
-	    .n_tried = request->n_tried,
-	};
-}
-
-/// Refuses a request at once if no upstream will take it for as long as it may
-/// wait, because all of them have asked for a pause or named limits.
-///
-/// @param request  request for which there is no upstream now
-/// @return false if waiting makes sense
-static bool
-refuse_if_hopeless(struct entry_request *request)
-{
-	const struct dispatch_request wanted = make_dispatch_request(request);
-	struct eligibility earliest =
-	    dispatch_find_earliest(request->entry->dispatch, &wanted);
-
-	if (earliest.until <= get_wait_deadline(request) ||
-	    (earliest.reason != INELIGIBLE_PAUSED &&
-		earliest.reason != INELIGIBLE_LIMITED))
-		return false;
-	refuse_until(request, earliest.until, RETRY_AFTER_LIMITED,
-	    earliest.reason == INELIGIBLE_PAUSED ? "upstreams-paused"
-						 : "upstreams-limited");
-	return true;
-}
-
-/// Tries to place a request, and sends it if an upstream has capacity.
-///
-/// @return PLACE_FOUND if it was sent
-static enum place_outcome
-try_place(struct entry_request *request)
-{
-	const struct dispatch_request wanted = make_dispatch_request(request);
-	enum place_outcome outcome;
-
-	dispatch_target_clear(&request->target);
-	outcome =
-	    dispatch_place(request->entry->dispatch, &wanted, &request->target);
-	if (outcome == PLACE_FOUND)
-		start_attempt(request);
-	return outcome;
-}
-
-/// Places a request: sends it, queues it if no upstream has capacity now, or
-/// refuses it if no upstream is usable.
-///
-/// @param request  request without an exchange
-void
-entry_request_place(struct entry_request *request)
-{
-	if (!segment_guard_admits(request)) {
-		entry_request_refuse_quarantined(request);
-		return;
-	}
-	switch (try_place(request)) {
-	case PLACE_FOUND:
-		break;
-	case PLACE_FULL:
-		if (!refuse_if_hopeless(request))
-			enqueue_request(request);
-		break;
-	default:
-		entry_request_refuse(
-		    request, RETRY_AFTER_NO_UPSTREAM, "no-upstream");
-		break;
-	}
-}
-
-/// Queue callback: tries to place a waiting request, or ends it because of a
-/// quarantine.
-///
-/// @return false if no upstream has capacity
-static bool
-try_place_waiting(void *owner, void *data)
-{
-	struct entry_request *request = data;
-
-	(void)owner;
-	if (!segment_guard_admits(request)) {
-		entry_request_ref(request);
-		entry_request_refuse_quarantined(request);
-		entry_request_unref(request);
-		return true;
-	}
-	return try_place(request) == PLACE_FOUND;
-}
-
-/// Places the waiting requests for which there is capacity now.
-///
-/// @param entry  instance whose queue is processed
-void
-entry_request_place_waiting(struct entry *entry)
-{
-	wait_queue_process(entry->waiting, try_place_waiting, entry);
-}
-
 /// Finds a request's route and the organisation that sends it.
 ///
 /// @return 0, or the HTTP status of the refusal
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -80,12 +80,31 @@
 char *entry_request_format_segments(
     const uint64_t *segments, unsigned n_segments);
 
+void entry_request_log_end(
+    const struct entry_request *request, unsigned status, const char *outcome);
+void entry_request_record_metrics(
+    const struct entry_request *request, const char *outcome);
+
+/* entry_request_load.c */
+uint32_t entry_request_count_output_tokens(const struct entry_request *request);
+int32_t entry_request_estimate_output_tokens(
+    const struct entry_request *request);
+struct place_request entry_request_make_place_request(
+    const struct entry_request *request);
+void entry_request_update_load(struct entry_request *request);
+struct load entry_request_estimate_load(const struct entry_request *request);
+
+/* entry_request_place.c */
+void entry_request_place(struct entry_request *request);
+
 /* entry_request.c */
+usec_t entry_request_time_left(const struct entry_request *request);
+void entry_request_refuse_until(struct entry_request *request, usec_t retry_at,
+    enum retry_after_reason reason, const char *outcome);
 struct entry_request *entry_request_ref(struct entry_request *request);
 void entry_request_unref(struct entry_request *request);
 void entry_request_send(struct entry_request *request,
     const struct site_upstream_request *continuation);
-void entry_request_place(struct entry_request *request);
 void entry_request_refuse(struct entry_request *request,
     enum retry_after_reason reason, const char *outcome);
 void entry_request_refuse_quarantined(struct entry_request *request);
@@ -97,13 +116,6 @@
 void entry_request_cancel_exchange(struct entry_request *request);
 void entry_request_add_tried(struct entry_request *request, uint64_t key);
 bool entry_request_is_repeatable(const struct entry_request *request);
-uint32_t entry_request_count_output_tokens(const struct entry_request *request);
-int32_t entry_request_estimate_output_tokens(
-    const struct entry_request *request);
-struct place_request entry_request_make_place_request(
-    const struct entry_request *request);
-void entry_request_update_load(struct entry_request *request);
-struct load entry_request_estimate_load(const struct entry_request *request);
 
 /* continuation.c */
 void continuation_init(struct entry_request *request);
--- /dev/null
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -0,0 +1,194 @@
+/*
+ * Placement of requests: sends a request to an upstream with capacity, lets it
+ * wait for one, or refuses it when waiting makes no sense.
+ */
+#include "godwitvale/core/hash.h"
+#include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/entry/entry_request.h"
+#include "godwitvale/entry/entry_request_defs.h"
+#include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/ops/log.h"
+
+/// A request waits for capacity no longer than the route's target latency
+/// divided by this number. After that, a refusal with a time to retry serves
+/// the caller better.
+#define ENTRY_REQUEST_WAIT_DIVISOR 2
+/// @return time until which a request that begins to wait now may wait for
+///         capacity
+static usec_t
+get_wait_deadline(const struct entry_request *request)
+{
+	return MIN(request->deadline,
+	    g_get_monotonic_time() +
+		request->route->target_latency / ENTRY_REQUEST_WAIT_DIVISOR);
+}
+
+/// Adds a request to the queue of those that wait for capacity.
+static void
+enqueue_request(struct entry_request *request)
+{
+	const struct organisation *organisation = request->organisation;
+	usec_t now = g_get_monotonic_time();
+	const struct wait_queue_entry entry = {
+	    .request = request,
+	    .service = hash_name(request->service),
+	    .priority = organisation != NULL && organisation->priority >= 0
+		? (uint32_t)organisation->priority
+		: request->route->priority,
+	    .deadline = get_wait_deadline(request),
+	};
+
+	if (request->is_waiting)
+		return;
+	log_event(LOG_LEVEL_INFO, "request-waits",
+	    "id=%s route=%s priority=%u waiting=%u until_ms=%" G_GINT64_FORMAT,
+	    request->params.id == NULL ? "-" : request->params.id,
+	    request->route->name, entry.priority,
+	    wait_queue_length(request->entry->waiting),
+	    (entry.deadline - now) / USEC_PER_MSEC);
+	request->is_waiting = true;
+	request->wait_deadline = entry.deadline;
+	wait_queue_add(request->entry->waiting, &entry);
+	entry_request_set_timer(request);
+}
+
+/// Sends a request to the upstream that placement has chosen.
+static void
+start_attempt(struct entry_request *request)
+{
+	const struct site_upstream_request continuation = {
+	    .last_event = request->last_event_id};
+
+	char *segments = entry_request_format_segments(
+	    request->params.segments, request->params.n_segments);
+
+	wait_queue_remove(request->entry->waiting, request);
+	request->is_waiting = false;
+	request->attempts++;
+	log_event(LOG_LEVEL_INFO, "request-placed",
+	    "id=%s route=%s upstream=%s address=%s zone=%s attempt=%u "
+	    "config=%" G_GUINT64_FORMAT " view_age_ms=%" G_GINT64_FORMAT
+	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+	    " segments=%s",
+	    request->params.id == NULL ? "-" : request->params.id,
+	    request->route->name, request->target.id, request->target.address,
+	    request->target.zone, request->attempts,
+	    request->deployment->version,
+	    (g_get_monotonic_time() -
+		view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS)) /
+		USEC_PER_MSEC,
+	    (g_get_monotonic_time() - request->arrived_at) / USEC_PER_MSEC,
+	    entry_request_time_left(request) / USEC_PER_MSEC, segments);
+	g_free(segments);
+	if (request->attempts == 1)
+		series_observe(&entry_metric_wait, request->route->name,
+		    request->service,
+		    g_get_monotonic_time() - request->arrived_at);
+	segment_guard_note_sent(request);
+	entry_request_add_tried(request, request->target.key);
+	entry_request_send(request, &continuation);
+}
+
+/// @return the request, as placement needs it
+static struct dispatch_request
+make_dispatch_request(const struct entry_request *request)
+{
+	return (struct dispatch_request){
+	    .service = request->service,
+	    .place = entry_request_make_place_request(request),
+	    .tried = request->tried,
+	    .n_tried = request->n_tried,
+	};
+}
+
+/// Refuses a request at once if no upstream will take it for as long as it may
+/// wait, because all of them have asked for a pause or named limits.
+///
+/// @param request  request for which there is no upstream now
+/// @return false if waiting makes sense
+static bool
+refuse_if_hopeless(struct entry_request *request)
+{
+	const struct dispatch_request wanted = make_dispatch_request(request);
+	struct eligibility earliest =
+	    dispatch_find_earliest(request->entry->dispatch, &wanted);
+
+	if (earliest.until <= get_wait_deadline(request) ||
+	    (earliest.reason != INELIGIBLE_PAUSED &&
+		earliest.reason != INELIGIBLE_LIMITED))
+		return false;
+	entry_request_refuse_until(request, earliest.until, RETRY_AFTER_LIMITED,
+	    earliest.reason == INELIGIBLE_PAUSED ? "upstreams-paused"
+						 : "upstreams-limited");
+	return true;
+}
+
+/// Tries to place a request, and sends it if an upstream has capacity.
+///
+/// @return PLACE_FOUND if it was sent
+static enum place_outcome
+try_place(struct entry_request *request)
+{
+	const struct dispatch_request wanted = make_dispatch_request(request);
+	enum place_outcome outcome;
+
+	dispatch_target_clear(&request->target);
+	outcome =
+	    dispatch_place(request->entry->dispatch, &wanted, &request->target);
+	if (outcome == PLACE_FOUND)
+		start_attempt(request);
+	return outcome;
+}
+
+/// Places a request: sends it, queues it if no upstream has capacity now, or
+/// refuses it if no upstream is usable.
+///
+/// @param request  request without an exchange
+void
+entry_request_place(struct entry_request *request)
+{
+	if (!segment_guard_admits(request)) {
+		entry_request_refuse_quarantined(request);
+		return;
+	}
+	switch (try_place(request)) {
+	case PLACE_FOUND:
+		break;
+	case PLACE_FULL:
+		if (!refuse_if_hopeless(request))
+			enqueue_request(request);
+		break;
+	default:
+		entry_request_refuse(
+		    request, RETRY_AFTER_NO_UPSTREAM, "no-upstream");
+		break;
+	}
+}
+
+/// Queue callback: tries to place a waiting request, or ends it because of a
+/// quarantine.
+///
+/// @return false if no upstream has capacity
+static bool
+try_place_waiting(void *owner, void *data)
+{
+	struct entry_request *request = data;
+
+	(void)owner;
+	if (!segment_guard_admits(request)) {
+		entry_request_ref(request);
+		entry_request_refuse_quarantined(request);
+		entry_request_unref(request);
+		return true;
+	}
+	return try_place(request) == PLACE_FOUND;
+}
+
+/// Places the waiting requests for which there is capacity now.
+///
+/// @param entry  instance whose queue is processed
+void
+entry_request_place_waiting(struct entry *entry)
+{
+	wait_queue_process(entry->waiting, try_place_waiting, entry);
+}
--- a/src/godwitvale/entry/segment_guard.c
+++ b/src/godwitvale/entry/segment_guard.c
@@ -202,7 +202,7 @@
 	g_free(segments);
 	quarantine_begin_trial(
 	    guard->quarantine, now, params->segments, params->n_segments);
-	peers_send_evidence(guard->entry->peers);
+	peers_broadcast(guard->entry->peers, PEERS_EVIDENCE);
 }
 
 /// Notes that an engine has written the first event of an answer without
@@ -217,7 +217,7 @@
 
 	if (quarantine_add_sound(guard->quarantine, g_get_monotonic_time(),
 		params->segments, params->n_segments))
-		peers_send_evidence(guard->entry->peers);
+		peers_broadcast(guard->entry->peers, PEERS_EVIDENCE);
 }
 
 /// Fetch callback: an engine has answered, or failed to answer, after it has
@@ -245,7 +245,7 @@
 		series_add(&entry_metric_crashes, probe->upstream, NULL, 1);
 		quarantine_add_crash(
 		    guard->quarantine, g_get_monotonic_time(), &probe->crash);
-		peers_send_evidence(guard->entry->peers);
+		peers_broadcast(guard->entry->peers, PEERS_EVIDENCE);
 	}
 	g_hash_table_remove(guard->probes, probe);
 }
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/fleet/departure_sync.h"
 #include "godwitvale/fleet/evidence_sync.h"
 #include "godwitvale/fleet/fleet_codec.h"
 #include "godwitvale/fleet/limit_sync.h"
@@ -382,106 +383,54 @@
 	g_ptr_array_unref(members);
 }
 
-/// Encodes the upstreams that leave, as a message.
+/// Encodes what this instance knows on a topic.
 ///
-/// @return number of bytes; 0 if none leaves
+/// @return number of bytes; 0 if it knows nothing
 static size_t
-encode_departures(struct peers *peers, usec_t now, char *bytes, size_t size)
-{
-	struct upstream_departure departures[FLEET_DEPARTURES_MAX];
-	fleet_departure wire[FLEET_DEPARTURES_MAX];
-	fleet_message message = {.kind = FLEET_DEPARTURES};
-	fleet_departures *sent = &message.fleet_message_u.departures;
-	size_t n = upstream_notices_list_departures(
-	    peers->options.notices, now, departures, FLEET_DEPARTURES_MAX);
-
-	if (n == 0)
-		return 0;
-	for (size_t i = 0; i < n; i++)
-		wire[i] = (fleet_departure){departures[i].upstream,
-		    (u_int)((now - departures[i].at) / USEC_PER_MSEC)};
-	sent->departures.departures_len = (u_int)n;
-	sent->departures.departures_val = wire;
-	return fleet_message_encode(&message, bytes, size);
-}
-
-/// Reports the upstreams of which another instance has heard that they leave.
-static void
-handle_departures(struct peers *peers, const fleet_departures *received)
+encode_topic(
+    struct peers *peers, enum peers_topic topic, char *bytes, size_t size)
 {
 	const struct peers_options *options = &peers->options;
 	usec_t now = g_get_monotonic_time();
 
-	for (u_int i = 0; i < received->departures.departures_len; i++) {
-		const fleet_departure *wire =
-		    &received->departures.departures_val[i];
-
-		options->vtable->departure_reported(options->owner,
-		    wire->upstream, now - (usec_t)wire->age_ms * USEC_PER_MSEC);
+	switch (topic) {
+	case PEERS_EVIDENCE:
+		return evidence_sync_encode(
+		    options->quarantine, now, peers->name, bytes, size);
+	case PEERS_LIMITS:
+		return limit_sync_encode(
+		    options->rate_limits, now, bytes, size);
+	default:
+		return departure_sync_encode(
+		    options->notices, now, bytes, size);
 	}
 }
 
-/// Sends what this instance knows of prompt segments and of what upstreams say
-/// of themselves to some random live members.
+/// Sends what this instance knows on all topics to some random live members.
 static void
 gossip(struct peers *peers)
 {
 	char bytes[PEERS_BUFFER_BYTES];
-	usec_t now = g_get_monotonic_time();
-	size_t len = evidence_sync_encode(
-	    peers->options.quarantine, now, peers->name, bytes, sizeof(bytes));
 
-	if (len > 0)
-		send_datagram_to_some(peers, bytes, len);
-	len = limit_sync_encode(
-	    peers->options.rate_limits, now, bytes, sizeof(bytes));
-	if (len > 0)
-		send_datagram_to_some(peers, bytes, len);
-	len = encode_departures(peers, now, bytes, sizeof(bytes));
-	if (len > 0)
-		send_datagram_to_some(peers, bytes, len);
-}
+	for (int topic = 0; topic < PEERS_N_TOPICS; topic++) {
+		size_t len = encode_topic(
+		    peers, (enum peers_topic)topic, bytes, sizeof(bytes));
 
-/// Sends the evidence on prompt segments to all instances. Called when this
-/// instance has new evidence.
-///
-/// @param peers  sends the evidence to all its targets
-void
-peers_send_evidence(struct peers *peers)
-{
-	char bytes[PEERS_BUFFER_BYTES];
-	size_t len = evidence_sync_encode(peers->options.quarantine,
-	    g_get_monotonic_time(), peers->name, bytes, sizeof(bytes));
-
-	if (len > 0)
-		send_datagram_to_all(peers, bytes, len);
-}
-
-/// Sends the limits of upstreams to all instances. Called when an upstream has
-/// named a new limit or none any more.
-///
-/// @param peers  sends the limits to all its targets
-void
-peers_send_limits(struct peers *peers)
-{
-	char bytes[PEERS_BUFFER_BYTES];
-	size_t len = limit_sync_encode(peers->options.rate_limits,
-	    g_get_monotonic_time(), bytes, sizeof(bytes));
-
-	if (len > 0)
-		send_datagram_to_all(peers, bytes, len);
+		if (len > 0)
+			send_datagram_to_some(peers, bytes, len);
+	}
 }
 
-/// Sends the upstreams that leave to all instances. Called when one has said
-/// so.
+/// Sends what this instance knows on a topic to all instances. Called when
+/// there is news.
 ///
-/// @param peers  sends them to all its targets
+/// @param peers  sends to all its targets
+/// @param topic  the topic with news
 void
-peers_send_departures(struct peers *peers)
+peers_broadcast(struct peers *peers, enum peers_topic topic)
 {
 	char bytes[PEERS_BUFFER_BYTES];
-	size_t len = encode_departures(
-	    peers, g_get_monotonic_time(), bytes, sizeof(bytes));
+	size_t len = encode_topic(peers, topic, bytes, sizeof(bytes));
 
 	if (len > 0)
 		send_datagram_to_all(peers, bytes, len);
@@ -514,7 +463,10 @@
 		    peers->options.owner);
 		break;
 	case FLEET_DEPARTURES:
-		handle_departures(peers, &message->fleet_message_u.departures);
+		departure_sync_apply(g_get_monotonic_time(),
+		    &message->fleet_message_u.departures,
+		    peers->options.vtable->departure_reported,
+		    peers->options.owner);
 		break;
 	}
 }
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -16,6 +16,14 @@
 
 struct peers;
 
+/// What instances tell each other of prompts and upstreams.
+enum peers_topic {
+	PEERS_EVIDENCE = 0, /// on prompt segments that crash engines
+	PEERS_LIMITS,       /// that upstreams have named
+	PEERS_DEPARTURES,   /// of upstreams that say that they leave
+	PEERS_N_TOPICS,
+};
+
 /// Callbacks from struct peers to its owner.
 struct peers_vtable {
 	/// Returns whether this instance can reach the store.
@@ -64,9 +72,7 @@
 void peers_set_leaving(struct peers *peers);
 void peers_send_changes(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
-void peers_send_evidence(struct peers *peers);
-void peers_send_limits(struct peers *peers);
-void peers_send_departures(struct peers *peers);
+void peers_broadcast(struct peers *peers, enum peers_topic topic);
 void peers_forget_all(struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
 
--- a/test/functional/entry_endless.sh
+++ b/test/functional/entry_endless.sh
@@ -50,4 +50,4 @@
 done
 [ $(($(resident) - start)) -le 16384 ] && echo "memory is bounded" ||
     echo "memory grew from $start to $(resident)"
-grep -c '"outcome":"deadline"' "$workdir/e1.log"
+echo "ended by a deadline: $(grep -c '"outcome":"deadline"' "$workdir/e1.log")"
