Departures that the store has told are not told again

Found in review: engines leave all the time, and each instance that hears it from an engine's report told all others, although the store had told them. With 370 instances and 720 engines that live 20 s, that is some 860 datagrams a second at each instance. Only what the store hasn't said is sent now.

Test: eligibility_test, departures_that_the_store_has_told_are_passed_on.

--- a/src/godwitvale/core/upstream_notices.c
+++ b/src/godwitvale/core/upstream_notices.c
@@ -17,6 +17,7 @@
 struct notice {
 	uint64_t upstream;
 	usec_t leaving_at; /// when it said that it leaves; 0: it didn't
+	bool is_news;      /// other instances are told that it leaves
 	usec_t paused_until;
 };
 
@@ -71,16 +72,20 @@
 /// @param notices   table to update
 /// @param upstream  hash of the upstream's id and incarnation
 /// @param at        time of the upstream's answer
+/// @param is_news   whether other instances are to be told; not if the store
+/// has
+///                  told them
 /// @return false if this was known
 bool
-upstream_notices_set_leaving(
-    struct upstream_notices *notices, uint64_t upstream, usec_t at)
+upstream_notices_set_leaving(struct upstream_notices *notices,
+    uint64_t upstream, usec_t at, bool is_news)
 {
 	struct notice *notice = ensure_notice(notices, upstream);
 
 	if (notice->leaving_at != 0)
 		return false;
 	notice->leaving_at = at;
+	notice->is_news = is_news;
 	return true;
 }
 
@@ -164,7 +169,8 @@
 	}
 }
 
-/// Lists the upstreams that have begun to leave lately, for other instances.
+/// Lists the upstreams that have begun to leave lately, as far as this is news
+/// for other instances.
 ///
 /// @param notices     table to list
 /// @param now         current time
@@ -183,7 +189,7 @@
 	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct notice *notice = value;
 
-		if (notice->leaving_at != 0 &&
+		if (notice->leaving_at != 0 && notice->is_news &&
 		    now < notice->leaving_at + DEPARTURE_NEWS_TTL)
 			departures[n++] = (struct upstream_departure){
 			    notice->upstream, notice->leaving_at};
--- a/src/godwitvale/core/upstream_notices.h
+++ b/src/godwitvale/core/upstream_notices.h
@@ -34,8 +34,8 @@
 
 struct upstream_notices *upstream_notices_new(void);
 void upstream_notices_free(struct upstream_notices *notices);
-bool upstream_notices_set_leaving(
-    struct upstream_notices *notices, uint64_t upstream, usec_t at);
+bool upstream_notices_set_leaving(struct upstream_notices *notices,
+    uint64_t upstream, usec_t at, bool is_news);
 bool upstream_notices_is_leaving(
     const struct upstream_notices *notices, uint64_t upstream);
 void upstream_notices_set_pause(struct upstream_notices *notices, usec_t now,
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -97,17 +97,11 @@
 		entry->update_source = g_idle_add(on_update_due, entry);
 }
 
-/// Prepares the handover of the generations at an upstream that leaves, unless
-/// this was done when the store said the same.
+/// Prepares the handover of the generations at an upstream that leaves.
 static void
 begin_departure(struct entry *entry, const char *id, const char *address,
     const char *source)
 {
-	const struct upstream_record *record =
-	    directory_find(view_directory(entry->view), id);
-
-	if (record == NULL || record->entry.state != UPSTREAM_READY)
-		return;
 	series_add(
 	    &entry_metric_upstream_changes, "upstream-says-leaving", NULL, 1);
 	log_event(LOG_LEVEL_INFO, "upstream-says-leaving",
@@ -117,8 +111,19 @@
 	schedule_update(entry);
 }
 
-/// Handles an upstream's statement that it leaves: it gets no new requests, its
-/// generations are handed over, and the other instances are told.
+/// Checks whether an upstream is ready as far as the store has told.
+static bool
+is_ready_in_store(const struct entry *entry, const char *id)
+{
+	const struct upstream_record *record =
+	    directory_find(view_directory(entry->view), id);
+
+	return record != NULL && record->entry.state == UPSTREAM_READY;
+}
+
+/// Handles an upstream's statement that it leaves: it gets no new requests. If
+/// the store hasn't said the same, its generations are handed over, and the
+/// other instances are told.
 ///
 /// @param entry   instance that has heard the statement
 /// @param target  the upstream
@@ -127,9 +132,12 @@
 entry_note_departure(struct entry *entry, const struct dispatch_target *target,
     const char *source)
 {
+	bool is_news = is_ready_in_store(entry, target->id);
+
 	if (target->incarnation_key == 0 ||
 	    !upstream_notices_set_leaving(entry->notices,
-		target->incarnation_key, g_get_monotonic_time()))
+		target->incarnation_key, g_get_monotonic_time(), is_news) ||
+	    !is_news)
 		return;
 	begin_departure(entry, target->id, target->address, source);
 	peers_broadcast(entry->peers, PEERS_DEPARTURES);
@@ -321,13 +329,14 @@
 on_departure_reported(void *owner, uint64_t upstream, usec_t at)
 {
 	struct entry *entry = owner;
-	const struct upstream_record *record;
-
-	if (!upstream_notices_set_leaving(entry->notices, upstream, at) ||
-	    entry->dispatch == NULL)
-		return;
-	record = dispatch_find_incarnation(entry->dispatch, upstream);
-	if (record != NULL)
+	const struct upstream_record *record = entry->dispatch == NULL
+	    ? NULL
+	    : dispatch_find_incarnation(entry->dispatch, upstream);
+	bool is_news = record == NULL || record->entry.state == UPSTREAM_READY;
+
+	if (upstream_notices_set_leaving(
+		entry->notices, upstream, at, is_news) &&
+	    is_news && record != NULL)
 		begin_departure(entry, record->entry.id, record->entry.address,
 		    "another-instance");
 }
--- a/test/unit/eligibility_test.c
+++ b/test/unit/eligibility_test.c
@@ -111,8 +111,9 @@
 	struct upstream_departure listed[4];
 
 	(void)state;
-	assert_true(upstream_notices_set_leaving(notices, 1, NOW));
-	assert_false(upstream_notices_set_leaving(notices, 1, NOW + SECOND));
+	assert_true(upstream_notices_set_leaving(notices, 1, NOW, true));
+	assert_false(
+	    upstream_notices_set_leaving(notices, 1, NOW + SECOND, true));
 	upstream_notices_set_pause(notices, NOW, 1, SECOND);
 	upstream_notices_tick(notices, NOW + 20 * SECOND);
 	assert_true(upstream_notices_is_leaving(notices, 1));
@@ -127,6 +128,26 @@
 	upstream_notices_free(notices);
 }
 
+/// Upstreams leave all the time, and many instances hear of each of them. What
+/// the store has told is not told again.
+static void
+departures_that_the_store_has_told_are_passed_on(void **state)
+{
+	struct upstream_notices *notices = upstream_notices_new();
+	struct upstream_departure listed[4];
+
+	(void)state;
+	upstream_notices_set_leaving(notices, 1, NOW, false);
+	assert_true(upstream_notices_is_leaving(notices, 1));
+	assert_int_equal(
+	    upstream_notices_list_departures(notices, NOW, listed, 4), 0);
+	upstream_notices_set_leaving(notices, 2, NOW, true);
+	assert_int_equal(
+	    upstream_notices_list_departures(notices, NOW, listed, 4), 1);
+	assert_true(listed[0].upstream == 2);
+	upstream_notices_free(notices);
+}
+
 int
 main(void)
 {
@@ -135,6 +156,7 @@
 	    cmocka_unit_test(upstream_in_trouble_stays_in_service),
 	    cmocka_unit_test(pauses_are_bounded_and_never_shortened),
 	    cmocka_unit_test(departures_belong_to_one_incarnation),
+	    cmocka_unit_test(departures_that_the_store_has_told_are_passed_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
