--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -1,7 +1,7 @@
 /*
- * The fault soak: the real programs as separate processes on loopback, faults
- * from outside them in a random order that a seed fixes, and callers that
- * check what they get.
+ * The fault soak: runs the real programs as separate processes on loopback,
+ * injects faults from outside in a random order that a seed determines, and
+ * checks the responses that callers receive.
  */
 #ifndef TEST_SOAK_SOAK_H
 #define TEST_SOAK_SOAK_H
@@ -16,12 +16,12 @@
 #define SOAK_ENTRIES 3
 #define SOAK_WORKERS 5
 
-/// What a proxied link does to what passes.
+/// How a proxied link treats its traffic.
 enum link_mode {
-	LINK_WELL,
-	LINK_SLOW,    /// everything comes late
-	LINK_ONE_WAY, /// nothing comes back
-	LINK_SILENT,  /// nothing passes
+	LINK_NORMAL,
+	LINK_SLOW,    /// data is delayed
+	LINK_ONE_WAY, /// responses are dropped
+	LINK_SILENT,  /// all data is dropped
 };
 
 struct soak_link;
@@ -34,7 +34,7 @@
 	GPid pid; /// 0: not running
 	bool paused;
 	bool leaving;
-	usec_t kill_at; /// if it has not left by then; 0: not leaving
+	usec_t kill_at; /// killed if it hasn't exited by then; 0: not leaving
 };
 
 /// One run of the soak.
@@ -47,17 +47,18 @@
 	struct pool *pool;
 	GPid site;
 	uint16_t store_port;
-	uint16_t worker_ports[SOAK_WORKERS]; /// behind the links
+	uint16_t worker_ports[SOAK_WORKERS]; /// of the workers; their links use
+					     /// the next port
 	uint16_t ports[5]; /// caller, ready, control, peer, metrics
 	struct soak_entry entries[SOAK_ENTRIES];
 	struct soak_link *store_link;
 	struct soak_link *worker_links[SOAK_WORKERS];
 	unsigned config_version;
 	usec_t started_at;
-	usec_t calm_from; /// no fault is switched on from then on
+	usec_t calm_from; /// no fault is injected from then on
 	GPtrArray *calls; /// struct soak_call *
 	GString *failures;
-	GString *history; /// the faults, for whoever traces a failure
+	GString *history; /// injected faults, printed with a failure
 };
 
 /* soak_link.c */
@@ -78,7 +79,7 @@
 
 /* soak_plan.c */
 void soak_plan_step(struct soak *soak);
-void soak_plan_heal(struct soak *soak);
+void soak_plan_end_faults(struct soak *soak);
 
 /* soak_callers.c */
 void soak_callers_tick(struct soak *soak);
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -1,4 +1,4 @@
-/* The soak's callers, and what must hold of the answers they get. */
+/* Callers of the soak, and the checks of the responses that they receive. */
 #include "test/soak/soak.h"
 
 #include <string.h>
@@ -7,20 +7,20 @@
 #include "godwitvale/http/exchange.h"
 #include "godwitvale/http/fetch.h"
 
-/// A caller waits this long for its final answer.
-#define CALL_PATIENCE (12 * USEC_PER_SEC)
-/// Beyond that an instance is late, pauses and kills aside.
+/// Time limit of a caller for its final response.
+#define CALL_TIMEOUT (12 * USEC_PER_SEC)
+/// Extra time after which a response without a pause or kill is overdue.
 #define CALL_SLACK (4 * USEC_PER_SEC)
 /// Events of a long stream, and of a short one.
 #define LONG_EVENTS 120
 #define SHORT_EVENTS 10
 
-/// What is asked.
+/// Kind of a request.
 enum call_kind { CALL_DRAFT, CALL_HINT, CALL_ORDER, CALL_CHECK };
 
 static const char *const kind_names[] = {"draft", "hint", "order", "check"};
 
-/// One request and its answer.
+/// One request and its response.
 struct soak_call {
 	struct soak *soak;
 	struct exchange *exchange; /// NULL: ended
@@ -33,15 +33,16 @@
 	bool is_signed;
 	bool complete;
 	bool out_of_order;
-	bool foreign; /// it got what isn't its own
+	bool foreign; /// received an event of another request
 	usec_t begun_at;
 	usec_t ended_at;
-	unsigned runs; /// as the workers count
+	unsigned runs; /// counted by the workers
 	GString *body;
 	struct event_splitter splitter;
 };
 
-/// Takes an event; it must be the next one, and this call's.
+/// Splitter callback: checks that an event is the next one and belongs to this
+/// request.
 static bool
 on_event(void *owner, const struct event *event)
 {
@@ -114,7 +115,7 @@
 	g_free(text);
 }
 
-/// Sends one request to some instance.
+/// Sends one request to a random instance.
 static void
 send_call(struct soak *soak)
 {
@@ -151,7 +152,7 @@
 	http_head_add(&head, "Authorization", "Token k1");
 	http_head_add(&head, "Attempt-Id", call->id);
 	http_head_add_number(
-	    &head, "Deadline-Ms", CALL_PATIENCE / USEC_PER_MSEC);
+	    &head, "Deadline-Ms", CALL_TIMEOUT / USEC_PER_MSEC);
 	if (call->total > 0) {
 		char *tokens = g_strdup_printf("100,%u", call->total * 4);
 
@@ -167,7 +168,7 @@
 	g_free(address);
 }
 
-/// Sends what is due, and gives up what takes too long.
+/// Sends the next request, and cancels those that exceed their time limit.
 ///
 /// @param soak  the run
 void
@@ -181,9 +182,9 @@
 		struct soak_call *call = soak->calls->pdata[i];
 
 		if (call->exchange == NULL ||
-		    now < call->begun_at + CALL_PATIENCE + CALL_SLACK)
+		    now < call->begun_at + CALL_TIMEOUT + CALL_SLACK)
 			continue;
-		/* Callers of a paused or killed instance wait in vain. */
+		/* Callers of a paused or killed instance get no response. */
 		if (call->begun_at > soak->calm_from)
 			soak_fail(
 			    soak, "%s: no final answer in calm", call->id);
@@ -205,7 +206,7 @@
 	return open;
 }
 
-/// Checks one answer.
+/// Checks one response.
 static void
 check_call(struct soak *soak, const struct soak_call *call)
 {
@@ -221,17 +222,18 @@
 		soak_fail(soak, "%s: events %s", call->id,
 		    call->foreign ? "of another request" : "out of order");
 	if (call->status == 200 && !call->is_signed)
-		soak_fail(soak, "%s: a success of nobody", call->id);
+		soak_fail(soak, "%s: success without an upstream's signature",
+		    call->id);
 	if (!call->complete || call->status != 200)
 		return;
 	if (call->total > 0 && call->events != call->total)
 		soak_fail(soak, "%s: complete with %u of %u events", call->id,
 		    call->events, call->total);
 	if (call->total == 0 && strstr(call->body->str, call->id) == NULL)
-		soak_fail(soak, "%s: the answer is another's", call->id);
+		soak_fail(soak, "%s: response to another request", call->id);
 }
 
-/// One question for the count of a request's runs.
+/// Fetch callback: the number of runs of a request has arrived.
 static void
 on_runs(void *owner, const struct fetch_response *answer)
 {
@@ -243,7 +245,7 @@
 		call->runs = (unsigned)atoi(answer->body);
 }
 
-/// Asks the workers how often each request has run.
+/// Fetches the number of runs of each request from the workers.
 static void
 count_runs(struct soak *soak)
 {
@@ -272,7 +274,7 @@
 	g_free(address);
 }
 
-/// Checks every answer, and that service came back once all was well.
+/// Checks all responses, and that requests are served again after the faults.
 ///
 /// @param soak  the run
 void
@@ -303,7 +305,7 @@
 		    served_late, asked_late);
 }
 
-/// Frees every request.
+/// Frees all requests.
 ///
 /// @param soak  the run
 void
--- a/test/soak/soak_link.c
+++ b/test/soak/soak_link.c
@@ -1,4 +1,7 @@
-/* A TCP link over loopback that can be late, one-way, silent, or reset. */
+/*
+ * A TCP proxy on loopback that delays data, drops it in one or both directions,
+ * or resets its connections.
+ */
 #include "test/soak/soak.h"
 
 #include <string.h>
@@ -11,7 +14,7 @@
 
 #include "godwitvale/http/conn.h"
 
-/// How late a slow link is, in milliseconds.
+/// Delay of a slow link, in milliseconds.
 #define LINK_DELAY_MS 120
 
 struct soak_link {
@@ -22,23 +25,23 @@
 	GHashTable *pairs; /// struct pair * as a set
 };
 
-/// A connection and its counterpart.
+/// A caller's connection and the one to the target.
 struct pair {
 	struct soak_link *link;
 	struct conn *ends[2]; /// from the caller, to the target
-	bool lossy[2];        /// bytes towards that end were lost
-	unsigned late[2];     /// parcels on their way to that end
+	bool lossy[2];        /// data to that end was dropped
+	unsigned late[2];     /// delayed chunks for that end
 };
 
-/// Bytes on their way over a slow link.
-struct parcel {
+/// A chunk of data that is delayed.
+struct chunk {
 	struct soak_link *link;
 	struct pair *pair;
 	int to;
 	GBytes *bytes;
 };
 
-/// Ends both sides.
+/// Closes both connections of a pair.
 static void
 pair_end(struct pair *pair, bool reset)
 {
@@ -54,26 +57,26 @@
 static gboolean
 on_parcel_due(gpointer data)
 {
-	struct parcel *parcel = data;
+	struct chunk *chunk = data;
 	gsize len;
-	const char *bytes = g_bytes_get_data(parcel->bytes, &len);
+	const char *bytes = g_bytes_get_data(chunk->bytes, &len);
 
-	if (g_hash_table_contains(parcel->link->pairs, parcel->pair)) {
-		parcel->pair->late[parcel->to]--;
-		if (!parcel->pair->lossy[parcel->to])
-			conn_write(parcel->pair->ends[parcel->to], bytes, len);
+	if (g_hash_table_contains(chunk->link->pairs, chunk->pair)) {
+		chunk->pair->late[chunk->to]--;
+		if (!chunk->pair->lossy[chunk->to])
+			conn_write(chunk->pair->ends[chunk->to], bytes, len);
 	}
-	g_bytes_unref(parcel->bytes);
-	g_free(parcel);
+	g_bytes_unref(chunk->bytes);
+	g_free(chunk);
 	return G_SOURCE_REMOVE;
 }
 
-/// Passes bytes on, as the link's mode has it.
+/// Forwards, delays or drops data, depending on the link's mode.
 static void
 pass(struct pair *pair, int to, const char *data, size_t len)
 {
 	struct soak_link *link = pair->link;
-	struct parcel *parcel;
+	struct chunk *chunk;
 
 	/* A connection that has lost bytes never carries later ones. */
 	if (link->mode == LINK_SILENT ||
@@ -86,13 +89,13 @@
 		conn_write(pair->ends[to], data, len);
 		return;
 	}
-	parcel = g_new0(struct parcel, 1);
-	parcel->link = link;
-	parcel->pair = pair;
-	parcel->to = to;
-	parcel->bytes = g_bytes_new(data, len);
+	chunk = g_new0(struct chunk, 1);
+	chunk->link = link;
+	chunk->pair = pair;
+	chunk->to = to;
+	chunk->bytes = g_bytes_new(data, len);
 	pair->late[to]++;
-	g_timeout_add(LINK_DELAY_MS, on_parcel_due, parcel);
+	g_timeout_add(LINK_DELAY_MS, on_parcel_due, chunk);
 }
 
 static void
@@ -137,10 +140,10 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Opens a link.
+/// Creates a link and starts to listen.
 ///
-/// @param port     that it listens on
-/// @param to_port  that it leads to
+/// @param port     port to listen on
+/// @param to_port  port of the target
 /// @return the link, or NULL when the port is taken
 struct soak_link *
 soak_link_new(uint16_t port, uint16_t to_port)
@@ -169,17 +172,17 @@
 	return link;
 }
 
-/// Sets what a link does from here on.
+/// Sets how a link treats its traffic from now on.
 ///
 /// @param link  the link
-/// @param mode  what it does
+/// @param mode  new mode
 void
 soak_link_set(struct soak_link *link, enum link_mode mode)
 {
 	link->mode = mode;
 }
 
-/// Resets every connection over a link.
+/// Resets all connections of a link.
 ///
 /// @param link  the link
 void
@@ -192,7 +195,7 @@
 	g_list_free(pairs);
 }
 
-/// Closes a link.
+/// Stops a link and closes its connections.
 ///
 /// @param link  the link, or NULL
 void
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -1,4 +1,5 @@
-/* The fault soak's runs: soak --bindir DIR [--seeds N] [--from S] [--span S] */
+/* Main program of the fault soak: soak --bindir DIR [--seeds N] [--from S]
+ * [--span S] */
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,19 +12,19 @@
 
 #include "test/soak/soak.h"
 
-/// Between two requests, in milliseconds.
+/// Interval of requests, in milliseconds.
 #define CALL_MS 25
-/// Between two faults on average, in milliseconds.
+/// Interval of faults, in milliseconds.
 #define FAULT_MS 350
-/// Faults are switched off this long before the last requests.
+/// Time from the end of the faults to the earliest end of a run.
 #define CALM_SPAN (5 * USEC_PER_SEC)
 
 static int first_port = 21000;
 
-/// Says that something does not hold.
+/// Records a failed check.
 ///
 /// @param soak    the run
-/// @param format  what
+/// @param format  description of the failure
 void
 soak_fail(struct soak *soak, const char *format, ...)
 {
@@ -37,10 +38,10 @@
 	va_end(arguments);
 }
 
-/// Notes a fault.
+/// Records an injected fault.
 ///
 /// @param soak    the run
-/// @param format  what
+/// @param format  description of the fault
 void
 soak_note(struct soak *soak, const char *format, ...)
 {
@@ -54,7 +55,7 @@
 	va_end(arguments);
 }
 
-/// Takes the next port that nobody listens on.
+/// Returns the next port on which nothing listens.
 static uint16_t
 next_port(void)
 {
@@ -74,7 +75,8 @@
 	}
 }
 
-/// Takes two ports in a row: one behind a link and one before it.
+/// Returns the first of two free consecutive ports: one for a worker or the
+/// store, and one for the link in front of it.
 static uint16_t
 next_pair(void)
 {
@@ -104,9 +106,9 @@
 }
 
 static gboolean
-on_heal(gpointer data)
+on_faults_end(gpointer data)
 {
-	soak_plan_heal(data);
+	soak_plan_end_faults(data);
 	return G_SOURCE_REMOVE;
 }
 
@@ -122,7 +124,7 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Removes a run's directory.
+/// Removes the directory of a run.
 static void
 remove_dir(const char *path)
 {
@@ -140,9 +142,9 @@
 	g_rmdir(path);
 }
 
-/// Plays one seed.
+/// Runs the soak with one seed.
 ///
-/// @return whether all held
+/// @return whether all checks passed
 static bool
 play(guint32 seed, const char *bindir, int span_s)
 {
@@ -169,7 +171,7 @@
 	sources[0] = g_timeout_add(CALL_MS, on_call, &soak);
 	sources[1] = g_timeout_add(FAULT_MS, on_fault, &soak);
 	sources[2] = g_timeout_add(50, on_watch, &soak);
-	g_timeout_add((guint)span_s * 1000, on_heal, &soak);
+	g_timeout_add((guint)span_s * 1000, on_faults_end, &soak);
 	g_main_loop_run(soak.loop);
 	for (int i = 0; i < 3; i++)
 		g_source_remove(sources[i]);
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -1,9 +1,10 @@
-/* The soak's faults, drawn from the seed. They come in series and overlap. */
+/* Draws the faults of a run from its seed. Faults occur in series and overlap.
+ */
 #include "test/soak/soak.h"
 
 #include <signal.h>
 
-/// An instance that is told to leave has ended this long afterwards.
+/// Time from SIGTERM until an instance must have exited.
 #define LEAVE_SPAN (5 * USEC_PER_SEC)
 
 static const char *const worker_names[SOAK_WORKERS] = {
@@ -13,8 +14,9 @@
     "cutstart", "saysleaving", "errors"};
 static const char *const store_modes[] = {
     "busy", "silent", "forget", "up", "up", "up"};
-/// What upstreams say of themselves, prompts that crash them, and a store that
-/// is restored from a copy: control calls and their bodies.
+/// Control calls, with their bodies, that change what workers state in their
+/// responses or which prompts crash them, or that restore the store from a
+/// copy.
 static const struct {
 	const char *path;
 	const char *body;
@@ -37,16 +39,16 @@
 };
 static const char *const link_names[] = {"well", "slow", "one-way", "silent"};
 
-/// Draws a number below another.
+/// Draws a random number below a bound.
 static int
 draw(struct soak *soak, int below)
 {
 	return g_rand_int_range(soak->rand, 0, below);
 }
 
-/// Does something to an instance.
+/// Injects a random fault into an instance, or ends one.
 static void
-hit_entry(struct soak *soak, struct soak_entry *entry)
+inject_instance_fault(struct soak *soak, struct soak_entry *entry)
 {
 	switch (draw(soak, 6)) {
 	case 0:
@@ -80,9 +82,9 @@
 	}
 }
 
-/// Does something to a worker.
+/// Injects a random fault into a worker, or ends one.
 static void
-hit_worker(struct soak *soak)
+inject_worker_fault(struct soak *soak)
 {
 	int i = draw(soak, SOAK_WORKERS);
 	const char *mode = worker_modes[draw(soak, G_N_ELEMENTS(worker_modes))];
@@ -93,9 +95,10 @@
 	g_free(path);
 }
 
-/// Makes upstreams say something, or restores the store.
+/// Changes what workers state in their responses or which prompts crash them,
+/// or restores the store.
 static void
-hit_statement(struct soak *soak)
+inject_statement(struct soak *soak)
 {
 	int i = draw(soak, G_N_ELEMENTS(statements));
 
@@ -103,9 +106,9 @@
 	soak_world_ctl(soak, statements[i].path, statements[i].body);
 }
 
-/// Does something to a link.
+/// Injects a random fault into a link, or ends one.
 static void
-hit_link(struct soak *soak)
+inject_link_fault(struct soak *soak)
 {
 	int i = draw(soak, SOAK_WORKERS + 1);
 	int mode = draw(soak, 6);
@@ -118,14 +121,14 @@
 	if (mode >= (int)G_N_ELEMENTS(link_names)) {
 		soak_note(soak, "link %s reset", name);
 		soak_link_reset(link);
-		soak_link_set(link, LINK_WELL);
+		soak_link_set(link, LINK_NORMAL);
 		return;
 	}
 	soak_note(soak, "link %s %s", name, link_names[mode]);
 	soak_link_set(link, (enum link_mode)mode);
 }
 
-/// Switches the next fault on, or one off.
+/// Injects the next fault, or ends one.
 ///
 /// @param soak  the run
 void
@@ -138,16 +141,17 @@
 	case 0:
 	case 1:
 	case 2:
-		hit_entry(soak, &soak->entries[draw(soak, SOAK_ENTRIES)]);
+		inject_instance_fault(
+		    soak, &soak->entries[draw(soak, SOAK_ENTRIES)]);
 		break;
 	case 3:
 	case 4:
 	case 5:
-		hit_worker(soak);
+		inject_worker_fault(soak);
 		break;
 	case 6:
 	case 7:
-		hit_link(soak);
+		inject_link_fault(soak);
 		break;
 	case 8:
 		mode = store_modes[draw(soak, G_N_ELEMENTS(store_modes))];
@@ -159,7 +163,7 @@
 	case 9:
 	case 10:
 	case 11:
-		hit_statement(soak);
+		inject_statement(soak);
 		break;
 	default:
 		soak_note(soak, "configuration");
@@ -168,18 +172,18 @@
 	}
 }
 
-/// Switches every fault off.
+/// Ends all faults.
 ///
 /// @param soak  the run
 void
-soak_plan_heal(struct soak *soak)
+soak_plan_end_faults(struct soak *soak)
 {
 	soak_note(soak, "heal");
 	for (int i = 0; i < SOAK_ENTRIES; i++) {
 		soak->entries[i].paused = false;
 		soak_world_signal(&soak->entries[i], SIGCONT);
 	}
-	soak_link_set(soak->store_link, LINK_WELL);
+	soak_link_set(soak->store_link, LINK_NORMAL);
 	soak_link_reset(soak->store_link);
 	soak_world_ctl(soak, "store/up", "");
 	soak_world_ctl(soak, "deadly/none", "");
@@ -188,7 +192,7 @@
 		static const char *const steps[] = {"back", "ready", "well"};
 
 		if (soak->worker_links[i] != NULL) {
-			soak_link_set(soak->worker_links[i], LINK_WELL);
+			soak_link_set(soak->worker_links[i], LINK_NORMAL);
 			soak_link_reset(soak->worker_links[i]);
 		}
 		for (size_t j = 0; j < G_N_ELEMENTS(steps); j++) {
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -1,4 +1,4 @@
-/* The soak's processes: the platform's stand-in and the entry instances. */
+/* Processes of the soak: the simulated platform and the entry instances. */
 #include "test/soak/soak.h"
 
 #include <signal.h>
@@ -12,11 +12,11 @@
 /// Workers: three engines and two plain services.
 static const char *const worker_specs[SOAK_WORKERS] = {
     "lm1,lm,z1", "lm2,lm,z2", "lm3,lm,z1", "shop1,shop,z1", "shop2,shop,z2"};
-/// From SIGTERM until an instance must have ended, beyond its grace.
+/// Time after the grace within which an instance must have exited.
 #define LEAVE_SPAN (5 * USEC_PER_SEC)
 #define GRACE_MS 3000
 
-/// Starts a program in the background, its output to a file.
+/// Starts a program in the background and redirects its output to a file.
 static GPid
 start(struct soak *soak, const char *const *argv, const char *log)
 {
@@ -43,7 +43,8 @@
 	return pid;
 }
 
-/// Starts the stand-in. What it announces are the links before its workers.
+/// Starts the simulated platform. Its workers announce the addresses of the
+/// links in front of them.
 static void
 start_site(struct soak *soak)
 {
@@ -121,11 +122,11 @@
 	struct soak *soak = owner;
 
 	if (answer->status != 200)
-		soak_fail(
-		    soak, "the stand-in did not answer: %s", answer->failure);
+		soak_fail(soak, "the simulated platform did not respond: %s",
+		    answer->failure);
 }
 
-/// Switches something at the stand-in.
+/// Sends a control call to the simulated platform.
 ///
 /// @param soak  the run
 /// @param path  under /ctl/
@@ -190,7 +191,7 @@
 	g_free(text);
 }
 
-/// Starts everything.
+/// Starts all processes and links.
 ///
 /// @param soak  the run, with its ports
 /// @return false when a port is taken
@@ -205,7 +206,7 @@
 		    soak->worker_ports[i] + 1, soak->worker_ports[i]);
 	if (soak->store_link == NULL)
 		return false;
-	g_usleep(300000); /* the stand-in's start; nothing is measured here */
+	g_usleep(300000); /* time for the platform to start */
 	soak_world_configure(soak);
 	for (int i = 0; i < SOAK_ENTRIES; i++) {
 		struct soak_entry *entry = &soak->entries[i];
@@ -218,7 +219,7 @@
 	return true;
 }
 
-/// Notices instances that have ended, and starts them again.
+/// Detects instances that have exited, and restarts them.
 ///
 /// @param soak  the run
 void
@@ -274,7 +275,7 @@
 	}
 }
 
-/// Ends one process that this run has started, and waits for it.
+/// Kills one process that this run has started, and waits for its exit.
 static void
 end_process(GPid pid)
 {
@@ -287,7 +288,7 @@
 	waitpid(pid, &status, 0);
 }
 
-/// Ends everything that was started.
+/// Stops all processes and links of this run.
 ///
 /// @param soak  the run
 void
