--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -275,8 +275,8 @@
 
 /// Checks whether an upstream is known to be gone although there is an entry.
 static bool
-is_buried(const struct tombstone *tombstone, const struct upstream_entry *entry,
-    uint64_t revision)
+is_known_gone(const struct tombstone *tombstone,
+    const struct upstream_entry *entry, uint64_t revision)
 {
 	if (tombstone->revision >= revision)
 		return true;
@@ -306,7 +306,7 @@
 	enum upstream_state old_state;
 	bool was_cold;
 
-	if (tombstone != NULL && is_buried(tombstone, entry, revision))
+	if (tombstone != NULL && is_known_gone(tombstone, entry, revision))
 		return false;
 	if (tombstone != NULL)
 		g_hash_table_remove(directory->tombstones, entry->id);
--- a/src/godwitvale/core/quarantine.c
+++ b/src/godwitvale/core/quarantine.c
@@ -1,15 +1,17 @@
-/* Weighs the evidence on prompt segments and keeps the verdicts on them. */
+/* Weighs the evidence on prompt segments and keeps the rules on them. */
 #include "godwitvale/core/quarantine.h"
 
 #include <string.h>
 
 #include <glib.h>
 
-/// Crashes of different engines that convict a segment no engine has answered.
+/// Crashes of different engines that count against a segment no engine has
+/// answered.
 #define QUARANTINE_CRASHES_UNKNOWN 2
-/// Crashes of different engines that convict a segment that was sound before.
+/// Crashes of different engines that count against a segment that was safe
+/// before.
 #define QUARANTINE_CRASHES_KNOWN 4
-/// Crashes that convict a segment even if they are of the same engine.
+/// Crashes that count against a segment even if they are of the same engine.
 #define QUARANTINE_CRASHES_ANY 4
 /// Crashes closer to each other count as one: when a machine or a zone fails,
 /// many engines end at the same moment.
@@ -23,7 +25,7 @@
 /// A crash whose segments were all answered since is kept for this long, until
 /// the other instances have learnt of the answers.
 #define QUARANTINE_REFUTED_TTL (60 * USEC_PER_SEC)
-/// Time from a verdict to its first trial; each later pause is three times as
+/// Time from a rule to its first trial; each later pause is three times as
 /// long as the one before.
 #define QUARANTINE_FIRST_TRIAL_DELAY (20 * USEC_PER_SEC)
 #define QUARANTINE_TRIAL_DELAY_FACTOR 3
@@ -31,7 +33,7 @@
 /// taken over only if it differs by more; otherwise a time that instances pass
 /// on to each other would become later each time.
 #define QUARANTINE_TIME_TOLERANCE (500 * USEC_PER_MSEC)
-/// Number of segments in each of the two generations of the sound segments.
+/// Number of segments in each of the two generations of the safe segments.
 #define QUARANTINE_GENERATION_SIZE 2048
 
 struct quarantine {
@@ -39,16 +41,16 @@
 	void *owner;
 	struct quarantine_crash crashes[QUARANTINE_CRASHES_MAX];
 	size_t n_crashes; /// oldest first
-	struct quarantine_verdict verdicts[QUARANTINE_VERDICTS_MAX];
-	size_t n_verdicts;
+	struct quarantine_rule rules[QUARANTINE_RULES_MAX];
+	size_t n_rules;
 	/// Segment -> usec_t *, when it was last answered. When the newer
 	/// generation is full, the older one is dropped.
-	GHashTable *sound_newer;
-	GHashTable *sound_older;
+	GHashTable *safe_newer;
+	GHashTable *safe_older;
 };
 
 /// Crashes that count against one segment.
-struct indictment {
+struct crash_tally {
 	const struct quarantine_crash *crashes[QUARANTINE_CRASHES_MAX];
 	size_t n;
 	size_t n_upstreams; /// number of different engines
@@ -105,7 +107,7 @@
 
 /// Creates a quarantine without evidence.
 ///
-/// @param listener  called on each change of a verdict
+/// @param listener  called on each change of a rule
 /// @param owner     passed to the listener
 /// @return the quarantine; free with quarantine_free()
 struct quarantine *
@@ -115,8 +117,8 @@
 
 	quarantine->listener = listener;
 	quarantine->owner = owner;
-	quarantine->sound_newer = new_generation();
-	quarantine->sound_older = new_generation();
+	quarantine->safe_newer = new_generation();
+	quarantine->safe_older = new_generation();
 	return quarantine;
 }
 
@@ -126,47 +128,47 @@
 void
 quarantine_free(struct quarantine *quarantine)
 {
-	g_hash_table_unref(quarantine->sound_newer);
-	g_hash_table_unref(quarantine->sound_older);
+	g_hash_table_unref(quarantine->safe_newer);
+	g_hash_table_unref(quarantine->safe_older);
 	g_free(quarantine);
 }
 
 /// @return when a segment was last answered; 0: never, as far as is known
 static usec_t
-find_sound_at(const struct quarantine *quarantine, uint64_t segment)
+find_safe_at(const struct quarantine *quarantine, uint64_t segment)
 {
 	const usec_t *at =
-	    g_hash_table_lookup(quarantine->sound_newer, &segment);
+	    g_hash_table_lookup(quarantine->safe_newer, &segment);
 
 	if (at == NULL)
-		at = g_hash_table_lookup(quarantine->sound_older, &segment);
+		at = g_hash_table_lookup(quarantine->safe_older, &segment);
 	return at == NULL ? 0 : *at;
 }
 
 /// Records when a segment was answered, unless a later time is known.
 static void
-set_sound_at(struct quarantine *quarantine, uint64_t segment, usec_t at)
+set_safe_at(struct quarantine *quarantine, uint64_t segment, usec_t at)
 {
-	at = MAX(at, find_sound_at(quarantine, segment));
-	if (g_hash_table_size(quarantine->sound_newer) >=
+	at = MAX(at, find_safe_at(quarantine, segment));
+	if (g_hash_table_size(quarantine->safe_newer) >=
 	    QUARANTINE_GENERATION_SIZE) {
-		g_hash_table_unref(quarantine->sound_older);
-		quarantine->sound_older = quarantine->sound_newer;
-		quarantine->sound_newer = new_generation();
+		g_hash_table_unref(quarantine->safe_older);
+		quarantine->safe_older = quarantine->safe_newer;
+		quarantine->safe_newer = new_generation();
 	}
-	g_hash_table_replace(quarantine->sound_newer,
+	g_hash_table_replace(quarantine->safe_newer,
 	    g_memdup2(&segment, sizeof(segment)), g_memdup2(&at, sizeof(at)));
 }
 
-/// Checks whether a verdict that doesn't name a segment explains a crash. Such
+/// Checks whether a rule that doesn't name a segment explains a crash. Such
 /// a crash isn't evidence against that segment.
 static bool
 is_explained_otherwise(const struct quarantine *quarantine,
     const struct quarantine_crash *crash, uint64_t segment)
 {
-	for (size_t i = 0; i < quarantine->n_verdicts; i++) {
+	for (size_t i = 0; i < quarantine->n_rules; i++) {
 		const struct segment_set *named =
-		    &quarantine->verdicts[i].segments;
+		    &quarantine->rules[i].segments;
 
 		if (set_contains(&crash->segments, named) &&
 		    !set_has(named, segment))
@@ -175,128 +177,125 @@
 	return false;
 }
 
-/// Adds a crash to an indictment, unless it was too close to the one before.
+/// Adds a crash to an tally, unless it was too close to the one before.
 static void
-indict(struct indictment *indictment, const struct quarantine_crash *crash)
+add_to_tally(struct crash_tally *tally, const struct quarantine_crash *crash)
 {
 	bool is_other_upstream = true;
 
-	if (indictment->n > 0 &&
-	    crash->at < indictment->crashes[indictment->n - 1]->at +
-		    QUARANTINE_CRASH_SPACING)
+	if (tally->n > 0 &&
+	    crash->at <
+		tally->crashes[tally->n - 1]->at + QUARANTINE_CRASH_SPACING)
 		return;
-	for (size_t i = 0; i < indictment->n; i++)
-		if (indictment->crashes[i]->upstream == crash->upstream)
+	for (size_t i = 0; i < tally->n; i++)
+		if (tally->crashes[i]->upstream == crash->upstream)
 			is_other_upstream = false;
-	indictment->crashes[indictment->n++] = crash;
-	indictment->n_upstreams += is_other_upstream;
+	tally->crashes[tally->n++] = crash;
+	tally->n_upstreams += is_other_upstream;
 }
 
 /// Lists the crashes that count against a segment: those since it was last
-/// answered that no other verdict explains.
-static struct indictment
-make_indictment(const struct quarantine *quarantine, uint64_t segment)
+/// answered that no other rule explains.
+static struct crash_tally
+tally_crashes(const struct quarantine *quarantine, uint64_t segment)
 {
-	struct indictment indictment = {.n = 0};
-	usec_t sound_at = find_sound_at(quarantine, segment);
+	struct crash_tally tally = {.n = 0};
+	usec_t safe_at = find_safe_at(quarantine, segment);
 
 	for (size_t i = 0; i < quarantine->n_crashes; i++) {
 		const struct quarantine_crash *crash = &quarantine->crashes[i];
 
-		if (crash->at > sound_at &&
-		    set_has(&crash->segments, segment) &&
+		if (crash->at > safe_at && set_has(&crash->segments, segment) &&
 		    !is_explained_otherwise(quarantine, crash, segment))
-			indict(&indictment, crash);
+			add_to_tally(&tally, crash);
 	}
-	return indictment;
+	return tally;
 }
 
-/// Checks whether the crashes suffice to convict a segment.
+/// Checks whether the crashes suffice to count against a segment.
 static bool
-is_convicted(const struct quarantine *quarantine,
-    const struct indictment *indictment, uint64_t segment)
+is_sufficient(const struct quarantine *quarantine,
+    const struct crash_tally *tally, uint64_t segment)
 {
-	size_t n_required = find_sound_at(quarantine, segment) == 0
+	size_t n_required = find_safe_at(quarantine, segment) == 0
 	    ? QUARANTINE_CRASHES_UNKNOWN
 	    : QUARANTINE_CRASHES_KNOWN;
 
-	return indictment->n_upstreams >= n_required ||
-	    indictment->n >= QUARANTINE_CRASHES_ANY;
+	return tally->n_upstreams >= n_required ||
+	    tally->n >= QUARANTINE_CRASHES_ANY;
 }
 
 /// Removes the segments that were answered after a time.
 ///
 /// @return whether a segment was removed
 static bool
-remove_sound_segments(
+remove_safe_segments(
     const struct quarantine *quarantine, struct segment_set *set, usec_t since)
 {
 	unsigned n_before = set->n;
 
 	for (unsigned i = 0; i < set->n;)
-		if (find_sound_at(quarantine, set->ids[i]) > since)
+		if (find_safe_at(quarantine, set->ids[i]) > since)
 			set_remove_at(set, i);
 		else
 			i++;
 	return set->n != n_before;
 }
 
-/// Returns the segments that all crashes of an indictment have in common and
+/// Returns the segments that all crashes of an tally have in common and
 /// that may be the cause.
 static struct segment_set
 find_common_segments(
-    const struct quarantine *quarantine, const struct indictment *indictment)
+    const struct quarantine *quarantine, const struct crash_tally *tally)
 {
-	struct segment_set common = indictment->crashes[0]->segments;
+	struct segment_set common = tally->crashes[0]->segments;
 	struct segment_set unknown;
 
-	for (size_t c = 1; c < indictment->n; c++)
+	for (size_t c = 1; c < tally->n; c++)
 		for (unsigned i = 0; i < common.n;)
-			if (set_has(&indictment->crashes[c]->segments,
-				common.ids[i]))
+			if (set_has(
+				&tally->crashes[c]->segments, common.ids[i]))
 				i++;
 			else
 				set_remove_at(&common, i);
-	remove_sound_segments(quarantine, &common, indictment->crashes[0]->at);
-	/* A segment that was sound before is blamed only for lack of others. */
+	remove_safe_segments(quarantine, &common, tally->crashes[0]->at);
+	/* One that was safe before is named only if there is no other. */
 	unknown = common;
-	remove_sound_segments(quarantine, &unknown, 0);
+	remove_safe_segments(quarantine, &unknown, 0);
 	return unknown.n > 0 ? unknown : common;
 }
 
-/// Removes a verdict.
+/// Removes a rule.
 static void
-remove_verdict(struct quarantine *quarantine, size_t i)
+remove_rule(struct quarantine *quarantine, size_t i)
 {
-	quarantine->verdicts[i] =
-	    quarantine->verdicts[--quarantine->n_verdicts];
+	quarantine->rules[i] = quarantine->rules[--quarantine->n_rules];
 }
 
-/// Removes a verdict and reports why.
+/// Removes a rule and reports why.
 static void
-end_verdict(
-    struct quarantine *quarantine, size_t i, enum quarantine_change change)
+end_rule(struct quarantine *quarantine, size_t i, enum quarantine_change change)
 {
-	struct quarantine_verdict ended = quarantine->verdicts[i];
+	struct quarantine_rule ended = quarantine->rules[i];
 
-	remove_verdict(quarantine, i);
+	remove_rule(quarantine, i);
 	quarantine->listener(quarantine->owner, change, &ended);
 }
 
-/// Replaces the verdict that matched a request least recently, if there is no
+/// Replaces the rule that matched a request least recently, if there is no
 /// room for another one.
 static void
-make_room_for_verdict(struct quarantine *quarantine)
+make_room_for_rule(struct quarantine *quarantine)
 {
 	size_t idlest = 0;
 
-	if (quarantine->n_verdicts < QUARANTINE_VERDICTS_MAX)
+	if (quarantine->n_rules < QUARANTINE_RULES_MAX)
 		return;
-	for (size_t i = 1; i < quarantine->n_verdicts; i++)
-		if (quarantine->verdicts[i].matched_at <
-		    quarantine->verdicts[idlest].matched_at)
+	for (size_t i = 1; i < quarantine->n_rules; i++)
+		if (quarantine->rules[i].matched_at <
+		    quarantine->rules[idlest].matched_at)
 			idlest = i;
-	end_verdict(quarantine, idlest, QUARANTINE_EXPIRED);
+	end_rule(quarantine, idlest, QUARANTINE_EXPIRED);
 }
 
 /// Returns the later of a known time and a reported one.
@@ -306,77 +305,72 @@
 	return reported > known + QUARANTINE_TIME_TOLERANCE ? reported : known;
 }
 
-/// Merges what two verdicts on the same segments say.
+/// Merges what two rules on the same segments say.
 static void
-merge_verdict(
-    struct quarantine_verdict *verdict, const struct quarantine_verdict *other)
-{
-	verdict->n_crashes = MAX(verdict->n_crashes, other->n_crashes);
-	verdict->crashed_at =
-	    merge_time(verdict->crashed_at, other->crashed_at);
-	verdict->matched_at =
-	    merge_time(verdict->matched_at, other->matched_at);
-	if (other->n_trials <= verdict->n_trials)
+merge_rule(struct quarantine_rule *rule, const struct quarantine_rule *other)
+{
+	rule->n_crashes = MAX(rule->n_crashes, other->n_crashes);
+	rule->crashed_at = merge_time(rule->crashed_at, other->crashed_at);
+	rule->matched_at = merge_time(rule->matched_at, other->matched_at);
+	if (other->n_trials <= rule->n_trials)
 		return;
-	verdict->n_trials = other->n_trials;
-	verdict->trial_at = other->trial_at;
+	rule->n_trials = other->n_trials;
+	rule->trial_at = other->trial_at;
 }
 
-/// Puts a verdict in force. A verdict that covers the same requests and more
-/// takes it in; verdicts that cover fewer requests are replaced.
+/// Puts a rule in force. A rule that covers the same requests and more
+/// takes it in; rules that cover fewer requests are replaced.
 static void
-put_verdict(
-    struct quarantine *quarantine, const struct quarantine_verdict *added)
+put_rule(struct quarantine *quarantine, const struct quarantine_rule *added)
 {
-	struct quarantine_verdict verdict = *added;
+	struct quarantine_rule rule = *added;
 	enum quarantine_change change = QUARANTINE_FORMED;
 
-	for (size_t i = 0; i < quarantine->n_verdicts; i++) {
-		struct quarantine_verdict *other = &quarantine->verdicts[i];
+	for (size_t i = 0; i < quarantine->n_rules; i++) {
+		struct quarantine_rule *other = &quarantine->rules[i];
 
-		if (set_contains(&verdict.segments, &other->segments)) {
-			merge_verdict(other, &verdict);
+		if (set_contains(&rule.segments, &other->segments)) {
+			merge_rule(other, &rule);
 			return;
 		}
 	}
-	for (size_t i = 0; i < quarantine->n_verdicts;) {
-		const struct quarantine_verdict *other =
-		    &quarantine->verdicts[i];
+	for (size_t i = 0; i < quarantine->n_rules;) {
+		const struct quarantine_rule *other = &quarantine->rules[i];
 
-		if (set_contains(&other->segments, &verdict.segments)) {
-			merge_verdict(&verdict, other);
-			remove_verdict(quarantine, i);
+		if (set_contains(&other->segments, &rule.segments)) {
+			merge_rule(&rule, other);
+			remove_rule(quarantine, i);
 			change = QUARANTINE_NARROWED;
 		} else {
 			i++;
 		}
 	}
-	make_room_for_verdict(quarantine);
-	quarantine->verdicts[quarantine->n_verdicts++] = verdict;
-	quarantine->listener(quarantine->owner, change, &verdict);
+	make_room_for_rule(quarantine);
+	quarantine->rules[quarantine->n_rules++] = rule;
+	quarantine->listener(quarantine->owner, change, &rule);
 }
 
-/// Convicts the segments of a crash against which there is enough evidence.
+/// Puts rules in force for the segments of a crash against which there is
+/// enough evidence.
 static void
-judge_crash(struct quarantine *quarantine, usec_t now,
+update_rules(struct quarantine *quarantine, usec_t now,
     const struct segment_set *segments)
 {
 	for (unsigned i = 0; i < segments->n; i++) {
-		struct indictment indictment =
-		    make_indictment(quarantine, segments->ids[i]);
-		struct quarantine_verdict verdict = {
-		    .n_crashes = (unsigned)indictment.n,
+		struct crash_tally tally =
+		    tally_crashes(quarantine, segments->ids[i]);
+		struct quarantine_rule rule = {
+		    .n_crashes = (unsigned)tally.n,
 		    .matched_at = now,
 		    .trial_at = now + QUARANTINE_FIRST_TRIAL_DELAY,
 		};
 
-		if (!is_convicted(quarantine, &indictment, segments->ids[i]))
+		if (!is_sufficient(quarantine, &tally, segments->ids[i]))
 			continue;
-		verdict.crashed_at = indictment.crashes[indictment.n - 1]->at;
-		verdict.segments =
-		    find_common_segments(quarantine, &indictment);
-		if (verdict.segments.n > 0)
-			put_verdict(quarantine, &verdict);
+		rule.crashed_at = tally.crashes[tally.n - 1]->at;
+		rule.segments = find_common_segments(quarantine, &tally);
+		if (rule.segments.n > 0)
+			put_rule(quarantine, &rule);
 	}
 }
 
@@ -413,36 +407,36 @@
 		quarantine->n_crashes++;
 	}
 	quarantine->crashes[at] = *crash;
-	judge_crash(quarantine, now, &segments);
+	update_rules(quarantine, now, &segments);
 	return true;
 }
 
-/// Narrows the verdicts that name segments which were answered since, and lifts
+/// Narrows the rules that name segments which were answered since, and lifts
 /// those that name no others.
 ///
-/// @return whether a verdict has changed
+/// @return whether a rule has changed
 static bool
-review_verdicts(struct quarantine *quarantine)
+review_rules(struct quarantine *quarantine)
 {
 	bool changed = false;
 
-	for (size_t i = 0; i < quarantine->n_verdicts;) {
-		struct quarantine_verdict *verdict = &quarantine->verdicts[i];
-		struct quarantine_verdict before = *verdict;
+	for (size_t i = 0; i < quarantine->n_rules;) {
+		struct quarantine_rule *rule = &quarantine->rules[i];
+		struct quarantine_rule before = *rule;
 
-		if (!remove_sound_segments(
-			quarantine, &verdict->segments, verdict->crashed_at)) {
+		if (!remove_safe_segments(
+			quarantine, &rule->segments, rule->crashed_at)) {
 			i++;
 			continue;
 		}
 		changed = true;
-		if (verdict->segments.n > 0) {
+		if (rule->segments.n > 0) {
 			quarantine->listener(
-			    quarantine->owner, QUARANTINE_NARROWED, verdict);
+			    quarantine->owner, QUARANTINE_NARROWED, rule);
 			i++;
 		} else {
-			*verdict = before;
-			end_verdict(quarantine, i, QUARANTINE_LIFTED);
+			*rule = before;
+			end_rule(quarantine, i, QUARANTINE_LIFTED);
 		}
 	}
 	return changed;
@@ -455,14 +449,14 @@
 /// @param at          time of the answer
 /// @param segments    segments of the request
 /// @param n_segments  number of segments
-/// @return whether a verdict has changed, which other instances should learn
+/// @return whether a rule has changed, which other instances should learn
 bool
-quarantine_add_sound(struct quarantine *quarantine, usec_t at,
+quarantine_add_safe(struct quarantine *quarantine, usec_t at,
     const uint64_t *segments, unsigned n_segments)
 {
 	for (unsigned i = 0; i < n_segments; i++)
-		set_sound_at(quarantine, segments[i], at);
-	return review_verdicts(quarantine);
+		set_safe_at(quarantine, segments[i], at);
+	return review_rules(quarantine);
 }
 
 /// Adds a segment that another instance has seen answered.
@@ -471,75 +465,75 @@
 /// @param segment     id of the segment
 /// @param at          time of the answer
 void
-quarantine_merge_sound(
+quarantine_merge_safe(
     struct quarantine *quarantine, uint64_t segment, usec_t at)
 {
-	usec_t known = find_sound_at(quarantine, segment);
+	usec_t known = find_safe_at(quarantine, segment);
 
 	if (known == 0 || merge_time(known, at) != known)
-		quarantine_add_sound(quarantine, at, &segment, 1);
+		quarantine_add_safe(quarantine, at, &segment, 1);
 }
 
-/// Adds a verdict of another instance. Segments that were answered since are
+/// Adds a rule of another instance. Segments that were answered since are
 /// left out of it.
 ///
 /// @param quarantine  evidence to add to
 /// @param now         current time
-/// @param verdict     the verdict; copied
+/// @param rule     the rule; copied
 void
-quarantine_merge_verdict(struct quarantine *quarantine, usec_t now,
-    const struct quarantine_verdict *verdict)
+quarantine_merge_rule(struct quarantine *quarantine, usec_t now,
+    const struct quarantine_rule *rule)
 {
-	struct quarantine_verdict added = *verdict;
+	struct quarantine_rule added = *rule;
 
 	if (now >= added.matched_at + QUARANTINE_IDLE_SPAN)
 		return;
-	remove_sound_segments(quarantine, &added.segments, added.crashed_at);
+	remove_safe_segments(quarantine, &added.segments, added.crashed_at);
 	if (added.segments.n > 0)
-		put_verdict(quarantine, &added);
+		put_rule(quarantine, &added);
 }
 
-/// Finds the verdict that covers a request.
-static struct quarantine_verdict *
-find_verdict(struct quarantine *quarantine, const uint64_t *segments,
+/// Finds the rule that covers a request.
+static struct quarantine_rule *
+find_rule(struct quarantine *quarantine, const uint64_t *segments,
     unsigned n_segments)
 {
 	struct segment_set set;
 
-	if (quarantine->n_verdicts == 0)
+	if (quarantine->n_rules == 0)
 		return NULL;
 	set = set_from_list(segments, n_segments);
-	for (size_t i = 0; i < quarantine->n_verdicts; i++)
-		if (set_contains(&set, &quarantine->verdicts[i].segments))
-			return &quarantine->verdicts[i];
+	for (size_t i = 0; i < quarantine->n_rules; i++)
+		if (set_contains(&set, &quarantine->rules[i].segments))
+			return &quarantine->rules[i];
 	return NULL;
 }
 
 /// Checks whether a request must be refused.
 ///
-/// @param quarantine  verdicts to check
+/// @param quarantine  rules to check
 /// @param now         current time
 /// @param segments    segments of the request
 /// @param n_segments  number of segments
-/// @return the verdict that covers the request, or NULL; valid until the next
+/// @return the rule that covers the request, or NULL; valid until the next
 ///         change. If its `trial_at` has come, the request may be tried after
 ///         all: see quarantine_begin_trial().
-const struct quarantine_verdict *
+const struct quarantine_rule *
 quarantine_match(struct quarantine *quarantine, usec_t now,
     const uint64_t *segments, unsigned n_segments)
 {
-	struct quarantine_verdict *verdict =
-	    find_verdict(quarantine, segments, n_segments);
+	struct quarantine_rule *rule =
+	    find_rule(quarantine, segments, n_segments);
 
-	if (verdict != NULL)
-		verdict->matched_at = now;
-	return verdict;
+	if (rule != NULL)
+		rule->matched_at = now;
+	return rule;
 }
 
-/// Begins a trial of the verdict that covers a request, and sets the time of
+/// Begins a trial of the rule that covers a request, and sets the time of
 /// the next one.
 ///
-/// @param quarantine  verdicts
+/// @param quarantine  rules
 /// @param now         current time
 /// @param segments    segments of the request that is sent
 /// @param n_segments  number of segments
@@ -547,18 +541,17 @@
 quarantine_begin_trial(struct quarantine *quarantine, usec_t now,
     const uint64_t *segments, unsigned n_segments)
 {
-	struct quarantine_verdict *verdict =
-	    find_verdict(quarantine, segments, n_segments);
+	struct quarantine_rule *rule =
+	    find_rule(quarantine, segments, n_segments);
 	usec_t delay = QUARANTINE_FIRST_TRIAL_DELAY;
 
-	if (verdict == NULL)
+	if (rule == NULL)
 		return;
-	verdict->n_trials++;
-	for (unsigned i = 0; i < verdict->n_trials; i++)
+	rule->n_trials++;
+	for (unsigned i = 0; i < rule->n_trials; i++)
 		delay *= QUARANTINE_TRIAL_DELAY_FACTOR;
-	verdict->trial_at = verdict->n_trials < QUARANTINE_TRIALS_MAX
-	    ? now + delay
-	    : USEC_NEVER;
+	rule->trial_at =
+	    rule->n_trials < QUARANTINE_TRIALS_MAX ? now + delay : USEC_NEVER;
 }
 
 /// Checks whether a crash is old, or all of its segments were answered since.
@@ -570,11 +563,11 @@
 
 	if (now >= crash->at + QUARANTINE_CRASH_TTL)
 		return true;
-	remove_sound_segments(quarantine, &suspects, crash->at);
+	remove_safe_segments(quarantine, &suspects, crash->at);
 	return suspects.n == 0 && now >= crash->at + QUARANTINE_REFUTED_TTL;
 }
 
-/// Forgets obsolete crashes and ends idle verdicts.
+/// Forgets obsolete crashes and ends idle rules.
 ///
 /// @param quarantine  evidence to check
 /// @param now         current time
@@ -587,10 +580,10 @@
 		if (!is_obsolete(quarantine, now, &quarantine->crashes[i]))
 			quarantine->crashes[n_kept++] = quarantine->crashes[i];
 	quarantine->n_crashes = n_kept;
-	for (size_t i = 0; i < quarantine->n_verdicts;)
+	for (size_t i = 0; i < quarantine->n_rules;)
 		if (now >=
-		    quarantine->verdicts[i].matched_at + QUARANTINE_IDLE_SPAN)
-			end_verdict(quarantine, i, QUARANTINE_EXPIRED);
+		    quarantine->rules[i].matched_at + QUARANTINE_IDLE_SPAN)
+			end_rule(quarantine, i, QUARANTINE_EXPIRED);
 		else
 			i++;
 }
@@ -611,44 +604,44 @@
 	return n;
 }
 
-/// @param quarantine  verdicts
-/// @return number of verdicts in force
+/// @param quarantine  rules
+/// @return number of rules in force
 size_t
-quarantine_count_verdicts(const struct quarantine *quarantine)
+quarantine_count_rules(const struct quarantine *quarantine)
 {
-	return quarantine->n_verdicts;
+	return quarantine->n_rules;
 }
 
-/// Lists the verdicts in force.
+/// Lists the rules in force.
 ///
-/// @param quarantine  verdicts
-/// @param verdicts    filled in
-/// @param max         number of elements in `verdicts`
+/// @param quarantine  rules
+/// @param rules    filled in
+/// @param max         number of elements in `rules`
 /// @return number of elements filled in
 size_t
-quarantine_list_verdicts(const struct quarantine *quarantine,
-    struct quarantine_verdict *verdicts, size_t max)
+quarantine_list_rules(const struct quarantine *quarantine,
+    struct quarantine_rule *rules, size_t max)
 {
-	size_t n = MIN(quarantine->n_verdicts, max);
+	size_t n = MIN(quarantine->n_rules, max);
 
-	memcpy(verdicts, quarantine->verdicts, n * sizeof(*verdicts));
+	memcpy(rules, quarantine->rules, n * sizeof(*rules));
 	return n;
 }
 
-/// Adds a segment to a list of sound ones if it was ever answered and isn't
+/// Adds a segment to a list of safe ones if it was ever answered and isn't
 /// listed yet.
 static size_t
-append_sound(const struct quarantine *quarantine, uint64_t segment,
-    struct quarantine_sound *sound, size_t n)
+append_safe(const struct quarantine *quarantine, uint64_t segment,
+    struct quarantine_safe *safe, size_t n)
 {
-	usec_t at = find_sound_at(quarantine, segment);
+	usec_t at = find_safe_at(quarantine, segment);
 
 	if (at == 0)
 		return n;
 	for (size_t i = 0; i < n; i++)
-		if (sound[i].segment == segment)
+		if (safe[i].segment == segment)
 			return n;
-	sound[n] = (struct quarantine_sound){segment, at};
+	safe[n] = (struct quarantine_safe){segment, at};
 	return n + 1;
 }
 
@@ -656,12 +649,12 @@
 /// segments of the newest crashes first.
 ///
 /// @param quarantine  evidence
-/// @param sound       filled in
-/// @param max         number of elements in `sound`
+/// @param safe       filled in
+/// @param max         number of elements in `safe`
 /// @return number of elements filled in
 size_t
-quarantine_list_sound(const struct quarantine *quarantine,
-    struct quarantine_sound *sound, size_t max)
+quarantine_list_safe(const struct quarantine *quarantine,
+    struct quarantine_safe *safe, size_t max)
 {
 	size_t n = 0;
 
@@ -670,23 +663,22 @@
 		    &quarantine->crashes[c - 1].segments;
 
 		for (unsigned i = 0; i < segments->n && n < max; i++)
-			n = append_sound(
-			    quarantine, segments->ids[i], sound, n);
+			n = append_safe(quarantine, segments->ids[i], safe, n);
 	}
 	return n;
 }
 
-/// Returns a number that is the same for a verdict on the same segments at all
+/// Returns a number that is the same for a rule on the same segments at all
 /// instances.
 ///
-/// @param verdict  a verdict
+/// @param rule  a rule
 /// @return the number
 uint64_t
-quarantine_verdict_key(const struct quarantine_verdict *verdict)
+quarantine_rule_key(const struct quarantine_rule *rule)
 {
-	uint64_t key = verdict->n_trials;
+	uint64_t key = rule->n_trials;
 
-	for (unsigned i = 0; i < verdict->segments.n; i++)
-		key ^= verdict->segments.ids[i];
+	for (unsigned i = 0; i < rule->segments.n; i++)
+		key ^= rule->segments.ids[i];
 	return key;
 }
--- a/src/godwitvale/core/quarantine.h
+++ b/src/godwitvale/core/quarantine.h
@@ -5,14 +5,14 @@
  * segment crashes, together with all other generations that it runs. Such
  * requests arrive at all instances, and no two of them are alike otherwise.
  * Each instance sees few of the crashes, so instances exchange what they have
- * seen. Sound requests share the other segments and must still be served.
+ * seen. Safe requests share the other segments and must still be served.
  *
  * Evidence against a segment is a crash while the engine began to answer a
  * request with that segment. Evidence for a segment is an answer that has begun
- * without a crash; it outweighs all earlier crashes. A verdict names the
+ * without a crash; it outweighs all earlier crashes. A rule names the
  * segments that all crashes in question have in common, and covers the requests
  * that have all of these segments. Each further piece of evidence narrows it.
- * A verdict is lifted when one of the few trial requests is answered, and
+ * A rule is lifted when one of the few trial requests is answered, and
  * expires when it has covered no request for QUARANTINE_IDLE_SPAN.
  */
 #ifndef GODWITVALE_CORE_QUARANTINE_H
@@ -28,13 +28,13 @@
 #define QUARANTINE_SEGMENTS_MAX 16
 /// Maximum number of crashes that are remembered; the oldest are forgotten.
 #define QUARANTINE_CRASHES_MAX 16
-/// Maximum number of verdicts in force.
-#define QUARANTINE_VERDICTS_MAX 8
-/// Maximum number of segments that quarantine_list_sound() returns.
-#define QUARANTINE_SOUND_MAX 32
-/// A verdict expires when it has covered no request for this long.
+/// Maximum number of rules in force.
+#define QUARANTINE_RULES_MAX 8
+/// Maximum number of segments that quarantine_list_safe() returns.
+#define QUARANTINE_SAFE_MAX 32
+/// A rule expires when it has covered no request for this long.
 #define QUARANTINE_IDLE_SPAN (10 * 60 * USEC_PER_SEC)
-/// Trials of a verdict. Each of them may crash one more engine.
+/// Trials of a rule. Each of them may crash one more engine.
 #define QUARANTINE_TRIALS_MAX 3
 
 /// Segments of a prompt, by their ids.
@@ -52,13 +52,13 @@
 };
 
 /// Time at which an engine last answered a request with a segment.
-struct quarantine_sound {
+struct quarantine_safe {
 	uint64_t segment;
 	usec_t at;
 };
 
 /// Decision to refuse the requests that have all segments of a set.
-struct quarantine_verdict {
+struct quarantine_rule {
 	struct segment_set segments;
 	unsigned n_crashes; /// number of crashes that it is based on
 	unsigned n_trials;  /// number of trials so far
@@ -67,7 +67,7 @@
 	usec_t trial_at;    /// time of the next trial; USEC_NEVER: none is left
 };
 
-/// Change of a verdict, as reported to the listener.
+/// Change of a rule, as reported to the listener.
 enum quarantine_change {
 	QUARANTINE_FORMED = 1,
 	QUARANTINE_NARROWED, /// it names fewer segments, so it covers more
@@ -75,9 +75,9 @@
 	QUARANTINE_EXPIRED,  /// it has covered no request for long
 };
 
-/// Called on each change. `verdict` is valid during the call only.
+/// Called on each change. `rule` is valid during the call only.
 typedef void (*quarantine_listener)(void *owner, enum quarantine_change change,
-    const struct quarantine_verdict *verdict);
+    const struct quarantine_rule *rule);
 
 struct quarantine;
 
@@ -85,24 +85,24 @@
 void quarantine_free(struct quarantine *quarantine);
 bool quarantine_add_crash(struct quarantine *quarantine, usec_t now,
     const struct quarantine_crash *crash);
-bool quarantine_add_sound(struct quarantine *quarantine, usec_t at,
+bool quarantine_add_safe(struct quarantine *quarantine, usec_t at,
     const uint64_t *segments, unsigned n_segments);
-void quarantine_merge_sound(
+void quarantine_merge_safe(
     struct quarantine *quarantine, uint64_t segment, usec_t at);
-void quarantine_merge_verdict(struct quarantine *quarantine, usec_t now,
-    const struct quarantine_verdict *verdict);
-const struct quarantine_verdict *quarantine_match(struct quarantine *quarantine,
+void quarantine_merge_rule(struct quarantine *quarantine, usec_t now,
+    const struct quarantine_rule *rule);
+const struct quarantine_rule *quarantine_match(struct quarantine *quarantine,
     usec_t now, const uint64_t *segments, unsigned n_segments);
 void quarantine_begin_trial(struct quarantine *quarantine, usec_t now,
     const uint64_t *segments, unsigned n_segments);
 void quarantine_tick(struct quarantine *quarantine, usec_t now);
 size_t quarantine_list_crashes(const struct quarantine *quarantine,
     struct quarantine_crash *crashes, size_t max);
-size_t quarantine_count_verdicts(const struct quarantine *quarantine);
-size_t quarantine_list_verdicts(const struct quarantine *quarantine,
-    struct quarantine_verdict *verdicts, size_t max);
-size_t quarantine_list_sound(const struct quarantine *quarantine,
-    struct quarantine_sound *sound, size_t max);
-uint64_t quarantine_verdict_key(const struct quarantine_verdict *verdict);
+size_t quarantine_count_rules(const struct quarantine *quarantine);
+size_t quarantine_list_rules(const struct quarantine *quarantine,
+    struct quarantine_rule *rules, size_t max);
+size_t quarantine_list_safe(const struct quarantine *quarantine,
+    struct quarantine_safe *safe, size_t max);
+uint64_t quarantine_rule_key(const struct quarantine_rule *rule);
 
 #endif
--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -121,8 +121,7 @@
 		upstream_notices_count_paused(
 		    entry->notices, g_get_monotonic_time())},
 	    {"entry_quarantines", "Quarantines of prompt segments in force.",
-		quarantine_count_verdicts(
-		    segment_guard_quarantine(entry->guard))},
+		quarantine_count_rules(segment_guard_quarantine(entry->guard))},
 	    {"entry_store_era", "Era of the store's data; 0: it names none.",
 		view_era(entry->view)},
 	    {"entry_store_reachable", "Whether the store answers.",
--- a/src/godwitvale/entry/segment_guard.c
+++ b/src/godwitvale/entry/segment_guard.c
@@ -1,4 +1,4 @@
-/* Observes crashes of engines and applies the verdicts of the quarantine. */
+/* Observes crashes of engines and applies the rules of the quarantine. */
 #include "godwitvale/entry/segment_guard.h"
 
 #include <string.h>
@@ -7,6 +7,8 @@
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/ops/log.h"
 
+G_STATIC_ASSERT(SITE_SEGMENTS_MAX == QUARANTINE_SEGMENTS_MAX);
+
 /// Timeout of the query that shows whether an engine has crashed.
 #define SEGMENT_GUARD_PROBE_TIMEOUT (600 * USEC_PER_MSEC)
 /// If the instance that may try a quarantined request gets none within this
@@ -41,7 +43,7 @@
 	g_free(probe);
 }
 
-/// Checks whether a request must be ended because of a verdict: it isn't a
+/// Checks whether a request must be ended because of a rule: it isn't a
 /// trial and the caller has no event of it yet.
 static bool
 is_to_be_ended(struct segment_guard *guard, const struct entry_request *request)
@@ -52,7 +54,7 @@
 		request->params.segments, request->params.n_segments) != NULL;
 }
 
-/// Loop callback: ends the requests that a new verdict covers, before they
+/// Loop callback: ends the requests that a new rule covers, before they
 /// crash more engines.
 static gboolean
 on_sweep(gpointer data)
@@ -74,10 +76,10 @@
 	return G_SOURCE_REMOVE;
 }
 
-/// Quarantine callback: a verdict has changed.
+/// Quarantine callback: a rule has changed.
 static void
-on_verdict(void *owner, enum quarantine_change change,
-    const struct quarantine_verdict *verdict)
+on_rule(void *owner, enum quarantine_change change,
+    const struct quarantine_rule *rule)
 {
 	static const char *const names[] = {
 	    [QUARANTINE_FORMED] = "segments-quarantined",
@@ -87,18 +89,18 @@
 	};
 	struct segment_guard *guard = owner;
 	usec_t now = g_get_monotonic_time();
-	char *segments = entry_request_format_segments(
-	    verdict->segments.ids, verdict->segments.n);
+	char *segments =
+	    entry_request_format_segments(rule->segments.ids, rule->segments.n);
 
 	series_add(&entry_metric_quarantine, names[change], NULL, 1);
 	log_event(LOG_LEVEL_WARN, names[change],
 	    "segments=%s crashes=%u last_crash_age_ms=%" G_GINT64_FORMAT
 	    " trials=%u trial_in_ms=%" G_GINT64_FORMAT,
-	    segments, verdict->n_crashes,
-	    (now - verdict->crashed_at) / USEC_PER_MSEC, verdict->n_trials,
-	    verdict->trial_at == USEC_NEVER
+	    segments, rule->n_crashes, (now - rule->crashed_at) / USEC_PER_MSEC,
+	    rule->n_trials,
+	    rule->trial_at == USEC_NEVER
 		? -1
-		: MAX(verdict->trial_at - now, 0) / USEC_PER_MSEC);
+		: MAX(rule->trial_at - now, 0) / USEC_PER_MSEC);
 	g_free(segments);
 	if (guard->sweep_source == 0)
 		guard->sweep_source = g_idle_add(on_sweep, guard);
@@ -114,7 +116,7 @@
 	struct segment_guard *guard = g_new0(struct segment_guard, 1);
 
 	guard->entry = entry;
-	guard->quarantine = quarantine_new(on_verdict, guard);
+	guard->quarantine = quarantine_new(on_rule, guard);
 	guard->probes = g_hash_table_new_full(NULL, NULL, probe_free, NULL);
 	return guard;
 }
@@ -133,25 +135,25 @@
 }
 
 /// @param guard  guard to query
-/// @return the evidence and the verdicts, owned by the guard
+/// @return the evidence and the rules, owned by the guard
 struct quarantine *
 segment_guard_quarantine(struct segment_guard *guard)
 {
 	return guard->quarantine;
 }
 
-/// Checks whether this instance may try a request that a verdict covers.
+/// Checks whether this instance may try a request that a rule covers.
 static bool
-may_try(const struct segment_guard *guard,
-    const struct quarantine_verdict *verdict, usec_t now)
+may_try(const struct segment_guard *guard, const struct quarantine_rule *rule,
+    usec_t now)
 {
 	uint64_t turn;
 
-	if (now < verdict->trial_at)
+	if (now < rule->trial_at)
 		return false;
-	turn = (uint64_t)((now - verdict->trial_at) / SEGMENT_GUARD_TRIAL_TURN);
+	turn = (uint64_t)((now - rule->trial_at) / SEGMENT_GUARD_TRIAL_TURN);
 	return membership_task_rank(peers_membership(guard->entry->peers),
-		   hash_pair(quarantine_verdict_key(verdict), turn)) == 0;
+		   hash_pair(quarantine_rule_key(rule), turn)) == 0;
 }
 
 /// Checks whether a request may be sent to an engine.
@@ -164,18 +166,18 @@
 	struct segment_guard *guard = request->entry->guard;
 	const struct site_request *params = &request->params;
 	usec_t now = g_get_monotonic_time();
-	const struct quarantine_verdict *verdict;
+	const struct quarantine_rule *rule;
 
 	if (params->n_segments == 0)
 		return true;
-	verdict = quarantine_match(
+	rule = quarantine_match(
 	    guard->quarantine, now, params->segments, params->n_segments);
-	return verdict == NULL ||
-	    (!request->is_trial && may_try(guard, verdict, now));
+	return rule == NULL ||
+	    (!request->is_trial && may_try(guard, rule, now));
 }
 
-/// Notes that an admitted request is sent to an engine. If a verdict covers it,
-/// this is the verdict's trial.
+/// Notes that an admitted request is sent to an engine. If a rule covers it,
+/// this is the rule's trial.
 ///
 /// @param request  request that is being sent
 void
@@ -184,21 +186,21 @@
 	struct segment_guard *guard = request->entry->guard;
 	const struct site_request *params = &request->params;
 	usec_t now = g_get_monotonic_time();
-	const struct quarantine_verdict *verdict;
+	const struct quarantine_rule *rule;
 	char *segments;
 
 	if (params->n_segments == 0)
 		return;
-	verdict = quarantine_match(
+	rule = quarantine_match(
 	    guard->quarantine, now, params->segments, params->n_segments);
-	if (verdict == NULL)
+	if (rule == NULL)
 		return;
 	request->is_trial = true;
-	segments = entry_request_format_segments(
-	    verdict->segments.ids, verdict->segments.n);
+	segments =
+	    entry_request_format_segments(rule->segments.ids, rule->segments.n);
 	log_event(LOG_LEVEL_WARN, "quarantine-trial",
 	    "id=%s upstream=%s segments=%s trials=%u", request->params.id,
-	    request->target.id, segments, verdict->n_trials);
+	    request->target.id, segments, rule->n_trials);
 	g_free(segments);
 	quarantine_begin_trial(
 	    guard->quarantine, now, params->segments, params->n_segments);
@@ -215,7 +217,7 @@
 	struct segment_guard *guard = request->entry->guard;
 	const struct site_request *params = &request->params;
 
-	if (quarantine_add_sound(guard->quarantine, g_get_monotonic_time(),
+	if (quarantine_add_safe(guard->quarantine, g_get_monotonic_time(),
 		params->segments, params->n_segments))
 		peers_broadcast(guard->entry->peers, PEERS_EVIDENCE);
 }
@@ -303,7 +305,7 @@
 	probe->fetch = fetch_start(&options);
 }
 
-/// Ends verdicts that have become idle.
+/// Ends rules that have become idle.
 ///
 /// @param guard  guard to check
 /// @param now    current time
--- a/src/godwitvale/entry/segment_guard.h
+++ b/src/godwitvale/entry/segment_guard.h
@@ -1,7 +1,7 @@
 /*
  * Protects engines from prompt segments that crash them: collects the evidence
  * that this instance observes, and refuses the requests in quarantine.
- * core/quarantine.c forms the verdicts.
+ * core/quarantine.c forms the rules.
  */
 #ifndef GODWITVALE_ENTRY_SEGMENT_GUARD_H
 #define GODWITVALE_ENTRY_SEGMENT_GUARD_H
--- a/src/godwitvale/fleet/evidence_sync.c
+++ b/src/godwitvale/fleet/evidence_sync.c
@@ -9,17 +9,17 @@
 
 G_STATIC_ASSERT(FLEET_SEGMENTS == QUARANTINE_SEGMENTS_MAX);
 G_STATIC_ASSERT(FLEET_CRASHES == QUARANTINE_CRASHES_MAX);
-G_STATIC_ASSERT(FLEET_SOUND == QUARANTINE_SOUND_MAX);
-G_STATIC_ASSERT(FLEET_VERDICTS == QUARANTINE_VERDICTS_MAX);
+G_STATIC_ASSERT(FLEET_SAFE == QUARANTINE_SAFE_MAX);
+G_STATIC_ASSERT(FLEET_RULES == QUARANTINE_RULES_MAX);
 
 /// Buffers for the parts of one message that is being encoded.
 struct evidence_buffers {
 	struct quarantine_crash crashes[FLEET_CRASHES];
-	struct quarantine_verdict verdicts[FLEET_VERDICTS];
-	struct quarantine_sound sound[FLEET_SOUND];
+	struct quarantine_rule rules[FLEET_RULES];
+	struct quarantine_safe safe[FLEET_SAFE];
 	fleet_crash wire_crashes[FLEET_CRASHES];
-	fleet_verdict wire_verdicts[FLEET_VERDICTS];
-	fleet_sound wire_sound[FLEET_SOUND];
+	fleet_rule wire_rules[FLEET_RULES];
+	fleet_safe wire_safe[FLEET_SAFE];
 };
 
 /// Converts a time in the past to its age.
@@ -36,7 +36,7 @@
 	return now - (usec_t)age_ms * USEC_PER_MSEC;
 }
 
-/// Converts the time of a verdict's next trial.
+/// Converts the time of a rule's next trial.
 static u_int
 encode_trial(usec_t now, usec_t trial_at)
 {
@@ -70,26 +70,24 @@
 		    crash->upstream, encode_age(now, crash->at),
 		    {crash->segments.n, crash->segments.ids}};
 	}
-	evidence->verdicts.verdicts_len = (u_int)quarantine_list_verdicts(
-	    quarantine, buffers->verdicts, FLEET_VERDICTS);
-	evidence->verdicts.verdicts_val = buffers->wire_verdicts;
-	for (u_int i = 0; i < evidence->verdicts.verdicts_len; i++) {
-		struct quarantine_verdict *verdict = &buffers->verdicts[i];
-
-		buffers->wire_verdicts[i] = (fleet_verdict){
-		    {verdict->segments.n, verdict->segments.ids},
-		    verdict->n_crashes, verdict->n_trials,
-		    encode_age(now, verdict->crashed_at),
-		    encode_age(now, verdict->matched_at),
-		    encode_trial(now, verdict->trial_at)};
+	evidence->rules.rules_len = (u_int)quarantine_list_rules(
+	    quarantine, buffers->rules, FLEET_RULES);
+	evidence->rules.rules_val = buffers->wire_rules;
+	for (u_int i = 0; i < evidence->rules.rules_len; i++) {
+		struct quarantine_rule *rule = &buffers->rules[i];
+
+		buffers->wire_rules[i] = (fleet_rule){
+		    {rule->segments.n, rule->segments.ids}, rule->n_crashes,
+		    rule->n_trials, encode_age(now, rule->crashed_at),
+		    encode_age(now, rule->matched_at),
+		    encode_trial(now, rule->trial_at)};
 	}
-	evidence->sound.sound_len = (u_int)quarantine_list_sound(
-	    quarantine, buffers->sound, FLEET_SOUND);
-	evidence->sound.sound_val = buffers->wire_sound;
-	for (u_int i = 0; i < evidence->sound.sound_len; i++)
-		buffers->wire_sound[i] =
-		    (fleet_sound){buffers->sound[i].segment,
-			encode_age(now, buffers->sound[i].at)};
+	evidence->safe.safe_len =
+	    (u_int)quarantine_list_safe(quarantine, buffers->safe, FLEET_SAFE);
+	evidence->safe.safe_val = buffers->wire_safe;
+	for (u_int i = 0; i < evidence->safe.safe_len; i++)
+		buffers->wire_safe[i] = (fleet_safe){buffers->safe[i].segment,
+		    encode_age(now, buffers->safe[i].at)};
 }
 
 /// Encodes all evidence of this instance as a message.
@@ -111,8 +109,7 @@
 
 	evidence->name = (char *)sender;
 	fill_evidence(quarantine, now, buffers, evidence);
-	if (evidence->crashes.crashes_len > 0 ||
-	    evidence->verdicts.verdicts_len > 0)
+	if (evidence->crashes.crashes_len > 0 || evidence->rules.rules_len > 0)
 		len = fleet_message_encode(&message, bytes, size);
 	g_free(buffers);
 	return len;
@@ -127,16 +124,16 @@
 evidence_sync_apply(
     struct quarantine *quarantine, usec_t now, const fleet_evidence *evidence)
 {
-	/* Answers come first, so that no verdict ignores them. */
-	for (u_int i = 0; i < evidence->sound.sound_len; i++) {
-		const fleet_sound *sound = &evidence->sound.sound_val[i];
+	/* Answers come first, so that no rule ignores them. */
+	for (u_int i = 0; i < evidence->safe.safe_len; i++) {
+		const fleet_safe *safe = &evidence->safe.safe_val[i];
 
-		quarantine_merge_sound(
-		    quarantine, sound->segment, decode_age(now, sound->age_ms));
+		quarantine_merge_safe(
+		    quarantine, safe->segment, decode_age(now, safe->age_ms));
 	}
-	for (u_int i = 0; i < evidence->verdicts.verdicts_len; i++) {
-		const fleet_verdict *wire = &evidence->verdicts.verdicts_val[i];
-		const struct quarantine_verdict verdict = {
+	for (u_int i = 0; i < evidence->rules.rules_len; i++) {
+		const fleet_rule *wire = &evidence->rules.rules_val[i];
+		const struct quarantine_rule rule = {
 		    .segments = decode_segments(wire->segments.segments_val,
 			wire->segments.segments_len),
 		    .n_crashes = wire->crashes,
@@ -148,7 +145,7 @@
 			: now + (usec_t)wire->trial_in_ms * USEC_PER_MSEC,
 		};
 
-		quarantine_merge_verdict(quarantine, now, &verdict);
+		quarantine_merge_rule(quarantine, now, &rule);
 	}
 	for (u_int i = 0; i < evidence->crashes.crashes_len; i++) {
 		const fleet_crash *wire = &evidence->crashes.crashes_val[i];
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -10,8 +10,8 @@
 const FLEET_GONE = 16;
 const FLEET_SEGMENTS = 16;
 const FLEET_CRASHES = 16;
-const FLEET_SOUND = 32;
-const FLEET_VERDICTS = 8;
+const FLEET_SAFE = 32;
+const FLEET_RULES = 8;
 const FLEET_LIMITS_MAX = 64;
 const FLEET_DEPARTURES_MAX = 64;
 const FLEET_ITEMS = 4096;
@@ -74,13 +74,13 @@
 };
 
 /* Time since an engine last answered a request with a segment. */
-struct fleet_sound {
+struct fleet_safe {
 	unsigned hyper segment;
 	unsigned int age_ms;
 };
 
 /* Quarantine of the requests that have all of these segments. */
-struct fleet_verdict {
+struct fleet_rule {
 	unsigned hyper segments<FLEET_SEGMENTS>;
 	unsigned int crashes;
 	unsigned int trials;
@@ -93,8 +93,8 @@
 /* What the sender knows of segments that crash engines. */
 struct fleet_evidence {
 	string name<FLEET_NAME_BYTES>;
-	fleet_sound sound<FLEET_SOUND>;
-	fleet_verdict verdicts<FLEET_VERDICTS>;
+	fleet_safe safe<FLEET_SAFE>;
+	fleet_rule rules<FLEET_RULES>;
 	fleet_crash crashes<FLEET_CRASHES>;
 };
 
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -124,7 +124,7 @@
 }
 
 bool_t
-xdr_fleet_sound (XDR *xdrs, fleet_sound *objp)
+xdr_fleet_safe (XDR *xdrs, fleet_safe *objp)
 {
 	register int32_t *buf;
 
@@ -136,7 +136,7 @@
 }
 
 bool_t
-xdr_fleet_verdict (XDR *xdrs, fleet_verdict *objp)
+xdr_fleet_rule (XDR *xdrs, fleet_rule *objp)
 {
 	register int32_t *buf;
 
@@ -214,11 +214,11 @@
 
 	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_BYTES))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->sound.sound_val, (u_int *) &objp->sound.sound_len, FLEET_SOUND,
-		sizeof (fleet_sound), (xdrproc_t) xdr_fleet_sound))
+	 if (!xdr_array (xdrs, (char **)&objp->safe.safe_val, (u_int *) &objp->safe.safe_len, FLEET_SAFE,
+		sizeof (fleet_safe), (xdrproc_t) xdr_fleet_safe))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, FLEET_VERDICTS,
-		sizeof (fleet_verdict), (xdrproc_t) xdr_fleet_verdict))
+	 if (!xdr_array (xdrs, (char **)&objp->rules.rules_val, (u_int *) &objp->rules.rules_len, FLEET_RULES,
+		sizeof (fleet_rule), (xdrproc_t) xdr_fleet_rule))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, FLEET_CRASHES,
 		sizeof (fleet_crash), (xdrproc_t) xdr_fleet_crash))
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -20,8 +20,8 @@
 #define FLEET_GONE 16
 #define FLEET_SEGMENTS 16
 #define FLEET_CRASHES 16
-#define FLEET_SOUND 32
-#define FLEET_VERDICTS 8
+#define FLEET_SAFE 32
+#define FLEET_RULES 8
 #define FLEET_LIMITS_MAX 64
 #define FLEET_DEPARTURES_MAX 64
 #define FLEET_ITEMS 4096
@@ -104,13 +104,13 @@
 };
 typedef struct fleet_crash fleet_crash;
 
-struct fleet_sound {
+struct fleet_safe {
 	u_quad_t segment;
 	u_int age_ms;
 };
-typedef struct fleet_sound fleet_sound;
+typedef struct fleet_safe fleet_safe;
 
-struct fleet_verdict {
+struct fleet_rule {
 	struct {
 		u_int segments_len;
 		u_quad_t *segments_val;
@@ -121,19 +121,19 @@
 	u_int match_age_ms;
 	u_int trial_in_ms;
 };
-typedef struct fleet_verdict fleet_verdict;
+typedef struct fleet_rule fleet_rule;
 #define FLEET_NO_TRIAL 0xffffffff
 
 struct fleet_evidence {
 	char *name;
 	struct {
-		u_int sound_len;
-		fleet_sound *sound_val;
-	} sound;
+		u_int safe_len;
+		fleet_safe *safe_val;
+	} safe;
 	struct {
-		u_int verdicts_len;
-		fleet_verdict *verdicts_val;
-	} verdicts;
+		u_int rules_len;
+		fleet_rule *rules_val;
+	} rules;
 	struct {
 		u_int crashes_len;
 		fleet_crash *crashes_val;
@@ -213,8 +213,8 @@
 extern  bool_t xdr_fleet_item (XDR *, fleet_item*);
 extern  bool_t xdr_fleet_news (XDR *, fleet_news*);
 extern  bool_t xdr_fleet_crash (XDR *, fleet_crash*);
-extern  bool_t xdr_fleet_sound (XDR *, fleet_sound*);
-extern  bool_t xdr_fleet_verdict (XDR *, fleet_verdict*);
+extern  bool_t xdr_fleet_safe (XDR *, fleet_safe*);
+extern  bool_t xdr_fleet_rule (XDR *, fleet_rule*);
 extern  bool_t xdr_fleet_evidence (XDR *, fleet_evidence*);
 extern  bool_t xdr_fleet_limit (XDR *, fleet_limit*);
 extern  bool_t xdr_fleet_limits (XDR *, fleet_limits*);
@@ -231,8 +231,8 @@
 extern bool_t xdr_fleet_item ();
 extern bool_t xdr_fleet_news ();
 extern bool_t xdr_fleet_crash ();
-extern bool_t xdr_fleet_sound ();
-extern bool_t xdr_fleet_verdict ();
+extern bool_t xdr_fleet_safe ();
+extern bool_t xdr_fleet_rule ();
 extern bool_t xdr_fleet_evidence ();
 extern bool_t xdr_fleet_limit ();
 extern bool_t xdr_fleet_limits ();
--- a/test/functional/entry_quarantine.sh
+++ b/test/functional/entry_quarantine.sh
@@ -35,27 +35,27 @@
 	sleep 0.4
 }
 
-# verdicts NAME: how many quarantines an instance has logged.
-verdicts()
+# rules NAME: how many quarantines an instance has logged.
+rules()
 {
 	grep -c '"segments-quarantined"' "$workdir/$1.log"
 }
 
-# has_verdicts NAME COUNT
-has_verdicts()
+# has_rules NAME COUNT
+has_rules()
 {
-	[ "$(verdicts "$1")" -ge "$2" ]
+	[ "$(rules "$1")" -ge "$2" ]
 }
 
 echo "== two crashes under one segment, seen by two instances"
-ctl deadly/dead
-echo "sound: $(prompt e1 s1 c0:9,5b:9,1:9)"
-echo "deadly at e1: $(prompt e1 d1 c0:9,dead:9,2:9)"
+ctl crashing/dead
+echo "safe: $(prompt e1 s1 c0:9,5b:9,1:9)"
+echo "crashing at e1: $(prompt e1 d1 c0:9,dead:9,2:9)"
 wait_for "the first crash" logged e1 'upstream-cut-at-start.*crashed'
 not_together
-echo "deadly at e2: $(prompt e2 d2 c0:9,dead:9,3:9)"
+echo "crashing at e2: $(prompt e2 d2 c0:9,dead:9,3:9)"
 for instance in e1 e2 e3; do
-	wait_for "a verdict at $instance" has_verdicts "$instance" 1
+	wait_for "a rule at $instance" has_rules "$instance" 1
 	grep -m1 -o '"segments-quarantined","segments":"[a-z0-9,]*","crashes":[0-9]*' \
 	    "$workdir/$instance.log"
 done
@@ -78,16 +78,16 @@
 kill -KILL "${entry_pid[e3]}"
 wait "${entry_pid[e3]}" 2>/dev/null
 start_instance e3
-wait_for "a verdict at e3" has_verdicts e3 2
+wait_for "a rule at e3" has_rules e3 2
 echo "e3: $(prompt e3 d5 c1:9,dead:9,7:9), begun $(runs d5) times"
 
-echo "== a second deadly segment"
-ctl deadly/dead,beef
+echo "== a second crashing segment"
+ctl crashing/dead,beef
 echo "e1: $(prompt e1 b1 c0:9,beef:9,1:9)"
 wait_for "its first crash" logged e1 'upstream-cut-at-start","id":"b1".*crashed'
 not_together
 echo "e3: $(prompt e3 b2 c0:9,beef:9,2:9)"
-wait_for "a verdict at e2" has_verdicts e2 2
+wait_for "a rule at e2" has_rules e2 2
 echo "e2: $(prompt e2 b3 c0:9,beef:9,3:9), begun $(runs b3) times"
 
 echo "== engines that cut answers but live on are not evidence"
@@ -105,8 +105,8 @@
 sleep 4 # longer than an ejection
 echo "the same segment: $(prompt e1 c4 c0:9,cafe:9,4:9)"
 
-echo "== it is no longer deadly: a trial lifts the quarantine everywhere"
-ctl deadly/none
+echo "== it is no longer crashing: a trial lifts the quarantine everywhere"
+ctl crashing/none
 trial_passes()
 {
 	for instance in e1 e2 e3; do
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -24,7 +24,7 @@
 	GHashTable *runs;        /// request id -> number of runs
 	/// Prompt segments, separated by commas, that crash an engine as it
 	/// begins to answer; NULL: none.
-	char *deadly_segments;
+	char *crashing_segments;
 	/// Limit that all workers name, as written in the field; NULL: none.
 	char *limit;
 	/// Pause that workers ask for as they turn requests away, as written in
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -159,12 +159,12 @@
 /// Checks whether one of the segments that a request may share with others
 /// crashes engines.
 static bool
-is_deadly(const struct worker *worker, const struct http_head *head)
+has_crashing_segment(const struct worker *worker, const struct http_head *head)
 {
 	const char *value = http_head_get(head, "Prefix-Hash");
-	const char *deadly = worker->site->deadly_segments;
+	const char *crashing = worker->site->crashing_segments;
 	char **entries = g_strsplit(value == NULL ? "" : value, ",", -1);
-	char **ids = g_strsplit(deadly == NULL ? "" : deadly, ",", -1);
+	char **ids = g_strsplit(crashing == NULL ? "" : crashing, ",", -1);
 	bool found = false;
 
 	for (char **entry = entries; *entry != NULL && entry[1] != NULL;
@@ -216,7 +216,7 @@
 	GSourceFunc next = on_event_timer;
 	struct http_head head;
 
-	if (is_deadly(run->worker, http_call_head(run->call)))
+	if (has_crashing_segment(run->worker, http_call_head(run->call)))
 		next = on_crash_timer;
 	else if (strcmp(run->worker->mode, "cutstart") == 0)
 		next = on_cut_timer;
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -21,9 +21,9 @@
 	const char *path;
 	const char *body;
 } statements[] = {
-    {"deadly/dead1", ""},
-    {"deadly/dead1,dead2", ""},
-    {"deadly/none", ""},
+    {"crashing/dead1", ""},
+    {"crashing/dead1,dead2", ""},
+    {"crashing/none", ""},
     {"limit/0.5", ""},
     {"limit/3", ""},
     {"limit/40", ""},
@@ -186,7 +186,7 @@
 	soak_link_set(soak->store_link, LINK_NORMAL);
 	soak_link_reset(soak->store_link);
 	soak_world_ctl(soak, "store/up", "");
-	soak_world_ctl(soak, "deadly/none", "");
+	soak_world_ctl(soak, "crashing/none", "");
 	soak_world_ctl(soak, "limit/none", "");
 	for (int i = 0; i < SOAK_WORKERS; i++) {
 		static const char *const steps[] = {"back", "ready", "well"};
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -268,7 +268,7 @@
 		for (char **line = lines; *line != NULL; line++)
 			if (strstr(*line, "\"segments-quarantined\"") != NULL &&
 			    strstr(*line, "dead") == NULL)
-				soak_fail(soak, "wrong verdict: %s", *line);
+				soak_fail(soak, "wrong quarantine: %s", *line);
 		g_strfreev(lines);
 		g_free(text);
 		g_free(path);
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -14,11 +14,11 @@
 
 #define SECOND USEC_PER_SEC
 #define START (1000 * SECOND)
-/// Ids of segments: shared by all requests of a caller, by some, and deadly.
+/// Ids of segments: shared by all requests of a caller, by some, and crashing.
 #define COMMON 1
 #define SUBJECT 2
-#define DEADLY 66
-#define DEADLY_TOO 67
+#define CRASHING 66
+#define CRASHING_TOO 67
 
 /// One instance's quarantine and the changes that it has reported.
 struct instance {
@@ -28,11 +28,11 @@
 
 static void
 on_change(void *owner, enum quarantine_change change,
-    const struct quarantine_verdict *verdict)
+    const struct quarantine_rule *rule)
 {
 	struct instance *instance = owner;
 
-	assert_true(verdict->segments.n > 0);
+	assert_true(rule->segments.n > 0);
 	instance->n_changes[change]++;
 }
 
@@ -72,7 +72,7 @@
 {
 	const uint64_t segments[] = {first, second};
 
-	quarantine_add_sound(instance->quarantine, at, segments, 2);
+	quarantine_add_safe(instance->quarantine, at, segments, 2);
 }
 
 /// @return whether a request with two segments is refused
@@ -119,9 +119,9 @@
 		usec_t now = START + (i + 1) * SECOND;
 
 		answered(&instance, now, COMMON, SUBJECT);
-		if (refuses(&instance, now, COMMON, DEADLY))
+		if (refuses(&instance, now, COMMON, CRASHING))
 			continue;
-		crash(&instance, now, i, COMMON, DEADLY, 100 + i);
+		crash(&instance, now, i, COMMON, CRASHING, 100 + i);
 		crashes++;
 	}
 	assert_int_equal(crashes, 2);
@@ -135,44 +135,44 @@
 /// always come together: only requests with both are refused, until more is
 /// known.
 static void
-sound_segment_is_blamed_with_the_deadly_one(void **state)
+safe_segment_always_comes_with_the_crashing_one(void **state)
 {
 	struct instance instance;
 
 	(void)state;
 	instance_start(&instance);
-	crash(&instance, START, 1, COMMON, SUBJECT, DEADLY);
-	crash(&instance, START + SECOND, 2, COMMON, SUBJECT, DEADLY);
+	crash(&instance, START, 1, COMMON, SUBJECT, CRASHING);
+	crash(&instance, START + SECOND, 2, COMMON, SUBJECT, CRASHING);
 	assert_false(refuses(&instance, START + SECOND, COMMON, SUBJECT));
 	answered(&instance, START + 2 * SECOND, COMMON, SUBJECT);
 	assert_int_equal(instance.n_changes[QUARANTINE_NARROWED], 1);
-	assert_true(refuses(&instance, START + 3 * SECOND, DEADLY, 0));
+	assert_true(refuses(&instance, START + 3 * SECOND, CRASHING, 0));
 	assert_false(refuses(&instance, START + 3 * SECOND, COMMON, SUBJECT));
 	instance_stop(&instance);
 }
 
-/// A deadly request with other companions than those before narrows the
-/// verdict.
+/// A crashing request with other companions than those before narrows the
+/// rule.
 static void
-verdict_is_too_narrow_to_match(void **state)
+rule_is_too_narrow_to_match(void **state)
 {
 	struct instance instance;
 
 	(void)state;
 	instance_start(&instance);
-	crash(&instance, START, 1, SUBJECT, DEADLY, 0);
-	crash(&instance, START + SECOND, 2, SUBJECT, DEADLY, 0);
-	assert_true(refuses(&instance, START + SECOND, SUBJECT, DEADLY));
-	assert_false(refuses(&instance, START + SECOND, 5, DEADLY));
-	crash(&instance, START + 2 * SECOND, 3, 5, DEADLY, 0);
-	assert_true(refuses(&instance, START + 2 * SECOND, 6, DEADLY));
+	crash(&instance, START, 1, SUBJECT, CRASHING, 0);
+	crash(&instance, START + SECOND, 2, SUBJECT, CRASHING, 0);
+	assert_true(refuses(&instance, START + SECOND, SUBJECT, CRASHING));
+	assert_false(refuses(&instance, START + SECOND, 5, CRASHING));
+	crash(&instance, START + 2 * SECOND, 3, 5, CRASHING, 0);
+	assert_true(refuses(&instance, START + 2 * SECOND, 6, CRASHING));
 	assert_false(refuses(&instance, START + 2 * SECOND, SUBJECT, 5));
 	assert_int_equal(instance.n_changes[QUARANTINE_NARROWED], 1);
 	instance_stop(&instance);
 }
 
 static void
-two_deadly_segments_come_at_once(void **state)
+two_crashing_segments_come_at_once(void **state)
 {
 	struct instance instance;
 	unsigned crashes = 0;
@@ -182,11 +182,11 @@
 	answered(&instance, START, COMMON, SUBJECT);
 	for (unsigned i = 0; i < 20; i++) {
 		usec_t now = START + (i + 1) * SECOND;
-		uint64_t deadly = i % 2 == 0 ? DEADLY : DEADLY_TOO;
+		uint64_t crashing = i % 2 == 0 ? CRASHING : CRASHING_TOO;
 
-		if (refuses(&instance, now, COMMON, deadly))
+		if (refuses(&instance, now, COMMON, crashing))
 			continue;
-		crash(&instance, now, i, COMMON, deadly, 0);
+		crash(&instance, now, i, COMMON, crashing, 0);
 		crashes++;
 	}
 	assert_int_equal(crashes, 4);
@@ -194,9 +194,9 @@
 	instance_stop(&instance);
 }
 
-/// Nine of ten requests are deadly, so that the sound ones are seen late.
+/// Nine of ten requests are crashing, so that the safe ones are seen late.
 static void
-common_segment_is_blamed_when_sound_requests_are_few(void **state)
+common_segment_is_refused_when_safe_requests_are_few(void **state)
 {
 	struct instance instance;
 
@@ -205,9 +205,9 @@
 	answered(&instance, START, COMMON, SUBJECT);
 	for (unsigned i = 0; i < 12; i++)
 		crash(&instance, START + (i + 1) * SECOND / 2, i, COMMON,
-		    DEADLY, 0);
+		    CRASHING, 0);
 	assert_false(refuses(&instance, START + 20 * SECOND, COMMON, SUBJECT));
-	assert_true(refuses(&instance, START + 20 * SECOND, COMMON, DEADLY));
+	assert_true(refuses(&instance, START + 20 * SECOND, COMMON, CRASHING));
 	instance_stop(&instance);
 }
 
@@ -260,29 +260,29 @@
 	instance_stop(&instance);
 }
 
-/// A wrong verdict would refuse sound requests for ever if none was tried; one
+/// A wrong rule would refuse safe requests for ever if none was tried; one
 /// that is right must not crash an engine with each trial.
 static void
-verdict_is_tried_a_few_times(void **state)
+rule_is_tried_a_few_times(void **state)
 {
 	struct instance instance;
-	const uint64_t segments[] = {DEADLY};
+	const uint64_t segments[] = {CRASHING};
 	unsigned trials = 0;
 
 	(void)state;
 	instance_start(&instance);
-	crash(&instance, START, 1, DEADLY, 0, 0);
-	crash(&instance, START + SECOND, 2, DEADLY, 0, 0);
+	crash(&instance, START, 1, CRASHING, 0, 0);
+	crash(&instance, START + SECOND, 2, CRASHING, 0, 0);
 	for (usec_t now = START + SECOND; now < START + 3600 * SECOND;
 	     now += SECOND) {
-		const struct quarantine_verdict *verdict =
+		const struct quarantine_rule *rule =
 		    quarantine_match(instance.quarantine, now, segments, 1);
 
-		assert_non_null(verdict);
-		if (now < verdict->trial_at)
+		assert_non_null(rule);
+		if (now < rule->trial_at)
 			continue;
 		quarantine_begin_trial(instance.quarantine, now, segments, 1);
-		crash(&instance, now, 10 + trials, DEADLY, 0, 0);
+		crash(&instance, now, 10 + trials, CRASHING, 0, 0);
 		trials++;
 	}
 	assert_int_equal(trials, QUARANTINE_TRIALS_MAX);
@@ -290,7 +290,7 @@
 }
 
 static void
-wrong_verdict_is_lifted_by_an_answer(void **state)
+wrong_rule_is_lifted_by_an_answer(void **state)
 {
 	struct instance instance;
 	struct instance other;
@@ -305,7 +305,7 @@
 	answered(&instance, START + 22 * SECOND, SUBJECT, COMMON);
 	assert_false(refuses(&instance, START + 23 * SECOND, SUBJECT, 0));
 	assert_int_equal(instance.n_changes[QUARANTINE_LIFTED], 1);
-	/* The other instance still has the verdict, and sends it back. */
+	/* The other instance still has the rule, and sends it back. */
 	send_evidence(&other, &instance, START + 23 * SECOND, USEC_PER_MSEC);
 	assert_false(refuses(&instance, START + 23 * SECOND, SUBJECT, 0));
 	send_evidence(&instance, &other, START + 23 * SECOND, USEC_PER_MSEC);
@@ -315,17 +315,17 @@
 }
 
 static void
-idle_verdict_expires(void **state)
+idle_rule_expires(void **state)
 {
 	struct instance instance;
 
 	(void)state;
 	instance_start(&instance);
-	crash(&instance, START, 1, DEADLY, 0, 0);
-	crash(&instance, START + SECOND, 2, DEADLY, 0, 0);
+	crash(&instance, START, 1, CRASHING, 0, 0);
+	crash(&instance, START + SECOND, 2, CRASHING, 0, 0);
 	quarantine_tick(instance.quarantine, START + QUARANTINE_IDLE_SPAN);
 	assert_true(
-	    refuses(&instance, START + QUARANTINE_IDLE_SPAN, DEADLY, 0));
+	    refuses(&instance, START + QUARANTINE_IDLE_SPAN, CRASHING, 0));
 	quarantine_tick(
 	    instance.quarantine, START + 2 * QUARANTINE_IDLE_SPAN + SECOND);
 	assert_int_equal(instance.n_changes[QUARANTINE_EXPIRED], 1);
@@ -345,7 +345,7 @@
 	(void)state;
 	instance_start(&a);
 	instance_start(&b);
-	crash(&a, START, 1, COMMON, DEADLY, 0);
+	crash(&a, START, 1, COMMON, CRASHING, 0);
 	for (unsigned i = 0; i < 2 * 3700 * 5; i++) {
 		struct instance *from = i % 2 == 0 ? &a : &b;
 		struct instance *to = i % 2 == 0 ? &b : &a;
@@ -375,8 +375,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
 		instance_start(&instances[i]);
 	answered(&instances[1], START - SECOND, COMMON, SUBJECT);
-	crash(&instances[0], START, 1, COMMON, DEADLY, 0);
-	crash(&instances[2], START + SECOND, 2, COMMON, DEADLY, 0);
+	crash(&instances[0], START, 1, COMMON, CRASHING, 0);
+	crash(&instances[2], START + SECOND, 2, COMMON, CRASHING, 0);
 	send_evidence(&instances[0], &instances[1], START + SECOND, 0);
 	send_evidence(&instances[2], &instances[1], START + SECOND, 0);
 	send_evidence(&instances[1], &instances[0], START + SECOND, 0);
@@ -385,7 +385,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++) {
 		usec_t now = START + 10 * SECOND;
 
-		assert_true(refuses(&instances[i], now, 5, DEADLY));
+		assert_true(refuses(&instances[i], now, 5, CRASHING));
 		assert_false(refuses(&instances[i], now, COMMON, SUBJECT));
 		instance_stop(&instances[i]);
 	}
@@ -403,9 +403,9 @@
 	(void)state;
 	instance_start(&a);
 	instance_start(&b);
-	answered(&a, START - SECOND, DEADLY, COMMON);
+	answered(&a, START - SECOND, CRASHING, COMMON);
 	for (unsigned i = 0; i < 3; i++)
-		crash(&a, START + i * SECOND / 2, i, COMMON, DEADLY, 0);
+		crash(&a, START + i * SECOND / 2, i, COMMON, CRASHING, 0);
 	answered(&a, now, COMMON, SUBJECT);
 	for (unsigned i = 0; i < 600; i++) {
 		send_evidence(&a, &b, now, 5 * USEC_PER_MSEC);
@@ -413,11 +413,11 @@
 		send_evidence(&b, &a, now, 5 * USEC_PER_MSEC);
 		now += 100 * USEC_PER_MSEC;
 	}
-	assert_false(refuses(&a, now, 5, DEADLY));
-	crash(&a, now, 9, COMMON, DEADLY, 0);
+	assert_false(refuses(&a, now, 5, CRASHING));
+	crash(&a, now, 9, COMMON, CRASHING, 0);
 	send_evidence(&a, &b, now, 5 * USEC_PER_MSEC);
-	assert_true(refuses(&a, now, 5, DEADLY));
-	assert_true(refuses(&b, now, 5, DEADLY));
+	assert_true(refuses(&a, now, 5, CRASHING));
+	assert_true(refuses(&b, now, 5, CRASHING));
 	instance_stop(&a);
 	instance_stop(&b);
 }
@@ -453,17 +453,17 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(engines_crash_in_series_under_one_segment),
-	    cmocka_unit_test(sound_segment_is_blamed_with_the_deadly_one),
-	    cmocka_unit_test(verdict_is_too_narrow_to_match),
-	    cmocka_unit_test(two_deadly_segments_come_at_once),
+	    cmocka_unit_test(safe_segment_always_comes_with_the_crashing_one),
+	    cmocka_unit_test(rule_is_too_narrow_to_match),
+	    cmocka_unit_test(two_crashing_segments_come_at_once),
 	    cmocka_unit_test(
-		common_segment_is_blamed_when_sound_requests_are_few),
+		common_segment_is_refused_when_safe_requests_are_few),
 	    cmocka_unit_test(engines_of_a_zone_end_together),
 	    cmocka_unit_test(engines_crash_for_another_reason),
 	    cmocka_unit_test(one_engine_crashes_twice),
-	    cmocka_unit_test(verdict_is_tried_a_few_times),
-	    cmocka_unit_test(wrong_verdict_is_lifted_by_an_answer),
-	    cmocka_unit_test(idle_verdict_expires),
+	    cmocka_unit_test(rule_is_tried_a_few_times),
+	    cmocka_unit_test(wrong_rule_is_lifted_by_an_answer),
+	    cmocka_unit_test(idle_rule_expires),
 	    cmocka_unit_test(forgotten_crash_is_learnt_again),
 	    cmocka_unit_test(each_instance_sees_one_crash_only),
 	    cmocka_unit_test(passing_evidence_on_makes_it_newer),
