Directory: a restored store revives no upstream whose deletion came twice

Cause, found by reading: if both store readers report the same deletion, the second report has no record any more, and replaced what the first had remembered of the entry by nothing; any entry then counts as later. Removals by a full list or after a hold remembered nothing at all. Change: a repeated deletion keeps what is remembered, and each removal of an upstream that is gone remembers its last entry.

Test: view_test, restored_store_revives_an_upstream_whose_deletion_came_twice; failed before.

--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -131,18 +131,24 @@
 add_tombstone(struct directory *directory, const char *id, uint64_t revision,
     const struct record *record)
 {
-	struct tombstone *tombstone;
+	struct tombstone *tombstone =
+	    g_hash_table_lookup(directory->tombstones, id);
 
-	if (g_hash_table_size(directory->tombstones) >=
-	    DIRECTORY_TOMBSTONES_MAX)
+	if (tombstone == NULL &&
+	    g_hash_table_size(directory->tombstones) >=
+		DIRECTORY_TOMBSTONES_MAX)
 		g_hash_table_remove_all(directory->tombstones);
-	tombstone = g_new0(struct tombstone, 1);
-	tombstone->revision = revision;
+	if (tombstone == NULL) {
+		tombstone = g_new0(struct tombstone, 1);
+		g_hash_table_replace(
+		    directory->tombstones, g_strdup(id), tombstone);
+	}
+	tombstone->revision = MAX(tombstone->revision, revision);
+	/* A deletion that is reported again has no record any more. */
 	if (record != NULL) {
 		tombstone->incarnation = record->upstream.entry.incarnation;
 		tombstone->sequence = record->upstream.entry.sequence;
 	}
-	g_hash_table_replace(directory->tombstones, g_strdup(id), tombstone);
 }
 
 /// Removes a record from the directory, reports the removal and frees the
@@ -162,6 +168,15 @@
 	g_hash_table_remove(directory->records, record->upstream.entry.id);
 }
 
+/// Removes a record whose upstream is gone, and remembers its last entry.
+static void
+remove_gone_record(struct directory *directory, struct record *record)
+{
+	add_tombstone(directory, record->upstream.entry.id,
+	    record->upstream.revision, record);
+	remove_record(directory, record);
+}
+
 /// Replaces a record's entry by a copy of `entry`, and ends the hold of a held
 /// upstream.
 static void
@@ -361,7 +376,7 @@
 		return;
 	if (!is_store_outage_recent(directory, now) ||
 	    record->upstream.entry.state == UPSTREAM_DRAINING) {
-		remove_record(directory, record);
+		remove_gone_record(directory, record);
 		return;
 	}
 	record->upstream.missing_deadline = directory->store_lost
@@ -503,7 +518,7 @@
 
 		if (record->upstream.missing_deadline != 0 &&
 		    now >= record->upstream.missing_deadline)
-			remove_record(directory, record);
+			remove_gone_record(directory, record);
 	}
 	g_list_free(records);
 }
--- a/src/godwitvale/entry/dispatch_upstream.c
+++ b/src/godwitvale/entry/dispatch_upstream.c
@@ -13,6 +13,7 @@
 /// How long an upstream counts as unreachable after it refused a connection.
 /// Other instances are told, and use the same period.
 #define DISPATCH_SUSPECT_PERIOD (3 * USEC_PER_SEC)
+
 /// Records the result of a request to an upstream, and ejects the upstream if
 /// too many requests to it have failed.
 ///
--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -13,6 +13,7 @@
 /// divided by this number. After that, a refusal with a time to retry serves
 /// the caller better.
 #define ENTRY_REQUEST_WAIT_DIVISOR 2
+
 /// @return time until which a request that begins to wait now may wait for
 ///         capacity
 static usec_t
@@ -58,7 +59,6 @@
 {
 	const struct site_upstream_request continuation = {
 	    .last_event = request->last_event_id};
-
 	char *segments = entry_request_format_segments(
 	    request->params.segments, request->params.n_segments);
 
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -448,6 +448,34 @@
 	assert_true(view_has_seen_restore(view));
 }
 
+/// Two readers report the same deletion, or a list shows it. The copy must not
+/// bring the upstream back in either case.
+static void
+restored_store_revives_an_upstream_whose_deletion_came_twice(void **state)
+{
+	GPtrArray *items = new_list();
+
+	(void)state;
+	add_item(
+	    items, SITE_ITEM_UPSTREAM, "u1", 10, make_entry("ready", 1000, 5));
+	add_item(
+	    items, SITE_ITEM_UPSTREAM, "u2", 11, make_entry("ready", 1100, 3));
+	apply_list(SEC, SITE_SCOPE_UPSTREAMS, 1, 11, items);
+	assert_events("1:u1 1:u2 ");
+	for (int i = 0; i < 2; i++)
+		apply_change(SEC, SITE_ITEM_UPSTREAM, "u1",
+		    store_revision_make(1, 20), NULL);
+	apply_list(2 * SEC, SITE_SCOPE_UPSTREAMS, 1, 21, new_list());
+	assert_events("5:u1 5:u2 ");
+	items = new_list();
+	add_item(
+	    items, SITE_ITEM_UPSTREAM, "u1", 10, make_entry("ready", 1000, 5));
+	add_item(
+	    items, SITE_ITEM_UPSTREAM, "u2", 11, make_entry("ready", 1100, 3));
+	apply_list(20 * SEC, SITE_SCOPE_UPSTREAMS, 2, 12, items);
+	assert_events("");
+}
+
 /// An upstream that the copy lacks, and that doesn't come back, is gone after
 /// the time that the others need to write their entries again.
 static void
@@ -508,6 +536,9 @@
 		restored_store_takes_the_configuration_back, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		restored_store_takes_upstreams_back, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		restored_store_revives_an_upstream_whose_deletion_came_twice,
+		setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		upstream_is_missing_after_a_restore, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
