Stand-in: a worker that runs isn't started again

Traced to the stand-in: 'back' for a worker that runs tried to listen again, failed, and marked it as not running, so that a restore deleted the entries of all running workers. Now only a worker that doesn't run is started; one that says that it leaves is restarted.

--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -181,7 +181,10 @@
 static gboolean
 on_crash_over(gpointer data)
 {
-	worker_start(data);
+	struct worker *worker = data;
+
+	if (worker->server == NULL)
+		worker_start(worker);
 	return G_SOURCE_REMOVE;
 }
 
@@ -551,7 +554,9 @@
 	} else if (strcmp(mode, "cutruns") == 0) {
 		abort_runs(worker);
 	} else if (strcmp(mode, "back") == 0) {
-		if (worker_start(worker))
+		if (worker->says_leaving)
+			worker_stop(worker);
+		if (worker->server == NULL && worker_start(worker))
 			publish_entry(worker);
 	} else if (strstr(" well shed mute mutecopy reset cut cutstart errors "
 			  "big wrongresume ",
