Soak: delayed data of a closed connection isn't written to another one

Traced to the soak's own link: a slow link was reset while chunks were on their way, a new connection got the memory of a closed one, and the old chunks were taken for its. The events were the ones that the closed connections still owed (112 to 117 of a draft cut at 111). Each pair of connections has a serial number now. Ruled out: the entry instance, whose exchanges each have a connection of their own; the events came in on new connections, after their own heads.

--- a/test/soak/soak_link.c
+++ b/test/soak/soak_link.c
@@ -23,11 +23,13 @@
 	uint16_t to_port;
 	enum link_mode mode;
 	GHashTable *pairs; /// struct pair * as a set
+	guint64 n_accepted;
 };
 
 /// A caller's connection and the one to the target.
 struct pair {
 	struct soak_link *link;
+	guint64 serial;       /// a later pair may have the same address
 	struct conn *ends[2]; /// from the caller, to the target
 	bool lossy[2];        /// data to that end was dropped
 	unsigned late[2];     /// delayed chunks for that end
@@ -37,6 +39,7 @@
 struct chunk {
 	struct soak_link *link;
 	struct pair *pair;
+	guint64 serial; /// of the pair
 	int to;
 	GBytes *bytes;
 };
@@ -61,7 +64,8 @@
 	gsize len;
 	const char *bytes = g_bytes_get_data(chunk->bytes, &len);
 
-	if (g_hash_table_contains(chunk->link->pairs, chunk->pair)) {
+	if (g_hash_table_contains(chunk->link->pairs, chunk->pair) &&
+	    chunk->pair->serial == chunk->serial) {
 		chunk->pair->late[chunk->to]--;
 		if (!chunk->pair->lossy[chunk->to])
 			conn_write(chunk->pair->ends[chunk->to], bytes, len);
@@ -92,6 +96,7 @@
 	chunk = g_new0(struct chunk, 1);
 	chunk->link = link;
 	chunk->pair = pair;
+	chunk->serial = pair->serial;
 	chunk->to = to;
 	chunk->bytes = g_bytes_new(data, len);
 	pair->late[to]++;
@@ -133,6 +138,7 @@
 		return G_SOURCE_CONTINUE;
 	pair = g_new0(struct pair, 1);
 	pair->link = link;
+	pair->serial = ++link->n_accepted;
 	pair->ends[0] = conn_adopt(peer, &caller_vtable, pair);
 	pair->ends[1] =
 	    conn_open("127.0.0.1", link->to_port, &target_vtable, pair);
