Lint: three findings in tests and a bench

The integer division of a bench, a loop that the analyser takes for a use after free (each pass removes the head of the list), and padding of a table.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -125,8 +125,8 @@
 				abort();
 			dispatch_target_clear(&target);
 		}
-		each = (double)(g_get_monotonic_time() - start) * 1000 /
-		    (PLACEMENTS / BATCHES);
+		each = (double)(g_get_monotonic_time() - start) * 1000 *
+		    BATCHES / PLACEMENTS;
 		if (batch == 0 || each < best)
 			best = each;
 	}
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -276,8 +276,11 @@
 static void
 restore_copy(struct site_store *store)
 {
-	while (store->watchers != NULL)
-		on_watcher_disconnected(store->watchers->data);
+	GList *watchers = g_list_copy(store->watchers);
+
+	for (GList *l = watchers; l != NULL; l = l->next)
+		on_watcher_disconnected(l->data);
+	g_list_free(watchers);
 	g_hash_table_unref(store->items);
 	store->items = copy_items(store->saved);
 	g_ptr_array_set_size(store->changes, 0);
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -389,26 +389,26 @@
 pauses_that_upstreams_ask_for_are_read(void **state)
 {
 	static const struct {
-		unsigned status;
 		const char *text;
-		enum site_statement pause;
 		usec_t span;
+		unsigned status;
+		enum site_statement pause;
 	} rows[] = {
-	    {503, NULL, SITE_STATEMENT_NONE, 0},
-	    {503, "2", SITE_STATEMENT_MADE, 2 * USEC_PER_SEC},
-	    {503, "0.25", SITE_STATEMENT_MADE, 250 * USEC_PER_MSEC},
-	    {503, "0", SITE_STATEMENT_MADE, 0},
-	    {503, "99999999999999999999", SITE_STATEMENT_MADE,
-		G_MAXINT32 * USEC_PER_SEC},
-	    {503, "-3", SITE_STATEMENT_UNREADABLE, 0},
-	    {503, "soon", SITE_STATEMENT_UNREADABLE, 0},
-	    {503, "", SITE_STATEMENT_UNREADABLE, 0},
-	    {503, "nan", SITE_STATEMENT_UNREADABLE, 0},
-	    {503, "2, 4", SITE_STATEMENT_UNREADABLE, 0},
-	    {503, "Fri, 04 Dec 2026 10:00:00 GMT", SITE_STATEMENT_UNREADABLE,
-		0},
-	    {429, "2", SITE_STATEMENT_NONE, 0},
-	    {200, "2", SITE_STATEMENT_NONE, 0},
+	    {NULL, 0, 503, SITE_STATEMENT_NONE},
+	    {"2", 2 * USEC_PER_SEC, 503, SITE_STATEMENT_MADE},
+	    {"0.25", 250 * USEC_PER_MSEC, 503, SITE_STATEMENT_MADE},
+	    {"0", 0, 503, SITE_STATEMENT_MADE},
+	    {"99999999999999999999", G_MAXINT32 * USEC_PER_SEC, 503,
+		SITE_STATEMENT_MADE},
+	    {"-3", 0, 503, SITE_STATEMENT_UNREADABLE},
+	    {"soon", 0, 503, SITE_STATEMENT_UNREADABLE},
+	    {"", 0, 503, SITE_STATEMENT_UNREADABLE},
+	    {"nan", 0, 503, SITE_STATEMENT_UNREADABLE},
+	    {"2, 4", 0, 503, SITE_STATEMENT_UNREADABLE},
+	    {"Fri, 04 Dec 2026 10:00:00 GMT", 0, 503,
+		SITE_STATEMENT_UNREADABLE},
+	    {"2", 0, 429, SITE_STATEMENT_NONE},
+	    {"2", 0, 200, SITE_STATEMENT_NONE},
 	};
 
 	(void)state;
