Log: requests are named by the fingerprint of path, caller and body

request-placed, attempt-failed and request-ended name it, so that the attempts of one request under several ids can be found.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -394,12 +394,13 @@
 	request->exchange = NULL;
 	log_event(LOG_LEVEL_WARN, "attempt-failed",
 	    "id=%s upstream=%s attempt=%u reason=%s age_ms=%" G_GINT64_FORMAT
-	    " last_event=%" G_GINT64_FORMAT " began=%d events=%u segments=%s",
+	    " last_event=%" G_GINT64_FORMAT " began=%d events=%u segments=%s"
+	    " fingerprint=%016" G_GINT64_MODIFIER "x",
 	    request->params.id, request->target.id, request->attempts,
 	    exchange_failure_name(failure),
 	    (g_get_monotonic_time() - request->sent_at) / USEC_PER_MSEC,
 	    request->last_event_id, request->answer_began,
-	    request->events_of_attempt, segments);
+	    request->events_of_attempt, segments, request->fingerprint);
 	g_free(segments);
 	if (failure == EXCHANGE_UNREACHABLE)
 		record_result(request, OUTLIER_UNREACHABLE);
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -407,6 +407,23 @@
 	return 0;
 }
 
+/// Computes the fingerprint of a request whose organisation is known. A caller
+/// may hold several keys, so the organisation stands for it.
+static uint64_t
+compute_fingerprint(const struct entry_request *request)
+{
+	const char *caller = request->params.key;
+	uint64_t fingerprint = hash_name(http_call_head(request->call)->target);
+	size_t len;
+	const char *body = http_call_body(request->call, &len);
+
+	if (request->organisation != NULL)
+		caller = request->organisation->name;
+	fingerprint =
+	    hash_pair(fingerprint, hash_name(caller == NULL ? "" : caller));
+	return hash_pair(fingerprint, hash_bytes(body, len, 0));
+}
+
 /// Computes the deadline for the final answer: the earlier of the route's
 /// timeout and the end of the time that the caller waits.
 static usec_t
@@ -489,6 +506,7 @@
 		    status == 404 ? "no-route" : "unknown-key");
 		goto out;
 	}
+	request->fingerprint = compute_fingerprint(request);
 	request->deadline = compute_deadline(request);
 	request->service = route_pick_service(request->route,
 	    hash_name(request->params.id == NULL ? "" : request->params.id));
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -28,6 +28,9 @@
 	const struct organisation *organisation;
 	const char *service;
 	struct estimate_series *output_series; /// output lengths of the route
+	/// Identifies what is asked for: hash of path, caller and body. Other
+	/// attempts of the caller have the same one, whatever their ids are.
+	uint64_t fingerprint;
 	usec_t arrived_at;
 	usec_t deadline; /// time by which the whole answer must be sent
 	/// stream that the caller takes up: hash of the id of the attempt that
--- a/src/godwitvale/entry/entry_request_log.c
+++ b/src/godwitvale/entry/entry_request_log.c
@@ -37,7 +37,7 @@
 	    "attempts=%u handovers=%u events=%u last_event=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
 	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d "
-	    "limit=%.2f",
+	    "limit=%.2f fingerprint=%016" G_GINT64_MODIFIER "x",
 	    request->params.id == NULL ? "-" : request->params.id,
 	    request->route == NULL ? "-" : request->route->name,
 	    request->target.id == NULL ? "-" : request->target.id, status,
@@ -50,7 +50,8 @@
 	    request->longest_gap / USEC_PER_MSEC,
 	    (now - request->arrived_at) / USEC_PER_MSEC,
 	    request->params.prompt_tokens, request->params.max_output_tokens,
-	    request->params.output_hint, request->named_limit);
+	    request->params.output_hint, request->named_limit,
+	    request->fingerprint);
 }
 
 /// Records the outcome and the times of a request that has ended, as metrics.
--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -76,7 +76,7 @@
 	    "version_key=%016" G_GINT64_MODIFIER "x attempt=%u "
 	    "config=%" G_GUINT64_FORMAT " view_age_ms=%" G_GINT64_FORMAT
 	    " waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
-	    " segments=%s",
+	    " segments=%s fingerprint=%016" G_GINT64_MODIFIER "x",
 	    request->params.id == NULL ? "-" : request->params.id,
 	    request->route->name, request->target.id, request->target.address,
 	    request->target.zone, request->target.version_key,
@@ -85,7 +85,8 @@
 		view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS)) /
 		USEC_PER_MSEC,
 	    (g_get_monotonic_time() - request->arrived_at) / USEC_PER_MSEC,
-	    entry_request_time_left(request) / USEC_PER_MSEC, segments);
+	    entry_request_time_left(request) / USEC_PER_MSEC, segments,
+	    request->fingerprint);
 	g_free(segments);
 	if (request->attempts == 1)
 		series_observe(&entry_metric_wait, request->route->name,
