--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -51,7 +51,7 @@
 	    {\"name\":\"shop\",\"max_conns\":100}],
 	    \"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,
 	    \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
-	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"]}]}"
+	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"]}]}"
 }
 
 # usual_routes: one of each kind.
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -25,6 +25,9 @@
 	/// Prompt segments, separated by commas, that crash an engine as it
 	/// begins to answer; NULL: none.
 	char *crashing_segments;
+	/// Text in the body of a request that crashes each worker which runs
+	/// it; NULL: none.
+	char *crashing_body;
 	/// Limit that all workers name, as written in the field; NULL: none.
 	char *limit;
 	/// Pause that workers ask for as they turn requests away, as written in
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -329,8 +329,8 @@
 
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
-/// /ctl/crashing/SEGMENT,..., /ctl/limit/RATE or /ctl/limit/none, /ctl/pause
-/// with the value of the field.
+/// /ctl/crashing/SEGMENT,..., /ctl/crashing-body/TEXT, /ctl/limit/RATE or
+/// /ctl/limit/none, /ctl/pause with the value of the field.
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -365,6 +365,9 @@
 	} else if (strcmp(command, "crashing") == 0) {
 		g_free(store->site->crashing_segments);
 		store->site->crashing_segments = g_strdup(name);
+	} else if (strcmp(command, "crashing-body") == 0) {
+		g_free(store->site->crashing_body);
+		store->site->crashing_body = g_strdup(name);
 	} else if (strcmp(command, "limit") == 0) {
 		g_clear_pointer(&store->site->limit, g_free);
 		if (strcmp(name, "none") != 0)
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -15,6 +15,9 @@
 #define LARGE_BODY_BYTES (16 * 1024 * 1024)
 /// Time that a plain service takes for a request, in milliseconds.
 #define PLAIN_DURATION_MS 5
+/// Time from the start of a run that crashes a worker to the crash, in
+/// milliseconds.
+#define CRASH_DELAY_MS 40
 /// Time that an engine needs to start again after a crash, in milliseconds.
 #define CRASH_DURATION_MS 1000
 /// Tokens in one event of a stream.
@@ -189,7 +192,19 @@
 	return G_SOURCE_REMOVE;
 }
 
-/// Crashes the engine that was about to write the first event of a run.
+/// Checks whether a request's body crashes workers.
+static bool
+has_crashing_body(const struct worker *worker, const struct http_call *call)
+{
+	const char *crashing = worker->site->crashing_body;
+	size_t len;
+	const char *body = http_call_body(call, &len);
+
+	return crashing != NULL &&
+	    g_strstr_len(body, (gssize)len, crashing) != NULL;
+}
+
+/// Crashes the worker of a run.
 static gboolean
 on_crash_timer(gpointer data)
 {
@@ -304,6 +319,9 @@
 		run_abort(run);
 	} else if (strcmp(worker->mode, "mute") == 0) {
 		return;
+	} else if (has_crashing_body(worker, call)) {
+		run->timer =
+		    g_timeout_add(CRASH_DELAY_MS, on_crash_timer, run);
 	} else if (tokens != NULL) {
 		tokens = strchr(tokens, ',');
 		run->events_total = tokens == NULL
