--- a/src/godwitvale/core/quarantine.c
+++ b/src/godwitvale/core/quarantine.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "godwitvale/core/recent_times.h"
+
 /// Crashes of different engines that count against a segment no engine has
 /// answered.
 #define QUARANTINE_CRASHES_UNKNOWN 2
@@ -43,10 +45,7 @@
 	size_t n_crashes; /// oldest first
 	struct quarantine_rule rules[QUARANTINE_RULES_MAX];
 	size_t n_rules;
-	/// Segment -> usec_t *, when it was last answered. When the newer
-	/// generation is full, the older one is dropped.
-	GHashTable *safe_newer;
-	GHashTable *safe_older;
+	struct recent_times *safe; /// when segments were last answered
 };
 
 /// Crashes that count against one segment.
@@ -97,14 +96,6 @@
 	set->ids[i] = set->ids[--set->n];
 }
 
-/// @return an empty table of times by segment
-static GHashTable *
-new_generation(void)
-{
-	return g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
-}
-
 /// Creates a quarantine without evidence.
 ///
 /// @param listener  called on each change of a rule
@@ -117,8 +108,7 @@
 
 	quarantine->listener = listener;
 	quarantine->owner = owner;
-	quarantine->safe_newer = new_generation();
-	quarantine->safe_older = new_generation();
+	quarantine->safe = recent_times_new(QUARANTINE_GENERATION_SIZE);
 	return quarantine;
 }
 
@@ -128,38 +118,10 @@
 void
 quarantine_free(struct quarantine *quarantine)
 {
-	g_hash_table_unref(quarantine->safe_newer);
-	g_hash_table_unref(quarantine->safe_older);
+	recent_times_free(quarantine->safe);
 	g_free(quarantine);
 }
 
-/// @return when a segment was last answered; 0: never, as far as is known
-static usec_t
-find_safe_at(const struct quarantine *quarantine, uint64_t segment)
-{
-	const usec_t *at =
-	    g_hash_table_lookup(quarantine->safe_newer, &segment);
-
-	if (at == NULL)
-		at = g_hash_table_lookup(quarantine->safe_older, &segment);
-	return at == NULL ? 0 : *at;
-}
-
-/// Records when a segment was answered, unless a later time is known.
-static void
-set_safe_at(struct quarantine *quarantine, uint64_t segment, usec_t at)
-{
-	at = MAX(at, find_safe_at(quarantine, segment));
-	if (g_hash_table_size(quarantine->safe_newer) >=
-	    QUARANTINE_GENERATION_SIZE) {
-		g_hash_table_unref(quarantine->safe_older);
-		quarantine->safe_older = quarantine->safe_newer;
-		quarantine->safe_newer = new_generation();
-	}
-	g_hash_table_replace(quarantine->safe_newer,
-	    g_memdup2(&segment, sizeof(segment)), g_memdup2(&at, sizeof(at)));
-}
-
 /// Checks whether a rule that doesn't name a segment explains a crash. Such
 /// a crash isn't evidence against that segment.
 static bool
@@ -200,7 +162,7 @@
 tally_crashes(const struct quarantine *quarantine, uint64_t segment)
 {
 	struct crash_tally tally = {.n = 0};
-	usec_t safe_at = find_safe_at(quarantine, segment);
+	usec_t safe_at = recent_times_get(quarantine->safe, segment);
 
 	for (size_t i = 0; i < quarantine->n_crashes; i++) {
 		const struct quarantine_crash *crash = &quarantine->crashes[i];
@@ -217,7 +179,7 @@
 is_sufficient(const struct quarantine *quarantine,
     const struct crash_tally *tally, uint64_t segment)
 {
-	size_t n_required = find_safe_at(quarantine, segment) == 0
+	size_t n_required = recent_times_get(quarantine->safe, segment) == 0
 	    ? QUARANTINE_CRASHES_UNKNOWN
 	    : QUARANTINE_CRASHES_KNOWN;
 
@@ -235,7 +197,7 @@
 	unsigned n_before = set->n;
 
 	for (unsigned i = 0; i < set->n;)
-		if (find_safe_at(quarantine, set->ids[i]) > since)
+		if (recent_times_get(quarantine->safe, set->ids[i]) > since)
 			set_remove_at(set, i);
 		else
 			i++;
@@ -455,7 +417,7 @@
     const uint64_t *segments, unsigned n_segments)
 {
 	for (unsigned i = 0; i < n_segments; i++)
-		set_safe_at(quarantine, segments[i], at);
+		recent_times_set(quarantine->safe, segments[i], at);
 	return review_rules(quarantine);
 }
 
@@ -468,7 +430,7 @@
 quarantine_merge_safe(
     struct quarantine *quarantine, uint64_t segment, usec_t at)
 {
-	usec_t known = find_safe_at(quarantine, segment);
+	usec_t known = recent_times_get(quarantine->safe, segment);
 
 	if (known == 0 || merge_time(known, at) != known)
 		quarantine_add_safe(quarantine, at, &segment, 1);
@@ -634,7 +596,7 @@
 append_safe(const struct quarantine *quarantine, uint64_t segment,
     struct quarantine_safe *safe, size_t n)
 {
-	usec_t at = find_safe_at(quarantine, segment);
+	usec_t at = recent_times_get(quarantine->safe, segment);
 
 	if (at == 0)
 		return n;
