Test: a proxy that cuts single instances off from all workers

scripts/site.sh: cut NAME silent|reset|refuse|normal. Instances may name the address that their connections come from (upstreams.source), so that the proxy can tell them apart.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -1,14 +1,15 @@
 # The stand-in of the users' platform and entry instances on loopback, for the
 # functional tests. Sourced after test/functional/lib.sh.
 
-declare -A entry_caller entry_ready entry_control entry_metrics entry_pid
+declare -A entry_zone entry_caller entry_ready entry_control entry_metrics entry_pid
 site_version=1
 site_routes=
 n_entries=0
 fleet_ports=
 
 # start_site ID,SERVICE,ZONE...: the store and workers; sets $site and
-# $site_log.
+# $site_log. With the prefix "linked:" a worker has a proxy in front of it,
+# which can cut instances off: see cut().
 start_site()
 {
 	local specs=() spec
@@ -17,13 +18,25 @@
 	site_port=$port
 	for spec in "$@"; do
 		free_port
-		specs+=("$spec,$port")
+		spec+=,$port
+		if [[ $spec = linked:* ]]; then
+			free_port
+			spec+=,$port
+		fi
+		specs+=("$spec")
 	done
 	run_program "$BINDIR/site" "$site_port" "${specs[@]}"
 	site_log=$workdir/$program.log
 	wait_for "the site" grep -q '^ready' "$site_log"
 }
 
+# cut NAME MODE: cuts an instance off from all workers with a proxy (silent,
+# reset, refuse), or ends this (normal).
+cut()
+{
+	ctl "cut/${entry_caller[$1]%:*}/$2"
+}
+
 # ctl PATH [BODY]: the test's own call to the stand-in.
 ctl()
 {
@@ -87,7 +100,7 @@
 	entry_metrics[$name]=$entry_ip:$metrics_port
 	cat >"$workdir/$name.json" <<-END
 	{
-		"instance": "$name", "zone": "z1",
+		"instance": "$name", "zone": "${entry_zone[$name]:-z1}",
 		"listen": {
 			"caller": "${entry_caller[$name]}",
 			"ready": "${entry_ready[$name]}",
@@ -97,6 +110,7 @@
 		},
 		"seeds": "${2:-}",
 		"store": { "address": "$site" },
+		"upstreams": { "source": "$entry_ip" },
 		"leaving": { "grace_ms": 4000 }
 	}
 	END
--- a/src/godwitvale/core/crash_suspects.c
+++ b/src/godwitvale/core/crash_suspects.c
@@ -13,7 +13,7 @@
 /// Crashes in series that suffice against any request.
 #define CRASHES_ANY 3
 /// Times that other instances report are late by the transit of their messages.
-#define CRASH_TRANSIT (20 * USEC_PER_MSEC)
+#define CRASH_TRANSIT (5 * USEC_PER_MSEC)
 /// Crashes of one upstream that are closer to each other than this are the
 /// same one, as seen by several instances. An upstream that has crashed is back
 /// after seconds.
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -607,6 +607,8 @@
 
 	entry->loop = g_main_loop_new(NULL, false);
 	entry->pool = pool_new();
+	if (entry->settings->upstream_source[0] != '\0')
+		pool_set_source(entry->pool, entry->settings->upstream_source);
 	entry->loads = loads_new();
 	entry->rate_limits = rate_limits_new();
 	entry->notices = upstream_notices_new();
--- a/src/godwitvale/entry/entry_settings.c
+++ b/src/godwitvale/entry/entry_settings.c
@@ -59,6 +59,9 @@
     TEXT("store.address", store, 1, NULL,
 	"IP:PORT of the platform's store, which holds the configuration, "
 	"the evacuated zones and the upstreams"),
+    TEXT("upstreams.source", upstream_source, 0, "\"\"",
+	"IP that connections to upstreams and to the store come from, on "
+	"machines with several; empty: the system chooses"),
     {.path = "log.level",
 	.type = JSON_ENUM,
 	.offset = offsetof(struct entry_settings, log_level),
--- a/src/godwitvale/entry/entry_settings.h
+++ b/src/godwitvale/entry/entry_settings.h
@@ -29,6 +29,9 @@
 	/// "store.address": IP:PORT of the platform's store, which holds the
 	/// configuration, the evacuated zones and the upstreams.
 	char *store;
+	/// "upstreams.source": IP that connections to upstreams come from; "":
+	/// the system chooses.
+	char *upstream_source;
 	int log_level;        /// "log.level": error|warn|info|debug
 	uint32_t max_callers; /// "limits.max_callers": open connections
 	/// "retries.ratio": maximum ratio of retries to first requests.
--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -284,17 +284,30 @@
 	return 0;
 }
 
+/// Binds a socket to an address of this machine, with any port.
+///
+/// @return false if the machine has no such address
+static bool
+bind_source(int fd, const char *source)
+{
+	struct sockaddr_storage address;
+	socklen_t len = make_socket_address(source, 0, &address);
+
+	return len > 0 && bind(fd, (struct sockaddr *)&address, len) == 0;
+}
+
 /// Opens a connection. Bytes that are written before it is established are
 /// sent once it is.
 ///
+/// @param source  numeric address that it comes from; NULL: any of this machine
 /// @param ip      numeric IPv4 or IPv6 address
 /// @param port    port in host byte order
 /// @param vtable  callbacks; must outlive the connection
 /// @param owner   passed to the callbacks
 /// @return the connection, never NULL; a failure is reported later, by `ended`
 struct conn *
-conn_open(const char *ip, uint16_t port, const struct conn_vtable *vtable,
-    void *owner)
+conn_open(const char *source, const char *ip, uint16_t port,
+    const struct conn_vtable *vtable, void *owner)
 {
 	struct sockaddr_storage address;
 	socklen_t len = make_socket_address(ip, port, &address);
@@ -312,6 +325,8 @@
 	if (conn->fd < 0)
 		goto fail;
 	set_options(conn->fd);
+	if (source != NULL && !bind_source(conn->fd, source))
+		goto fail;
 	if (connect(conn->fd, (struct sockaddr *)&address, len) != 0 &&
 	    errno != EINPROGRESS)
 		goto fail;
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -29,7 +29,7 @@
 	void (*drained)(void *owner); /// the kernel has taken all written bytes
 };
 
-struct conn *conn_open(const char *ip, uint16_t port,
+struct conn *conn_open(const char *source, const char *ip, uint16_t port,
     const struct conn_vtable *vtable, void *owner);
 /// The peer of an adopted connection is a caller. When it closes its sending
 /// side, the connection ends, also while reading is paused.
--- a/src/godwitvale/http/pool.c
+++ b/src/godwitvale/http/pool.c
@@ -5,6 +5,7 @@
 
 struct pool {
 	GHashTable *endpoints; /// address -> struct pool_endpoint
+	char *source;          /// address that connections come from; NULL: any
 };
 
 /// The connections to one address.
@@ -100,9 +101,21 @@
 pool_free(struct pool *pool)
 {
 	g_hash_table_unref(pool->endpoints);
+	g_free(pool->source);
 	g_free(pool);
 }
 
+/// Sets the address that new connections come from.
+///
+/// @param pool    a pool
+/// @param source  numeric address of this machine
+void
+pool_set_source(struct pool *pool, const char *source)
+{
+	g_free(pool->source);
+	pool->source = g_strdup(source);
+}
+
 /// Finds the endpoint of an address, or creates it.
 static struct pool_endpoint *
 get_endpoint(struct pool *pool, const char *address)
@@ -135,7 +148,8 @@
 
 	if (!address_parse(address, &parsed))
 		parsed = (struct address){.ip = "", .port = 0};
-	lease.conn = conn_open(parsed.ip, parsed.port, vtable, owner);
+	lease.conn =
+	    conn_open(pool->source, parsed.ip, parsed.port, vtable, owner);
 	get_endpoint(pool, address)->leased_count++;
 	return lease;
 }
--- a/src/godwitvale/http/pool.h
+++ b/src/godwitvale/http/pool.h
@@ -18,6 +18,7 @@
 
 struct pool *pool_new(void);
 void pool_free(struct pool *pool);
+void pool_set_source(struct pool *pool, const char *source);
 struct pool_lease pool_acquire(struct pool *pool, const char *address,
     const struct conn_vtable *vtable, void *owner);
 struct pool_lease pool_open(struct pool *pool, const char *address,
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -20,6 +20,7 @@
 	struct site_store *store;
 	GHashTable *workers;     /// id -> struct worker *
 	GHashTable *raw_workers; /// id -> struct raw_worker *
+	GPtrArray *links;        /// struct link *, in front of workers
 	GHashTable *copies;      /// "HOLDER SOURCE/HANDLE" -> event count + 1
 	GHashTable *runs;        /// request id -> number of runs
 	/// Prompt segments, separated by commas, that crash an engine as it
@@ -48,6 +49,8 @@
 bool worker_is_running(const struct worker *worker);
 void worker_rewrite_all(struct site_state *site);
 
+bool site_cut(struct site_state *site, const char *source, const char *mode);
+
 struct raw_worker *raw_worker_new(struct site_state *site, const char *spec);
 void raw_worker_set_mode(struct raw_worker *worker, const char *mode);
 
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -329,8 +329,8 @@
 
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
-/// /ctl/crashing/SEGMENT,..., /ctl/crashing-body/TEXT, /ctl/limit/RATE or
-/// /ctl/limit/none, /ctl/pause with the value of the field.
+/// /ctl/crashing/SEGMENT,..., /ctl/crashing-body/TEXT, /ctl/cut/IP/MODE,
+/// /ctl/limit/RATE or /ctl/limit/none, /ctl/pause with the value of the field.
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -368,6 +368,9 @@
 	} else if (strcmp(command, "crashing-body") == 0) {
 		g_free(store->site->crashing_body);
 		store->site->crashing_body = g_strdup(name);
+	} else if (strcmp(command, "cut") == 0) {
+		if (parts[2] == NULL || !site_cut(store->site, name, parts[2]))
+			g_strlcpy(reply, "unknown\n", sizeof(reply));
 	} else if (strcmp(command, "limit") == 0) {
 		g_clear_pointer(&store->site->limit, g_free);
 		if (strcmp(name, "none") != 0)
