--- /dev/null
+++ b/src/godwitvale/entry/entry_request_start.c
@@ -0,0 +1,178 @@
+/*
+ * Start of a caller's request: finds its route, its organisation and its
+ * deadline, and has it placed.
+ */
+#include "godwitvale/core/hash.h"
+#include "godwitvale/core/shutdown_admission.h"
+#include "godwitvale/entry/entry_request.h"
+#include "godwitvale/entry/entry_request_defs.h"
+#include "godwitvale/entry/resumption.h"
+
+/// Returns the series of output lengths of a request's service and route.
+static struct estimate_series *
+find_output_series(const struct entry_request *request)
+{
+	const struct estimate_key key = {
+	    .organisation = ESTIMATE_ALL,
+	    .service = (uint32_t)hash_name(request->service),
+	    .class_id = (uint32_t)hash_name(request->route->name),
+	};
+
+	return estimate_get_series(request->entry->estimate, &key);
+}
+
+/// Server callback: the caller has disconnected. Ends the work for it.
+static void
+on_caller_disconnected(void *owner)
+{
+	struct entry_request *request = entry_request_ref(owner);
+
+	http_call_abort(request->call);
+	entry_request_finish(request, 0, "caller-gone");
+	entry_request_unref(request);
+}
+
+/// Finds a request's route and the organisation that sends it.
+///
+/// @return 0, or the HTTP status of the refusal
+static unsigned
+find_route_and_organisation(struct entry_request *request)
+{
+	const struct http_head *head = http_call_head(request->call);
+	const char *key = request->params.key;
+
+	request->route = deployment_find_route(
+	    request->deployment, request->params.host, head->target);
+	if (request->route == NULL)
+		return 404;
+	if (key != NULL)
+		request->organisation =
+		    deployment_find_organisation(request->deployment, key);
+	if (request->deployment->needs_keys && !request->route->is_public &&
+	    request->organisation == NULL)
+		return 401;
+	return 0;
+}
+
+/// Computes the fingerprint of a request whose organisation is known. A caller
+/// may hold several keys, so the organisation stands for it.
+static uint64_t
+compute_fingerprint(const struct entry_request *request)
+{
+	const char *caller = request->params.key;
+	uint64_t fingerprint = hash_name(http_call_head(request->call)->target);
+	size_t len;
+	const char *body = http_call_body(request->call, &len);
+
+	if (request->organisation != NULL)
+		caller = request->organisation->name;
+	fingerprint =
+	    hash_pair(fingerprint, hash_name(caller == NULL ? "" : caller));
+	return hash_pair(fingerprint, hash_bytes(body, len, 0));
+}
+
+/// Computes the deadline for the final answer: the earlier of the route's
+/// timeout and the end of the time that the caller waits.
+static usec_t
+compute_deadline(const struct entry_request *request)
+{
+	usec_t deadline = request->arrived_at + request->route->timeout;
+
+	if (request->params.timeout > 0)
+		deadline = MIN(
+		    deadline, request->arrived_at + request->params.timeout);
+	return deadline;
+}
+
+/// Checks whether a request is certain to end before this process does. If it
+/// isn't, the caller must be served by another instance.
+static bool
+ends_before_shutdown(const struct entry_request *request)
+{
+	const struct entry *entry = request->entry;
+	const struct shutdown_work work = {
+	    .is_generation = request->route->is_generation,
+	    .max_output_tokens = (uint32_t)request->params.max_output_tokens,
+	    .expected_span = request->route->target_latency,
+	};
+
+	return !entry->leaving ||
+	    shutdown_admission_accepts(
+		&work, entry->leave_deadline - g_get_monotonic_time());
+}
+
+/// Creates the request for a call.
+static struct entry_request *
+entry_request_new(struct entry *entry, struct http_call *call)
+{
+	struct entry_request *request = g_new0(struct entry_request, 1);
+
+	request->entry = entry;
+	request->call = call;
+	request->refs = 1;
+	request->arrived_at = http_call_received_at(call);
+	request->deadline = USEC_NEVER;
+	request->answer_body = g_string_new(NULL);
+	http_head_init(&request->answer_head);
+	event_splitter_init(&request->splitter);
+	entry->site->read_request(http_call_head(call), &request->params);
+	/* The call's head is freed before the last log line is written. */
+	request->params.id = g_strdup(request->params.id);
+	request->last_event_id = request->params.last_event;
+	if (request->params.resumes != NULL)
+		request->resumed_stream = hash_name(request->params.resumes);
+	request->named_limit = -1;
+	continuation_init(request);
+	g_hash_table_add(entry->requests, request);
+	http_call_on_disconnect(call, on_caller_disconnected, request);
+	return request;
+}
+
+/// Handles a complete request of a caller: places it or refuses it.
+///
+/// @param entry  instance that received the request
+/// @param call   HTTP call to answer
+void
+entry_request_start(struct entry *entry, struct http_call *call)
+{
+	struct entry_request *request =
+	    entry_request_ref(entry_request_new(entry, call));
+	unsigned status;
+
+	if (!view_is_complete(entry->view)) {
+		request->deadline = g_get_monotonic_time() +
+		    (request->params.timeout > 0 ? request->params.timeout
+						 : USEC_PER_SEC);
+		entry_request_refuse(request, RETRY_AFTER_STARTING, "starting");
+		goto out;
+	}
+	request->deployment = deployment_ref(view_deployment(entry->view));
+	status = find_route_and_organisation(request);
+	if (status != 0) {
+		entry_request_fail(request, status,
+		    status == 404 ? "no-route" : "unknown-key");
+		goto out;
+	}
+	request->fingerprint = compute_fingerprint(request);
+	request->deadline = compute_deadline(request);
+	request->service = route_pick_service(request->route,
+	    hash_name(request->params.id == NULL ? "" : request->params.id));
+	if (request->service == NULL) {
+		entry_request_refuse(
+		    request, RETRY_AFTER_NO_UPSTREAM, "no-service");
+		goto out;
+	}
+	if (request->route->is_generation)
+		request->output_series = find_output_series(request);
+	if (!ends_before_shutdown(request)) {
+		entry_request_refuse(request, RETRY_AFTER_LEAVING, "leaving");
+		goto out;
+	}
+	dispatch_record_first_request(entry->dispatch, request->service);
+	if (resumption_is_needed(request))
+		resumption_start(request);
+	else
+		entry_request_place(request);
+out:
+	entry_request_unref(request);
+}
