--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -3,6 +3,7 @@
 
 declare -A entry_zone entry_caller entry_ready entry_control entry_metrics entry_pid
 site_version=1
+retry_slack=10
 site_routes=
 n_entries=0
 fleet_ports=
@@ -111,6 +112,7 @@
 		"seeds": "${2:-}",
 		"store": { "address": "$site" },
 		"upstreams": { "source": "$entry_ip" },
+		"retries": { "slack": $retry_slack },
 		"leaving": { "grace_ms": 4000 }
 	}
 	END
