Limits: brittle upstreams get no more than they have room for

Upstreams that say Server-Brittle fall over when they must turn more than a few requests away in a second (LIMIT). Nothing decoded it; by known loads, which are 10 ms old, all instances take a place that becomes free.

While a service is brittle, the places of each upstream are divided among the instances, each using its own or an empty upstream (core/place_share). Instances tell each other.

functional/entry_brittle on the code before, two runs: three workers fall over, statuses 502 and 503; now, three runs: none, all 200. place_share_test replays loads from 25 % to 200 %: by known loads alone upstreams fall over more than the rule allows from 75 % on. functional/entry_silent_worker: workers that are silent for a second; requests are given up early only if another instance can serve them.

--- a/src/godwitvale/core/eligibility.c
+++ b/src/godwitvale/core/eligibility.c
@@ -18,6 +18,7 @@
     [INELIGIBLE_TURN] = "turn",
     [INELIGIBLE_COLD] = "cold",
     [INELIGIBLE_CONNECTIONS] = "connections",
+    [INELIGIBLE_PLACE] = "place",
 };
 
 /// @param reason  why an upstream may not get a request
@@ -71,8 +72,8 @@
 /// @param inputs  what is known of the upstream
 /// @param now     current time
 /// @return the reason that lasts longest, or ELIGIBLE. Permits for a cold
-///         upstream and connections come back at an unknown time, and count as
-///         ending at once.
+///         upstream, connections and places come back at an unknown time, and
+///         count as ending at once.
 struct eligibility
 eligibility_check(const struct eligibility_inputs *inputs, usec_t now)
 {
@@ -94,5 +95,7 @@
 		result = (struct eligibility){INELIGIBLE_COLD, now};
 	if (result.reason == ELIGIBLE && inputs->lacks_connections)
 		result = (struct eligibility){INELIGIBLE_CONNECTIONS, now};
+	if (result.reason == ELIGIBLE && inputs->lacks_place)
+		result = (struct eligibility){INELIGIBLE_PLACE, now};
 	return result;
 }
--- a/src/godwitvale/core/eligibility.h
+++ b/src/godwitvale/core/eligibility.h
@@ -40,6 +40,7 @@
 	INELIGIBLE_TURN,
 	INELIGIBLE_COLD,        /// this instance's share of its cold rate is
 	INELIGIBLE_CONNECTIONS, /// this instance's share of connections is
+	INELIGIBLE_PLACE, /// it is brittle, and this instance's places are used
 };
 
 /// What is known of an upstream. A time that isn't in the future has no effect.
@@ -57,6 +58,7 @@
 	bool limit_has_turns;   /// other instances may take that permit first
 	bool lacks_cold_permit;
 	bool lacks_connections;
+	bool lacks_place;
 };
 
 /// Whether an upstream may get a request.
--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -196,6 +196,22 @@
 }
 
 /// @param membership  membership to count
+/// @return number of live instances whose names come before this one's, the
+/// same
+///         order at all instances
+unsigned
+membership_position(const struct membership *membership)
+{
+	GHashTableIter iter;
+	void *name;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		n += strcmp(name, membership->own_name) < 0;
+	return n;
+}
+
 /// @return the number of live instances, including this one
 unsigned
 membership_size(const struct membership *membership)
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -95,6 +95,7 @@
 void membership_tick(struct membership *membership, usec_t now);
 void membership_forget_all(struct membership *membership);
 unsigned membership_size(const struct membership *membership);
+unsigned membership_position(const struct membership *membership);
 unsigned membership_peak_size(const struct membership *membership);
 int membership_reader_rank(
     const struct membership *membership, bool store_reachable);
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/core/hash.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
@@ -126,7 +127,7 @@
 		 */
 		request->attempts--;
 	} else {
-		dispatch_set_full(dispatch, &request->target);
+		dispatch_set_full(dispatch, &request->target, request->service);
 	}
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming) {
@@ -216,6 +217,26 @@
 	return true;
 }
 
+/// Notes an upstream's statement that it falls over when it must turn requests
+/// away, and tells the other instances if this is new.
+static void
+note_brittle(struct entry_request *request, const struct site_answer *info)
+{
+	struct entry *entry = request->entry;
+
+	/* A number that can't be read is taken for a low one. */
+	if (info->brittle == SITE_STATEMENT_NONE ||
+	    !dispatch_set_brittle(entry->dispatch, hash_name(request->service),
+		DISPATCH_BRITTLE_SPAN))
+		return;
+	log_event(LOG_LEVEL_WARN, "service-brittle",
+	    "id=%s service=%s upstream=%s refusals=%.2f outcome=places-divided",
+	    request->params.id, request->service, request->target.id,
+	    info->brittle == SITE_STATEMENT_MADE ? info->tolerated_refusals
+						 : -1);
+	peers_tell_services(entry->peers);
+}
+
 /// Exchange callback: the head of an answer has arrived.
 static void
 on_head(void *owner, const struct http_head *head)
@@ -228,6 +249,7 @@
 	request_guard_note_alive(request);
 	note_limit(request, &info);
 	note_pause(request, &info);
+	note_brittle(request, &info);
 	if (info.leaving && !info.misdirected)
 		entry_note_departure(
 		    request->entry, &request->target, "answer");
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "godwitvale/core/place_share.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/ops/log.h"
 
@@ -51,6 +52,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dispatch->event_intervals =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	dispatch->brittle =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	dispatch->rand = g_rand_new();
 	return dispatch;
 }
@@ -64,6 +67,7 @@
 	g_hash_table_unref(dispatch->health_by_upstream);
 	g_hash_table_unref(dispatch->retry_shares);
 	g_hash_table_unref(dispatch->event_intervals);
+	g_hash_table_unref(dispatch->brittle);
 	g_rand_free(dispatch->rand);
 	g_free(dispatch);
 }
@@ -182,6 +186,41 @@
 	return interval;
 }
 
+/// Returns how many requests like this one an upstream runs at a time.
+static unsigned
+count_places(const struct dispatch_request *request,
+    const struct service *service, const struct upstream_record *record)
+{
+	unsigned slots = MAX(record->entry.slots, 1);
+	unsigned tokens = (unsigned)MAX(request->place.tokens, 1);
+
+	if (!request->place.is_generation || service->engine.memory_tokens == 0)
+		return slots;
+	return CLAMP(service->engine.memory_tokens / tokens, 1, slots);
+}
+
+/// Checks whether an upstream of a brittle service has no room that this
+/// instance may use.
+static bool
+lacks_place(const struct dispatch *dispatch,
+    const struct dispatch_request *request, const struct service *service,
+    const struct upstream_record *record)
+{
+	const struct dispatch_options *options = &dispatch->options;
+	const struct place_share share = {
+	    .upstream = record->key,
+	    .capacity = count_places(request, service, record),
+	    .n_instances = membership_size(options->membership),
+	    .position = membership_position(options->membership),
+	    .own_requests = (unsigned)MAX(
+		loads_get_own(options->loads, record->key).requests, 0),
+	    .all_requests = (unsigned)MAX(
+		loads_get_total(options->loads, record->key).requests, 0),
+	};
+
+	return !place_share_allows(&share);
+}
+
 /// Collects what is known of an upstream that decides whether a request may be
 /// sent to it. `service` may be NULL for the decision whether the upstream is
 /// in service.
@@ -218,6 +257,8 @@
 		cold && !fleet_share_has_permit(&health->cold_share, now),
 	    .lacks_connections = are_connections_used_up(
 		dispatch, service, record->entry.address),
+	    .lacks_place = dispatch_is_brittle(dispatch, now, service->name) &&
+		lacks_place(dispatch, request, service, record),
 	};
 }
 
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -14,6 +14,7 @@
 #include "godwitvale/core/rate_limits.h"
 #include "godwitvale/core/upstream_notices.h"
 #include "godwitvale/entry/entry_settings.h"
+#include "godwitvale/fleet/peers.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
@@ -44,6 +45,9 @@
 	uint64_t version_key; /// that version; 0: unknown, so none may
 };
 
+/// How long a service counts as brittle after an upstream has said so.
+#define DISPATCH_BRITTLE_SPAN (3 * USEC_PER_SEC)
+
 /// Options of a dispatch. The objects are not owned by it.
 struct dispatch_options {
 	const struct entry_settings *settings;
@@ -75,8 +79,8 @@
 bool dispatch_take_retry_permit(struct dispatch *dispatch, const char *service);
 void dispatch_record_result(struct dispatch *dispatch,
     const struct dispatch_target *target, enum outlier_result sign);
-void dispatch_set_full(
-    struct dispatch *dispatch, const struct dispatch_target *target);
+void dispatch_set_full(struct dispatch *dispatch,
+    const struct dispatch_target *target, const char *service);
 void dispatch_set_misdirected(
     struct dispatch *dispatch, const struct dispatch_target *target);
 uint64_t dispatch_incarnation_key(
@@ -88,6 +92,10 @@
 void dispatch_log_limit_change(struct dispatch *dispatch,
     enum rate_limit_change change, const struct rate_limit_statement *statement,
     const char *source);
+bool dispatch_set_brittle(
+    struct dispatch *dispatch, uint64_t service, usec_t left);
+size_t dispatch_list_brittle(
+    const struct dispatch *dispatch, struct peers_brittle *brittle, size_t max);
 bool dispatch_is_leaving(
     const struct dispatch *dispatch, const struct dispatch_target *target);
 size_t dispatch_list_unreachable(
--- a/src/godwitvale/entry/dispatch_state.h
+++ b/src/godwitvale/entry/dispatch_state.h
@@ -11,6 +11,7 @@
 	GHashTable *health_by_upstream; /// id hash -> struct upstream_health *
 	GHashTable *retry_shares;       /// service -> struct fleet_share *
 	GHashTable *event_intervals;    /// service -> struct event_interval *
+	GHashTable *brittle; /// hash of a service -> usec_t *, until when
 	GRand *rand;
 };
 
@@ -25,6 +26,8 @@
 	bool misdirected;         /// another upstream has its address now
 };
 
+bool dispatch_is_brittle(
+    const struct dispatch *dispatch, usec_t now, const char *service);
 struct event_interval *dispatch_get_service_interval(
     struct dispatch *dispatch, const char *service);
 
--- a/src/godwitvale/entry/dispatch_upstream.c
+++ b/src/godwitvale/entry/dispatch_upstream.c
@@ -10,6 +10,9 @@
 /// An upstream that reports that it is full gets no requests for this long:
 /// other instances get the same report, and its queue must drain first.
 #define DISPATCH_FULL_BACKOFF (100 * USEC_PER_MSEC)
+/// The same for an upstream that falls over when it must turn away more than a
+/// few requests in a second.
+#define DISPATCH_FULL_BACKOFF_BRITTLE (1 * USEC_PER_SEC)
 /// How long an upstream counts as unreachable after it refused a connection.
 /// Other instances are told, and use the same period.
 #define DISPATCH_SUSPECT_PERIOD (3 * USEC_PER_SEC)
@@ -43,21 +46,91 @@
 		USEC_PER_MSEC);
 }
 
-/// Records that an upstream is full. It gets no requests for
-/// DISPATCH_FULL_BACKOFF.
+/// Notes that the upstreams of a service say that they are brittle.
+///
+/// @param dispatch  holds the state of the service
+/// @param service   hash of the service's name
+/// @param left      time for which this holds
+/// @return whether the service wasn't brittle before
+bool
+dispatch_set_brittle(struct dispatch *dispatch, uint64_t service, usec_t left)
+{
+	usec_t now = g_get_monotonic_time();
+	const usec_t *known = g_hash_table_lookup(dispatch->brittle, &service);
+	usec_t until = now + MIN(left, DISPATCH_BRITTLE_SPAN);
+	bool is_news = known == NULL || *known <= now;
+
+	if (known != NULL && *known >= until)
+		return false;
+	g_hash_table_replace(dispatch->brittle,
+	    g_memdup2(&service, sizeof(service)),
+	    g_memdup2(&until, sizeof(until)));
+	return is_news;
+}
+
+/// @param dispatch  holds the state of the service
+/// @param now       current time
+/// @param service   name of a service
+/// @return whether its upstreams have lately said that they are brittle
+bool
+dispatch_is_brittle(
+    const struct dispatch *dispatch, usec_t now, const char *service)
+{
+	uint64_t hash;
+	const usec_t *until;
+
+	if (g_hash_table_size(dispatch->brittle) == 0)
+		return false;
+	hash = hash_name(service);
+	until = g_hash_table_lookup(dispatch->brittle, &hash);
+	return until != NULL && now < *until;
+}
+
+/// Lists the services that are brittle.
+///
+/// @param dispatch  holds the state of the services
+/// @param brittle   filled in
+/// @param max       number of elements in `brittle`
+/// @return number of elements filled in
+size_t
+dispatch_list_brittle(
+    const struct dispatch *dispatch, struct peers_brittle *brittle, size_t max)
+{
+	usec_t now = g_get_monotonic_time();
+	GHashTableIter iter;
+	void *service;
+	void *until;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, dispatch->brittle);
+	while (n < max && g_hash_table_iter_next(&iter, &service, &until)) {
+		usec_t left = *(const usec_t *)until - now;
+
+		if (left > 0)
+			brittle[n++] = (struct peers_brittle){
+			    *(const uint64_t *)service, left};
+	}
+	return n;
+}
+
+/// Records that an upstream is full. It gets no requests for a while.
 ///
 /// @param dispatch  holds the health of the upstream
 /// @param target    the upstream
+/// @param service   name of its service
 void
-dispatch_set_full(
-    struct dispatch *dispatch, const struct dispatch_target *target)
+dispatch_set_full(struct dispatch *dispatch,
+    const struct dispatch_target *target, const char *service)
 {
 	struct upstream_health *health =
 	    g_hash_table_lookup(dispatch->health_by_upstream, &target->key);
+	usec_t now = g_get_monotonic_time();
 
 	if (health != NULL)
-		health->full_until =
-		    g_get_monotonic_time() + DISPATCH_FULL_BACKOFF;
+		health->full_until = now +
+		    (dispatch_is_brittle(dispatch, now, service)
+			    ? DISPATCH_FULL_BACKOFF_BRITTLE
+			    : DISPATCH_FULL_BACKOFF);
 }
 
 /// @param dispatch  knows the upstreams
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -321,6 +321,33 @@
 	    g_get_monotonic_time(), member, services, n_services);
 }
 
+/// Peers callback: lists the services that are brittle.
+static size_t
+list_brittle(void *owner, struct peers_brittle *brittle, size_t max)
+{
+	const struct entry *entry = owner;
+
+	return entry->dispatch == NULL
+	    ? 0
+	    : dispatch_list_brittle(entry->dispatch, brittle, max);
+}
+
+/// Peers callback: another instance says that a service is brittle.
+static void
+on_brittle_reported(void *owner, const struct peers_brittle *brittle)
+{
+	const struct entry *entry = owner;
+
+	if (entry->dispatch != NULL &&
+	    dispatch_set_brittle(
+		entry->dispatch, brittle->service, brittle->left))
+		log_event(LOG_LEVEL_INFO, "service-brittle",
+		    "service_hash=%016" G_GINT64_MODIFIER
+		    "x left_ms=%" G_GINT64_FORMAT
+		    " source=another-instance outcome=places-divided",
+		    brittle->service, brittle->left / USEC_PER_MSEC);
+}
+
 /// Peers callback: another instance has fallen silent or was restarted.
 static void
 on_member_lost(void *owner, const struct member *member)
@@ -420,6 +447,8 @@
     .loads_changed = on_loads_changed,
     .list_cut_off = list_cut_off,
     .reach_reported = on_reach_reported,
+    .list_brittle = list_brittle,
+    .brittle_reported = on_brittle_reported,
     .member_lost = on_member_lost,
     .list_unreachable = list_unreachable,
     .unreachable_reported = on_unreachable_reported,
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -260,6 +260,21 @@
 	entry_request_set_timer(request);
 }
 
+/// Checks whether there is another instance to ask.
+///
+/// @param request  request with a service
+/// @return whether forwarding_start() would forward it
+bool
+forwarding_is_possible(const struct entry_request *request)
+{
+	return !request->is_forwarded &&
+	    request->n_helpers < ENTRY_REQUEST_HELPERS_MAX &&
+	    reachability_can_be_helped(
+		reach_monitor_reachability(request->entry->reach_monitor),
+		g_get_monotonic_time(), request->service) &&
+	    pick_member(request) != NULL;
+}
+
 /// Forwards a request to another instance.
 ///
 /// @param request  request without an exchange, which isn't itself forwarded
@@ -270,15 +285,9 @@
 	struct entry *entry = request->entry;
 	const struct member *member;
 
-	if (request->is_forwarded ||
-	    request->n_helpers == ENTRY_REQUEST_HELPERS_MAX ||
-	    !reachability_can_be_helped(
-		reach_monitor_reachability(entry->reach_monitor),
-		g_get_monotonic_time(), request->service))
+	if (!forwarding_is_possible(request))
 		return false;
 	member = pick_member(request);
-	if (member == NULL)
-		return false;
 	request->helpers[request->n_helpers++] = member->name_hash;
 	wait_queue_remove(entry->waiting, request);
 	request->is_waiting = false;
--- a/src/godwitvale/entry/forwarding.h
+++ b/src/godwitvale/entry/forwarding.h
@@ -9,6 +9,7 @@
 #include "godwitvale/entry/entry_request_defs.h"
 
 bool forwarding_is_needed(const struct entry_request *request);
+bool forwarding_is_possible(const struct entry_request *request);
 bool forwarding_start(struct entry_request *request);
 void forwarding_handle_failure(
     struct entry_request *request, enum exchange_failure failure);
--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -3,6 +3,7 @@
 
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/entry/forwarding.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -166,7 +167,7 @@
 	    membership_size(peers_membership(entry->peers)) - 1);
 	if (change == REACHABILITY_CUT_OFF)
 		close_idle_connections(entry, service);
-	peers_tell_reach(entry->peers);
+	peers_tell_services(entry->peers);
 	entry_schedule_placement(entry);
 }
 
@@ -230,7 +231,7 @@
 }
 
 /// Checks whether a request's upstream doesn't matter any more: it is out of
-/// reach, and the request may be sent again.
+/// reach, and another instance may be asked to serve the request.
 static bool
 is_to_be_given_up(
     const struct reach_monitor *monitor, const struct entry_request *request)
@@ -239,6 +240,8 @@
 		   monitor->reachability, request->service) &&
 	    exchange_may_have_sent(request->exchange) &&
 	    entry_request_is_repeatable(request) &&
+	    request->attempts < request->route->max_attempts &&
+	    forwarding_is_possible(request) &&
 	    !continuation_is_in_progress(request);
 }
 
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -14,7 +14,7 @@
 const FLEET_RULES = 8;
 const FLEET_EXPOSURES = 4;
 const FLEET_SUSPECTS_MAX = 24;
-const FLEET_CUT_SERVICES = 32;
+const FLEET_SERVICES_MAX = 32;
 const FLEET_LIMITS_MAX = 64;
 const FLEET_DEPARTURES_MAX = 64;
 const FLEET_STREAMS_MAX = 64;
@@ -174,11 +174,18 @@
 	fleet_stream known<1>;
 };
 
-/* Services of which the sender reaches no upstream. */
-struct fleet_reach {
+/* Service whose upstreams fall over when they must turn requests away. */
+struct fleet_brittle {
+	unsigned hyper service; /* hash of its name */
+	unsigned int left_ms; /* time for which this holds */
+};
+
+/* What the sender knows of services, each by the hash of its name. */
+struct fleet_services {
 	string name<FLEET_NAME_BYTES>;
 	unsigned hyper incarnation;
-	unsigned hyper services<FLEET_CUT_SERVICES>; /* hashes of names */
+	unsigned hyper cut_off<FLEET_SERVICES_MAX>; /* it reaches no upstream */
+	fleet_brittle brittle<FLEET_SERVICES_MAX>;
 };
 
 /* Request that the sender sends to an upstream with a low limit. */
@@ -201,7 +208,7 @@
 	FLEET_STREAM_ANSWER = 9,
 	FLEET_TURN = 10,
 	FLEET_SUSPECTS = 11,
-	FLEET_REACH = 12
+	FLEET_SERVICES = 12
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -227,8 +234,8 @@
 	fleet_turn turn;
 case FLEET_SUSPECTS:
 	fleet_suspects suspects;
-case FLEET_REACH:
-	fleet_reach reach;
+case FLEET_SERVICES:
+	fleet_services services;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -432,7 +432,19 @@
 }
 
 bool_t
-xdr_fleet_reach (XDR *xdrs, fleet_reach *objp)
+xdr_fleet_brittle (XDR *xdrs, fleet_brittle *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_services (XDR *xdrs, fleet_services *objp)
 {
 	register int32_t *buf;
 
@@ -440,9 +452,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FLEET_CUT_SERVICES,
+	 if (!xdr_array (xdrs, (char **)&objp->cut_off.cut_off_val, (u_int *) &objp->cut_off.cut_off_len, FLEET_SERVICES_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, FLEET_SERVICES_MAX,
+		sizeof (fleet_brittle), (xdrproc_t) xdr_fleet_brittle))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -524,8 +539,8 @@
 		 if (!xdr_fleet_suspects (xdrs, &objp->fleet_message_u.suspects))
 			 return FALSE;
 		break;
-	case FLEET_REACH:
-		 if (!xdr_fleet_reach (xdrs, &objp->fleet_message_u.reach))
+	case FLEET_SERVICES:
+		 if (!xdr_fleet_services (xdrs, &objp->fleet_message_u.services))
 			 return FALSE;
 		break;
 	default:
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -24,7 +24,7 @@
 #define FLEET_RULES 8
 #define FLEET_EXPOSURES 4
 #define FLEET_SUSPECTS_MAX 24
-#define FLEET_CUT_SERVICES 32
+#define FLEET_SERVICES_MAX 32
 #define FLEET_LIMITS_MAX 64
 #define FLEET_DEPARTURES_MAX 64
 #define FLEET_STREAMS_MAX 64
@@ -240,15 +240,25 @@
 };
 typedef struct fleet_stream_answer fleet_stream_answer;
 
-struct fleet_reach {
+struct fleet_brittle {
+	u_quad_t service;
+	u_int left_ms;
+};
+typedef struct fleet_brittle fleet_brittle;
+
+struct fleet_services {
 	char *name;
 	u_quad_t incarnation;
 	struct {
-		u_int services_len;
-		u_quad_t *services_val;
-	} services;
+		u_int cut_off_len;
+		u_quad_t *cut_off_val;
+	} cut_off;
+	struct {
+		u_int brittle_len;
+		fleet_brittle *brittle_val;
+	} brittle;
 };
-typedef struct fleet_reach fleet_reach;
+typedef struct fleet_services fleet_services;
 
 struct fleet_turn {
 	u_quad_t upstream;
@@ -270,7 +280,7 @@
 	FLEET_STREAM_ANSWER = 9,
 	FLEET_TURN = 10,
 	FLEET_SUSPECTS = 11,
-	FLEET_REACH = 12,
+	FLEET_SERVICES = 12,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -288,7 +298,7 @@
 		fleet_stream_answer stream_answer;
 		fleet_turn turn;
 		fleet_suspects suspects;
-		fleet_reach reach;
+		fleet_services services;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -326,7 +336,8 @@
 extern  bool_t xdr_fleet_streams (XDR *, fleet_streams*);
 extern  bool_t xdr_fleet_stream_query (XDR *, fleet_stream_query*);
 extern  bool_t xdr_fleet_stream_answer (XDR *, fleet_stream_answer*);
-extern  bool_t xdr_fleet_reach (XDR *, fleet_reach*);
+extern  bool_t xdr_fleet_brittle (XDR *, fleet_brittle*);
+extern  bool_t xdr_fleet_services (XDR *, fleet_services*);
 extern  bool_t xdr_fleet_turn (XDR *, fleet_turn*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_message (XDR *, fleet_message*);
@@ -353,7 +364,8 @@
 extern bool_t xdr_fleet_streams ();
 extern bool_t xdr_fleet_stream_query ();
 extern bool_t xdr_fleet_stream_answer ();
-extern bool_t xdr_fleet_reach ();
+extern bool_t xdr_fleet_brittle ();
+extern bool_t xdr_fleet_services ();
 extern bool_t xdr_fleet_turn ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_message ();
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -27,6 +27,12 @@
 	PEERS_N_TOPICS,
 };
 
+/// A service whose upstreams fall over when they must turn requests away.
+struct peers_brittle {
+	uint64_t service; /// hash of its name
+	usec_t left;      /// time for which this holds
+};
+
 /// Callbacks from struct peers to its owner.
 struct peers_vtable {
 	/// Returns whether this instance can reach the store.
@@ -45,6 +51,13 @@
 	/// Another instance says of which services it reaches no upstream.
 	void (*reach_reported)(void *owner, uint64_t member,
 	    const uint64_t *services, size_t n_services);
+	/// Lists the services whose upstreams say that they are brittle.
+	/// Returns their number, at most `max`.
+	size_t (*list_brittle)(
+	    void *owner, struct peers_brittle *brittle, size_t max);
+	/// Another instance says that a service is brittle.
+	void (*brittle_reported)(
+	    void *owner, const struct peers_brittle *brittle);
 	/// Another instance has fallen silent, or was restarted.
 	void (*member_lost)(void *owner, const struct member *member);
 	/// Another instance reports that an upstream accepts no connection.
@@ -92,7 +105,7 @@
 void peers_send_changes(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
 void peers_broadcast(struct peers *peers, enum peers_topic topic);
-void peers_tell_reach(struct peers *peers);
+void peers_tell_services(struct peers *peers);
 void peers_tell_turn(struct peers *peers, const struct rate_limit_turn *turn);
 void peers_forget_all(struct peers *peers);
 struct stream_sync *peers_stream_sync(const struct peers *peers);
--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -110,9 +110,9 @@
 	g_ptr_array_unref(items);
 }
 
-/// Passes on which services another instance says it is cut off from.
+/// Passes on what another instance says of services.
 static void
-handle_reach(struct peers *peers, const fleet_reach *received)
+handle_services(struct peers *peers, const fleet_services *received)
 {
 	const struct peers_options *options = &peers->options;
 	const struct member *member =
@@ -121,7 +121,14 @@
 	if (member == NULL || member->incarnation != received->incarnation)
 		return;
 	options->vtable->reach_reported(options->owner, member->name_hash,
-	    received->services.services_val, received->services.services_len);
+	    received->cut_off.cut_off_val, received->cut_off.cut_off_len);
+	for (u_int i = 0; i < received->brittle.brittle_len; i++) {
+		const fleet_brittle *wire = &received->brittle.brittle_val[i];
+		const struct peers_brittle brittle = {
+		    wire->service, (usec_t)wire->left_ms * USEC_PER_MSEC};
+
+		options->vtable->brittle_reported(options->owner, &brittle);
+	}
 }
 
 /// Passes a message to the handler for its kind.
@@ -164,8 +171,8 @@
 		suspect_sync_apply(peers->options.suspects,
 		    g_get_monotonic_time(), &message->fleet_message_u.suspects);
 		break;
-	case FLEET_REACH:
-		handle_reach(peers, &message->fleet_message_u.reach);
+	case FLEET_SERVICES:
+		handle_services(peers, &message->fleet_message_u.services);
 		break;
 	case FLEET_STREAMS:
 		stream_sync_on_records(
--- a/src/godwitvale/fleet/peers_send.c
+++ b/src/godwitvale/fleet/peers_send.c
@@ -35,8 +35,8 @@
 #define PEERS_TURN_COPIES 3
 /// Size of the buffer for a message on a turn, in bytes.
 #define PEERS_TURN_BYTES 64
-/// Size of the buffer for a message on services out of reach, in bytes.
-#define PEERS_REACH_BYTES 512
+/// Size of the buffer for a message on services, in bytes.
+#define PEERS_SERVICES_BYTES 1024
 
 /// Sends one datagram. Errors are ignored, as later datagrams make up for a
 /// lost one.
@@ -146,6 +146,7 @@
 	u_int addresses[FLEET_KNOWN];
 	uint64_t unreachable[FLEET_GONE];
 	uint64_t cut_off[1];
+	struct peers_brittle brittle;
 	char bytes[PEERS_BUFFER_BYTES];
 	fleet_message message = {.kind = FLEET_BEAT};
 	fleet_beat *heartbeat = &message.fleet_message_u.beat;
@@ -179,8 +180,9 @@
 	    peers, &message, view_era(options->view), bytes, sizeof(bytes));
 	if (len > 0)
 		send_datagram_to_all(peers, bytes, len);
-	if (options->vtable->list_cut_off(options->owner, cut_off, 1) > 0)
-		peers_tell_reach(peers);
+	if (options->vtable->list_cut_off(options->owner, cut_off, 1) > 0 ||
+	    options->vtable->list_brittle(options->owner, &brittle, 1) > 0)
+		peers_tell_services(peers);
 }
 
 /// Sends the loads that have changed since they were last sent.
@@ -329,24 +331,35 @@
 		send_datagram_to_featured(peers, feature, bytes, len);
 }
 
-/// Tells all instances of which services this one reaches no upstream.
+/// Tells all instances what this one knows of services: of which it reaches no
+/// upstream, and which are brittle.
 ///
 /// @param peers  sends to all members whose build forwards requests
 void
-peers_tell_reach(struct peers *peers)
+peers_tell_services(struct peers *peers)
 {
 	const struct peers_options *options = &peers->options;
-	uint64_t services[FLEET_CUT_SERVICES];
-	char bytes[PEERS_REACH_BYTES];
-	fleet_message message = {.kind = FLEET_REACH};
-	fleet_reach *reach = &message.fleet_message_u.reach;
+	uint64_t cut_off[FLEET_SERVICES_MAX];
+	struct peers_brittle brittle[FLEET_SERVICES_MAX];
+	fleet_brittle wire[FLEET_SERVICES_MAX];
+	char bytes[PEERS_SERVICES_BYTES];
+	fleet_message message = {.kind = FLEET_SERVICES};
+	fleet_services *services = &message.fleet_message_u.services;
+	size_t n_brittle = options->vtable->list_brittle(
+	    options->owner, brittle, FLEET_SERVICES_MAX);
 	size_t len;
 
-	reach->name = peers->name;
-	reach->incarnation = peers->incarnation;
-	reach->services.services_len = (u_int)options->vtable->list_cut_off(
-	    options->owner, services, FLEET_CUT_SERVICES);
-	reach->services.services_val = services;
+	for (size_t i = 0; i < n_brittle; i++)
+		wire[i] = (fleet_brittle){brittle[i].service,
+		    (u_int)(brittle[i].left / USEC_PER_MSEC)};
+	*services = (fleet_services){
+	    .name = peers->name,
+	    .incarnation = peers->incarnation,
+	    .cut_off = {.cut_off_val = cut_off},
+	    .brittle = {(u_int)n_brittle, wire},
+	};
+	services->cut_off.cut_off_len = (u_int)options->vtable->list_cut_off(
+	    options->owner, cut_off, FLEET_SERVICES_MAX);
 	len = fleet_message_encode(&message, bytes, sizeof(bytes));
 	if (len > 0)
 		send_datagram_to_featured(
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -100,6 +100,11 @@
 	/// Requests a second that the upstream takes from all instances
 	/// together; valid with SITE_STATEMENT_MADE.
 	double rate_limit;
+	/// Whether it says that it is brittle: that it falls over when it has
+	/// to turn away more requests in a second than it names.
+	enum site_statement brittle;
+	/// Requests in a second that it names; valid with SITE_STATEMENT_MADE.
+	double tolerated_refusals;
 	/// Whether it turns the request away and asks for a pause.
 	enum site_statement pause;
 	/// Time for which the upstream wants nothing from this instance; valid
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -31,6 +31,9 @@
 	char *crashing_body;
 	/// Limit that all workers name, as written in the field; NULL: none.
 	char *limit;
+	/// Requests that a brittle worker may turn away in a second, as written
+	/// in the field; NULL: no worker is brittle.
+	char *brittle;
 	/// Pause that workers ask for as they turn requests away, as written in
 	/// the field; NULL: none.
 	char *pause;
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -330,7 +330,8 @@
 /// Handles the control calls of tests: /ctl/put/KEY with a body, /ctl/del/KEY,
 /// /ctl/store/MODE, /ctl/worker/ID/MODE, /ctl/runs/ID, /ctl/calls,
 /// /ctl/crashing/SEGMENT,..., /ctl/crashing-body/TEXT, /ctl/cut/IP/MODE,
-/// /ctl/limit/RATE or /ctl/limit/none, /ctl/pause with the value of the field.
+/// /ctl/limit/RATE or /ctl/limit/none, /ctl/brittle/N or /ctl/brittle/none,
+/// /ctl/pause with the value of the field.
 static void
 handle_control(
     struct site_store *store, struct http_call *call, const char *path)
@@ -375,6 +376,10 @@
 		g_clear_pointer(&store->site->limit, g_free);
 		if (strcmp(name, "none") != 0)
 			store->site->limit = g_strdup(name);
+	} else if (strcmp(command, "brittle") == 0) {
+		g_clear_pointer(&store->site->brittle, g_free);
+		if (strcmp(name, "none") != 0)
+			store->site->brittle = g_strdup(name);
 	} else if (strcmp(command, "pause") == 0) {
 		g_free(store->site->pause);
 		store->site->pause = g_strdup(value);
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -15,11 +15,20 @@
 #define LARGE_BODY_BYTES (16 * 1024 * 1024)
 /// Time that a plain service takes for a request, in milliseconds.
 #define PLAIN_DURATION_MS 5
+/// The same while workers are brittle.
+#define BRITTLE_DURATION_MS 60
+/// Requests that a plain service runs at a time while workers are brittle, and
+/// announces always.
+#define PLAIN_SLOTS 6
+/// Requests that an engine announces to run at a time.
+#define ENGINE_SLOTS 24
 /// Time from the start of a run that crashes a worker to the crash, in
 /// milliseconds.
 #define CRASH_DELAY_MS 40
 /// Time that an engine needs to start again after a crash, in milliseconds.
 #define CRASH_DURATION_MS 1000
+/// Time for which a held worker does nothing, in milliseconds.
+#define HOLD_DURATION_MS 1200
 /// Tokens in one event of a stream.
 #define TOKENS_PER_EVENT 4
 /// Remaining time that a draining worker reports, in milliseconds.
@@ -39,8 +48,11 @@
 	bool draining;
 	bool says_leaving; /// its answers say that it leaves
 	char mode[16];
+	usec_t held_until; /// it does nothing until then
 	unsigned start_count;
-	unsigned write_count; /// of its entry
+	gint64 second;          /// of the last requests turned away
+	unsigned n_turned_away; /// in that second
+	unsigned write_count;   /// of its entry
 };
 
 /// A request that a worker executes.
@@ -55,6 +67,7 @@
 };
 
 static bool worker_start(struct worker *worker);
+static void on_request(void *owner, struct http_call *call);
 static void worker_stop(struct worker *worker);
 
 /// Frees a run whose call has been responded to or aborted.
@@ -82,6 +95,16 @@
 	run_abort(owner);
 }
 
+/// Adds what a worker states in all its responses.
+static void
+add_statements(const struct worker *worker, struct http_head *head)
+{
+	if (worker->site->limit != NULL)
+		http_head_add(head, "Server-Limit", worker->site->limit);
+	if (worker->site->brittle != NULL)
+		http_head_add(head, "Server-Brittle", worker->site->brittle);
+}
+
 /// Sets the status and the fields that all responses of a worker have.
 static void
 fill_response_head(const struct run *run, struct http_head *head)
@@ -92,8 +115,14 @@
 	http_head_add(head, "Keep-Alive", "timeout=5");
 	if (run->worker->says_leaving)
 		http_head_add(head, "Server-Leaving", "1");
-	if (run->worker->site->limit != NULL)
-		http_head_add(head, "Server-Limit", run->worker->site->limit);
+	add_statements(run->worker, head);
+}
+
+/// Checks whether a worker does nothing now.
+static bool
+is_held(const struct worker *worker)
+{
+	return g_get_monotonic_time() < worker->held_until;
 }
 
 static gboolean
@@ -102,6 +131,8 @@
 	struct run *run = data;
 	char *text;
 
+	if (is_held(run->worker))
+		return G_SOURCE_CONTINUE;
 	run->events_sent++;
 	text = g_strdup_printf("id: %u\ndata: %s %u %s\n\n", run->events_sent,
 	    run->id, run->events_sent, run->worker->version);
@@ -120,9 +151,11 @@
 {
 	struct run *run = data;
 	struct http_head head;
-	char *body =
-	    g_strdup_printf("%s ran at %s\n", run->id, run->worker->service);
+	char *body;
 
+	if (is_held(run->worker))
+		return G_SOURCE_CONTINUE;
+	body = g_strdup_printf("%s ran at %s\n", run->id, run->worker->service);
 	run->timer = 0;
 	http_head_init(&head);
 	fill_response_head(run, &head);
@@ -279,10 +312,50 @@
 	fflush(stdout);
 	if (id != NULL)
 		http_head_add(&head, "Attempt-Id", id);
+	add_statements(worker, &head);
 	http_call_respond(call, &head, "", 0);
 	http_head_clear(&head);
 }
 
+/// Checks whether a brittle worker has no room for another request.
+static bool
+is_full(const struct worker *worker)
+{
+	return worker->site->brittle != NULL &&
+	    strcmp(worker->service, "shop") == 0 &&
+	    g_hash_table_size(worker->runs) >= PLAIN_SLOTS;
+}
+
+static gboolean
+on_fall(gpointer data)
+{
+	struct worker *worker = data;
+
+	if (worker->server == NULL)
+		return G_SOURCE_REMOVE;
+	printf("fell %s\n", worker->id);
+	fflush(stdout);
+	worker_stop(worker);
+	g_timeout_add(CRASH_DURATION_MS, on_crash_over, worker);
+	return G_SOURCE_REMOVE;
+}
+
+/// Turns a request away for want of room. A worker that does this too often in
+/// a second falls over.
+static void
+turn_away(struct worker *worker, struct http_call *call, const char *id)
+{
+	gint64 second = g_get_monotonic_time() / USEC_PER_SEC;
+
+	if (second != worker->second)
+		worker->n_turned_away = 0;
+	worker->second = second;
+	worker->n_turned_away++;
+	shed_request(worker, call, id);
+	if (worker->n_turned_away == (unsigned)atoi(worker->site->brittle) + 1)
+		g_idle_add(on_fall, worker);
+}
+
 /// Starts a run for a request, or rejects it.
 static void
 execute_request(struct worker *worker, struct http_call *call)
@@ -304,6 +377,10 @@
 		shed_request(worker, call, id);
 		return;
 	}
+	if (is_full(worker)) {
+		turn_away(worker, call, id);
+		return;
+	}
 	count_run(worker, id, copy == NULL ? "begun" : "resumed");
 	if (last != NULL && strcmp(worker->mode, "wrongresume") == 0) {
 		site_send_response(call, 500, "error");
@@ -329,8 +406,10 @@
 		    : (unsigned)MAX(atoi(tokens + 1) / TOKENS_PER_EVENT, 1);
 		start_stream(run);
 	} else {
-		run->timer =
-		    g_timeout_add(PLAIN_DURATION_MS, on_plain_timer, run);
+		run->timer = g_timeout_add(worker->site->brittle == NULL
+			? PLAIN_DURATION_MS
+			: BRITTLE_DURATION_MS,
+		    on_plain_timer, run);
 	}
 }
 
@@ -415,6 +494,57 @@
 	http_call_abort(owner);
 }
 
+/// A request that came while its worker did nothing.
+struct held_call {
+	struct worker *worker;
+	struct http_call *call;
+	guint timer;
+};
+
+/// Ends a held call: passes it on, or drops it.
+static void
+held_call_end(struct held_call *held)
+{
+	if (held->timer != 0)
+		g_source_remove(held->timer);
+	g_free(held);
+}
+
+static void
+on_held_disconnected(void *owner)
+{
+	struct held_call *held = owner;
+
+	http_call_abort(held->call);
+	held_call_end(held);
+}
+
+static gboolean
+on_hold_over(gpointer data)
+{
+	struct held_call *held = data;
+
+	held->timer = 0;
+	http_call_on_disconnect(held->call, NULL, NULL);
+	on_request(held->worker, held->call);
+	held_call_end(held);
+	return G_SOURCE_REMOVE;
+}
+
+/// Keeps a request until its worker goes on.
+static void
+hold_call(struct worker *worker, struct http_call *call)
+{
+	struct held_call *held = g_new0(struct held_call, 1);
+	usec_t left = worker->held_until - g_get_monotonic_time();
+
+	held->worker = worker;
+	held->call = call;
+	held->timer = g_timeout_add(
+	    (guint)(left / USEC_PER_MSEC + 1), on_hold_over, held);
+	http_call_on_disconnect(call, on_held_disconnected, held);
+}
+
 static void
 on_request(void *owner, struct http_call *call)
 {
@@ -422,6 +552,10 @@
 	const struct http_head *head = http_call_head(call);
 	char *text;
 
+	if (is_held(worker)) {
+		hold_call(worker, call);
+		return;
+	}
 	if (strcmp(head->target, "/v1/report") == 0) {
 		text = g_strdup_printf("{\"state\":\"%s\",\"leaves_ms\":%d}",
 		    worker->draining ? "draining" : "ready",
@@ -457,9 +591,10 @@
 	char *key = g_strdup_printf("servers/%s", worker->id);
 	char *value = g_strdup_printf(
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-	    "\"version\":\"%s\",\"slots\":24,\"state\":\"%s\","
+	    "\"version\":\"%s\",\"slots\":%u,\"state\":\"%s\","
 	    "\"cold_left_ms\":0,\"sequence\":%u,\"born\":%u}",
 	    worker->service, worker->address, worker->zone, worker->version,
+	    strcmp(worker->service, "shop") == 0 ? PLAIN_SLOTS : ENGINE_SLOTS,
 	    worker->draining ? "draining" : "ready", ++worker->write_count,
 	    worker->start_count);
 
@@ -548,7 +683,8 @@
 ///     with this state), "saysleaving" (only its answers say that it leaves,
 ///     until it starts again), "gone" (stops; the entry stays), "leave" (stops
 ///     and deletes the entry), "back" (starts again), "version-V" (starts
-///     again with software version V), "cutruns" (aborts all runs); or its way
+///     again with software version V), "cutruns" (aborts all runs),
+///     "hold" (does nothing for a while, and goes on); or its way
 ///     to respond: "well" (as usual), "shed" (rejects requests), "mute"
 ///     (doesn't respond), "mutecopy" (doesn't respond to copy calls),
 ///     "cutstart" (closes a stream's connection before its first event),
@@ -578,6 +714,9 @@
 		    sizeof(worker->version));
 		if (worker_start(worker))
 			publish_entry(worker);
+	} else if (strcmp(mode, "hold") == 0) {
+		worker->held_until =
+		    g_get_monotonic_time() + HOLD_DURATION_MS * USEC_PER_MSEC;
 	} else if (strcmp(mode, "cutruns") == 0) {
 		abort_runs(worker);
 	} else if (strcmp(mode, "back") == 0) {
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -388,10 +388,17 @@
 		head.status = 200;
 		if (rows[i].text != NULL)
 			http_head_add(&head, "Server-Limit", rows[i].text);
+		if (rows[i].text != NULL)
+			http_head_add(&head, "Server-Brittle", rows[i].text);
 		platform_read_answer(&head, &answer);
 		assert_int_equal(answer.limit, rows[i].limit);
-		if (rows[i].limit == SITE_STATEMENT_MADE)
-			assert_true(answer.rate_limit == rows[i].rate);
+		assert_int_equal(answer.brittle, rows[i].limit);
+		if (rows[i].limit != SITE_STATEMENT_MADE) {
+			http_head_clear(&head);
+			continue;
+		}
+		assert_true(answer.rate_limit == rows[i].rate);
+		assert_true(answer.tolerated_refusals == rows[i].rate);
 		http_head_clear(&head);
 	}
 }
