--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -557,9 +557,10 @@
 		return;
 	}
 	if (strcmp(head->target, "/v1/report") == 0) {
-		text = g_strdup_printf("{\"state\":\"%s\",\"leaves_ms\":%d}",
-		    worker->draining ? "draining" : "ready",
-		    DEPARTURE_DELAY_MS);
+		text = g_strdup_printf(
+		    "{\"state\":\"%s\",\"leaves_ms\":%d,\"born\":%u}",
+		    worker->draining ? "draining" : "ready", DEPARTURE_DELAY_MS,
+		    worker->start_count);
 		site_send_response(call, 200, text);
 		g_free(text);
 	} else if (strcmp(head->target, "/v1/kv-move") == 0) {
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -12,7 +12,7 @@
 static const char *const worker_modes[] = {"draining", "ready", "gone", "leave",
     "back", "back", "back", "well", "well", "shed", "mute", "reset", "cut",
     "cutstart", "saysleaving", "errors", "version-v1", "version-v2", "cutruns",
-    "cutruns"};
+    "cutruns", "hold"};
 static const char *const store_modes[] = {
     "busy", "silent", "forget", "up", "up", "up"};
 /// Control calls, with their bodies, that change what workers state in their
@@ -34,6 +34,8 @@
     {"limit/many", ""},
     {"limit/none", ""},
     {"limit/none", ""},
+    {"brittle/2", ""},
+    {"brittle/none", ""},
     {"pause", "1.5"},
     {"pause", "0.2"},
     {"pause", "Fri, 04 Dec 2026 10:00:00 GMT"},
@@ -41,7 +43,11 @@
     {"store/drill", ""},
     {"store/drill", ""},
 };
-static const char *const link_names[] = {"well", "slow", "one-way", "silent"};
+static const char *const link_names[] = {
+    "well", "slow", "one-way", "silent", "reset", "refused"};
+/// Ways in which an instance is cut off from all workers, and the end of that.
+static const enum link_mode cut_modes[] = {
+    LINK_SILENT, LINK_RESET, LINK_REFUSE, LINK_NORMAL, LINK_NORMAL};
 
 /// Draws a random number below a bound.
 static int
@@ -115,14 +121,14 @@
 inject_link_fault(struct soak *soak)
 {
 	int i = draw(soak, SOAK_WORKERS + 1);
-	int mode = draw(soak, 6);
+	int mode = draw(soak, 6); /* up to LINK_SILENT, or a reset */
 	struct link *link =
 	    i == SOAK_WORKERS ? soak->store_link : soak->worker_links[i];
 	const char *name = i == SOAK_WORKERS ? "store" : worker_names[i];
 
 	if (link == NULL)
 		return;
-	if (mode >= (int)G_N_ELEMENTS(link_names)) {
+	if (mode > LINK_SILENT) {
 		soak_note(soak, "link %s reset", name);
 		link_reset(link);
 		link_set(link, LINK_NORMAL);
@@ -132,6 +138,27 @@
 	link_set(link, (enum link_mode)mode);
 }
 
+/// Sets how an instance's traffic to all workers is treated.
+static void
+cut_off(struct soak *soak, const struct soak_entry *entry, enum link_mode mode)
+{
+	for (int i = 0; i < SOAK_WORKERS; i++)
+		if (soak->worker_links[i] != NULL)
+			link_set_source(soak->worker_links[i], entry->ip, mode);
+}
+
+/// Cuts an instance off from all workers, or ends this.
+static void
+inject_cut(struct soak *soak)
+{
+	const struct soak_entry *entry =
+	    &soak->entries[draw(soak, SOAK_ENTRIES)];
+	enum link_mode mode = cut_modes[draw(soak, G_N_ELEMENTS(cut_modes))];
+
+	soak_note(soak, "%s to all workers %s", entry->name, link_names[mode]);
+	cut_off(soak, entry, mode);
+}
+
 /// Injects the next fault, or ends one.
 ///
 /// @param soak  the run
@@ -141,7 +168,7 @@
 	const char *mode;
 	char *path;
 
-	switch (draw(soak, 13)) {
+	switch (draw(soak, 15)) {
 	case 0:
 	case 1:
 	case 2:
@@ -169,6 +196,10 @@
 	case 11:
 		inject_statement(soak);
 		break;
+	case 12:
+	case 13:
+		inject_cut(soak);
+		break;
 	default:
 		soak_note(soak, "configuration");
 		soak_world_configure(soak);
@@ -186,6 +217,7 @@
 	for (int i = 0; i < SOAK_ENTRIES; i++) {
 		soak->entries[i].paused = false;
 		soak_world_signal(&soak->entries[i], SIGCONT);
+		cut_off(soak, &soak->entries[i], LINK_NORMAL);
 	}
 	link_set(soak->store_link, LINK_NORMAL);
 	link_reset(soak->store_link);
@@ -193,6 +225,7 @@
 	soak_world_ctl(soak, "crashing/none", "");
 	soak_world_ctl(soak, "crashing-body/none", "");
 	soak_world_ctl(soak, "limit/none", "");
+	soak_world_ctl(soak, "brittle/none", "");
 	for (int i = 0; i < SOAK_WORKERS; i++) {
 		static const char *const steps[] = {"back", "ready", "well"};
 
