Entry: streams go on only at engines whose start is certain while the view is old

While the view was not read for 0.9 s, the target of a stream that goes on is asked for its report first: it is used if it names the start that is known, and placed elsewhere or refused (503, not run) otherwise. Reports that name a later start make the version unknown for what runs there.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -57,6 +57,14 @@
 	(void)member;
 }
 
+static bool
+is_version_doubtful(void *owner, const struct upstream_record *record)
+{
+	(void)owner;
+	(void)record;
+	return false;
+}
+
 static const struct view_vtable vtable = {
     ignore_config, ignore_zone, ignore_upstream};
 
@@ -148,6 +156,7 @@
 		    .view = view_new(&view_options),
 		    .loads = loads_new(),
 		    .pool = pool_new(),
+		    .is_version_doubtful = is_version_doubtful,
 		    .membership =
 			membership_new("e1", USEC_PER_SEC, ignore_member, NULL),
 #ifndef BENCH_DISPATCH_WITHOUT_STATEMENTS
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -186,6 +186,20 @@
 	return interval;
 }
 
+/// Returns the software version of an upstream.
+///
+/// @return 0 if it isn't known
+static uint64_t
+find_version(
+    const struct dispatch *dispatch, const struct upstream_record *record)
+{
+	const struct dispatch_options *options = &dispatch->options;
+
+	return options->is_version_doubtful(options->owner, record)
+	    ? 0
+	    : record->version_key;
+}
+
 /// Returns how many requests like this one an upstream runs at a time.
 static unsigned
 count_places(const struct dispatch_request *request,
@@ -245,7 +259,8 @@
 	    .is_evacuated =
 		view_is_zone_evacuated(options->view, record->entry.zone),
 	    .has_other_version = request->needs_version &&
-		request->version_key != record->version_key,
+		(request->version_key == 0 ||
+		    request->version_key != find_version(dispatch, record)),
 	    .was_tried = was_tried(request, record->key),
 	    .ejected_until = health->outlier.ejected_until,
 	    .paused_until = upstream_notices_paused_until(
@@ -422,7 +437,7 @@
 		target->address = g_strdup(record->entry.address);
 		target->zone = g_strdup(record->entry.zone);
 		target->key = record->key;
-		target->version_key = record->version_key;
+		target->version_key = find_version(dispatch, record);
 	}
 	g_free(list.candidates);
 	g_free(list.records);
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -60,7 +60,11 @@
 	/// Called for a request to an upstream with a low limit, of which the
 	/// other instances must be told at once.
 	void (*turn_taken)(void *owner, const struct rate_limit_turn *turn);
-	void *owner; /// passed to the callback
+	/// Returns whether an upstream has started again since its entry was
+	/// read, so that its software version isn't known.
+	bool (*is_version_doubtful)(
+	    void *owner, const struct upstream_record *record);
+	void *owner; /// passed to the callbacks
 };
 
 struct dispatch *dispatch_new(const struct dispatch_options *options);
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -19,6 +19,7 @@
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/resumption.h"
 #include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/entry/version_check.h"
 #include "godwitvale/ops/cmd.h"
 #include "godwitvale/ops/crash.h"
 #include "godwitvale/ops/log.h"
@@ -633,6 +634,15 @@
 	peers_tell_turn(entry->peers, turn);
 }
 
+/// Dispatch callback: checks whether an upstream's version isn't known.
+static bool
+is_version_doubtful(void *owner, const struct upstream_record *record)
+{
+	const struct entry *entry = owner;
+
+	return version_checks_is_doubtful(entry->version_checks, record);
+}
+
 /// Creates the dispatch, the reports and the client of the store.
 static void
 open_dispatch_and_store(struct entry *entry)
@@ -646,6 +656,7 @@
 	    .pool = entry->pool,
 	    .membership = peers_membership(entry->peers),
 	    .turn_taken = on_turn_taken,
+	    .is_version_doubtful = is_version_doubtful,
 	    .owner = entry,
 	};
 	const struct store_options store = {
@@ -691,6 +702,7 @@
 	entry->crash_probes = crash_probes_new(entry);
 	entry->reach_monitor = reach_monitor_new(entry);
 	entry->resumption = resumption_new(entry);
+	entry->version_checks = version_checks_new(entry);
 	if (!open_callers(entry, error) || !open_peers(entry, error))
 		return false;
 	open_dispatch_and_store(entry);
@@ -722,6 +734,7 @@
 	g_clear_pointer(&entry->guard, segment_guard_free);
 	g_clear_pointer(&entry->request_guard, request_guard_free);
 	g_clear_pointer(&entry->resumption, resumption_free);
+	g_clear_pointer(&entry->version_checks, version_checks_free);
 	g_clear_pointer(&entry->dispatch, dispatch_free);
 	g_clear_pointer(&entry->view, view_free);
 	g_clear_pointer(&entry->waiting, wait_queue_free);
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -15,6 +15,7 @@
 #include "godwitvale/entry/forward_fields.h"
 #include "godwitvale/entry/resumption.h"
 #include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/entry/version_check.h"
 #include "godwitvale/ops/log.h"
 
 /// An upstream that accepts no connection within this time is unreachable.
@@ -95,6 +96,7 @@
 	entry_request_cancel_exchange(request);
 	continuation_clear(request);
 	resumption_clear(request);
+	version_check_cancel(request);
 	wait_queue_remove(entry->waiting, request);
 	request->is_waiting = false;
 	if (request->timer != 0)
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -53,6 +53,9 @@
 	/// software version that began the stream; 0: unknown. Valid if
 	/// `has_version`.
 	uint64_t version_key;
+	struct fetch *version_check; /// of `target`; NULL: none is running
+	/// incarnation whose version a report has confirmed; 0: none
+	uint64_t checked_key;
 	unsigned attempts;
 	unsigned placements; /// like `attempts`, but never corrected
 	unsigned n_tried;
@@ -121,6 +124,7 @@
 
 /* entry_request_place.c */
 void entry_request_place(struct entry_request *request);
+void entry_request_start_attempt(struct entry_request *request);
 
 /* entry_request.c */
 usec_t entry_request_time_left(const struct entry_request *request);
--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -11,6 +11,7 @@
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/resumption.h"
 #include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/entry/version_check.h"
 #include "godwitvale/ops/log.h"
 
 /// A request waits for capacity no longer than the route's target latency
@@ -63,8 +64,10 @@
 }
 
 /// Sends a request to the upstream that placement has chosen.
-static void
-start_attempt(struct entry_request *request)
+///
+/// @param request  request with a target, without an exchange
+void
+entry_request_start_attempt(struct entry_request *request)
 {
 	const struct site_upstream_request continuation = {
 	    .last_event = request->last_event_id};
@@ -145,7 +148,7 @@
 
 /// Tries to place a request, and sends it if an upstream has capacity.
 ///
-/// @return PLACE_FOUND if it was sent
+/// @return PLACE_FOUND if it was sent, or is after a check of the upstream
 static enum place_outcome
 try_place(struct entry_request *request)
 {
@@ -155,8 +158,12 @@
 	dispatch_target_clear(&request->target);
 	outcome =
 	    dispatch_place(request->entry->dispatch, &wanted, &request->target);
-	if (outcome == PLACE_FOUND)
-		start_attempt(request);
+	if (outcome != PLACE_FOUND)
+		return outcome;
+	if (version_check_is_needed(request))
+		version_check_start(request);
+	else
+		entry_request_start_attempt(request);
 	return outcome;
 }
 
--- a/src/godwitvale/entry/reports.c
+++ b/src/godwitvale/entry/reports.c
@@ -5,6 +5,7 @@
 
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_request.h"
+#include "godwitvale/entry/version_check.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -104,9 +105,12 @@
 	struct report_query *query = owner;
 	struct entry *entry = query->reports->entry;
 	struct site_report report;
+	bool is_leaving;
 
 	query->fetch = NULL;
-	if (says_leaving(entry, answer, &report)) {
+	is_leaving = says_leaving(entry, answer, &report);
+	version_checks_note_report(entry->version_checks, query->id, &report);
+	if (is_leaving) {
 		struct dispatch_target target = {.id = query->id,
 		    .address = query->address,
 		    .incarnation_key = query->incarnation_key};
--- a/src/godwitvale/entry/resumption.c
+++ b/src/godwitvale/entry/resumption.c
@@ -274,7 +274,7 @@
 find_view_age(const struct entry_request *request)
 {
 	return g_get_monotonic_time() -
-	    view_confirmed_at(request->entry->view, SITE_SCOPE_UPSTREAMS);
+	    view_read_at(request->entry->view, SITE_SCOPE_UPSTREAMS);
 }
 
 /// Finds the only version that may have begun a stream that nobody remembers.
@@ -502,6 +502,28 @@
 		remember(request, 0, true);
 }
 
+/// Gives up the versions of all streams at an upstream that has started again
+/// since its entry was read.
+///
+/// @param resumption  state of the instance
+/// @param record      directory record of the upstream
+void
+resumption_doubt_upstream(
+    struct resumption *resumption, const struct upstream_record *record)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, resumption->entry->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct entry_request *request = key;
+
+		if (request->exchange != NULL && request->target.id != NULL &&
+		    strcmp(request->target.id, record->entry.id) == 0)
+			doubt_version(request, record);
+	}
+}
+
 /// Handles a change of an upstream in the directory.
 ///
 /// @param resumption  state of the instance
--- a/src/godwitvale/entry/resumption.h
+++ b/src/godwitvale/entry/resumption.h
@@ -22,6 +22,9 @@
 void resumption_on_upstream_change(struct resumption *resumption,
     enum directory_change change, const struct upstream_record *record);
 
+void resumption_doubt_upstream(
+    struct resumption *resumption, const struct upstream_record *record);
+
 bool resumption_is_needed(const struct entry_request *request);
 void resumption_start(struct entry_request *request);
 void resumption_place_at_version(struct entry_request *request);
--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -81,10 +81,10 @@
 	    " operator_revision=%" G_GUINT64_FORMAT " items=%u",
 	    era, snapshot->directory_revision, snapshot->operator_revision,
 	    items->len);
-	view_apply_list(view, now, SITE_SCOPE_UPSTREAMS,
+	view_apply_snapshot(view, now, SITE_SCOPE_UPSTREAMS,
 	    scope_items[SITE_SCOPE_UPSTREAMS],
 	    store_revision_make(era, snapshot->directory_revision));
-	view_apply_list(view, now, SITE_SCOPE_OPERATOR,
+	view_apply_snapshot(view, now, SITE_SCOPE_OPERATOR,
 	    scope_items[SITE_SCOPE_OPERATOR],
 	    store_revision_make(era, snapshot->operator_revision));
 	g_ptr_array_unref(scope_items[0]);
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -17,7 +17,10 @@
 struct scope_state {
 	uint64_t revision;   /// of the store; 0: nothing received yet
 	usec_t confirmed_at; /// last time a source reported the revision
-	GHashTable *items;   /// label -> struct site_item *, latest version
+	/// the same, but for snapshots of other instances, whose data may be
+	/// old
+	usec_t read_at;
+	GHashTable *items; /// label -> struct site_item *, latest version
 };
 
 struct view {
@@ -269,6 +272,7 @@
 
 	state->revision = MAX(state->revision, revision);
 	state->confirmed_at = now;
+	state->read_at = now;
 	if (scope != SITE_SCOPE_UPSTREAMS || !view->store_lost)
 		return;
 	view->store_lost = false;
@@ -449,8 +453,38 @@
 void
 view_mark_stale(struct view *view)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(view->scopes); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(view->scopes); i++) {
 		view->scopes[i].confirmed_at = 0;
+		view->scopes[i].read_at = 0;
+	}
+}
+
+/// Applies a full list from the snapshot of another instance, which may not
+/// have read the store for long.
+///
+/// @param view   updated
+/// @param now    current time
+/// @param scope  scope of the items
+/// @param items  struct site_item *
+/// @param as_of  store revision of the list
+void
+view_apply_snapshot(struct view *view, usec_t now, enum site_scope scope,
+    GPtrArray *items, uint64_t as_of)
+{
+	usec_t read_at = view->scopes[scope].read_at;
+
+	view_apply_list(view, now, scope, items, as_of);
+	view->scopes[scope].read_at = read_at;
+}
+
+/// @param view   view to query
+/// @param scope  scope of the items
+/// @return when the store, or a reader of it, last said that the data is up to
+///         date; 0: never
+usec_t
+view_read_at(const struct view *view, enum site_scope scope)
+{
+	return view->scopes[scope].read_at;
 }
 
 /// @param view   view to query
--- a/src/godwitvale/fleet/view.h
+++ b/src/godwitvale/fleet/view.h
@@ -35,6 +35,9 @@
 void view_free(struct view *view);
 void view_apply_list(struct view *view, usec_t now, enum site_scope scope,
     GPtrArray *items, uint64_t as_of);
+void view_apply_snapshot(struct view *view, usec_t now, enum site_scope scope,
+    GPtrArray *items, uint64_t as_of);
+usec_t view_read_at(const struct view *view, enum site_scope scope);
 void view_apply_changes(struct view *view, usec_t now, enum site_scope scope,
     GPtrArray *items, uint64_t as_of);
 void view_tick(struct view *view, usec_t now);
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -132,6 +132,9 @@
 struct site_report {
 	bool leaving;
 	usec_t leaves_in; /// time until it is gone; negative: unknown
+	/// differs after each start of the engine, as in its entry; 0: not
+	/// reported
+	uint64_t incarnation;
 };
 
 /// Functions and constants of an adapter.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -492,6 +492,8 @@
 	static const char leaving[] =
 	    "{\"state\":\"draining\",\"leaves_ms\":1586,\"queued\":1}";
 	static const char staying[] = "{\"state\":\"ready\"}";
+	static const char reborn[] =
+	    "{\"state\":\"ready\",\"born\":1767786121000}";
 	struct site_report report;
 
 	(void)state;
@@ -499,6 +501,10 @@
 	    platform_read_shutdown_report(leaving, strlen(leaving), &report));
 	assert_true(report.leaving);
 	assert_int_equal(report.leaves_in, 986 * USEC_PER_MSEC);
+	assert_int_equal(report.incarnation, 0);
+	assert_true(
+	    platform_read_shutdown_report(reborn, strlen(reborn), &report));
+	assert_int_equal(report.incarnation, 1767786121000);
 	assert_true(
 	    platform_read_shutdown_report(staying, strlen(staying), &report));
 	assert_false(report.leaving);
