Quarantine: what all requests share isn't blamed for two crashing segments

By reading then, by a test now: two segments crash the only two engines in turn, each the same one twice; neither has two engines against it, but what they share has four crashes. A crash doesn't count against a segment that was answered before if a segment that never was is in it and in another one.

quarantine_test failed on the code before (line 214, c0 is refused) and passes.

--- a/src/godwitvale/core/quarantine.c
+++ b/src/godwitvale/core/quarantine.c
@@ -139,6 +139,25 @@
 	return false;
 }
 
+/// Checks whether a segment that no engine has answered is in a crash and in
+/// another one as well.
+static bool
+has_recurring_unknown(
+    const struct quarantine *quarantine, const struct quarantine_crash *crash)
+{
+	for (unsigned s = 0; s < crash->segments.n; s++) {
+		uint64_t segment = crash->segments.ids[s];
+
+		if (recent_times_get(quarantine->safe, segment) != 0)
+			continue;
+		for (size_t i = 0; i < quarantine->n_crashes; i++)
+			if (&quarantine->crashes[i] != crash &&
+			    set_has(&quarantine->crashes[i].segments, segment))
+				return true;
+	}
+	return false;
+}
+
 /// Adds a crash to an tally, unless it was too close to the one before.
 static void
 add_to_tally(struct crash_tally *tally, const struct quarantine_crash *crash)
@@ -157,7 +176,8 @@
 }
 
 /// Lists the crashes that count against a segment: those since it was last
-/// answered that no other rule explains.
+/// answered that no other rule explains. Against one that was answered before,
+/// crashes don't count that a segment which never was may explain.
 static struct crash_tally
 tally_crashes(const struct quarantine *quarantine, uint64_t segment)
 {
@@ -168,7 +188,8 @@
 		const struct quarantine_crash *crash = &quarantine->crashes[i];
 
 		if (crash->at > safe_at && set_has(&crash->segments, segment) &&
-		    !is_explained_otherwise(quarantine, crash, segment))
+		    !is_explained_otherwise(quarantine, crash, segment) &&
+		    (safe_at == 0 || !has_recurring_unknown(quarantine, crash)))
 			add_to_tally(&tally, crash);
 	}
 	return tally;
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -194,6 +194,33 @@
 	instance_stop(&instance);
 }
 
+/// Two segments crash the only two engines in turn, each the same one twice:
+/// what all requests share isn't blamed, and each of the two is once it has
+/// crashed the other engine.
+static void
+two_crashing_segments_at_two_engines_spare_what_they_share(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	answered(&instance, START, COMMON, SUBJECT);
+	for (unsigned i = 0; i < 2; i++) {
+		usec_t now = START + (i + 1) * SECOND;
+
+		crash(&instance, now, 1, COMMON, CRASHING, 0);
+		crash(&instance, now + SECOND / 2, 2, COMMON, CRASHING_TOO, 0);
+	}
+	assert_false(refuses(&instance, START + 3 * SECOND, COMMON, SUBJECT));
+	crash(&instance, START + 4 * SECOND, 2, COMMON, CRASHING, 0);
+	crash(&instance, START + 5 * SECOND, 1, COMMON, CRASHING_TOO, 0);
+	assert_true(refuses(&instance, START + 6 * SECOND, COMMON, CRASHING));
+	assert_true(
+	    refuses(&instance, START + 6 * SECOND, COMMON, CRASHING_TOO));
+	assert_false(refuses(&instance, START + 6 * SECOND, COMMON, SUBJECT));
+	instance_stop(&instance);
+}
+
 /// Nine of ten requests are crashing, so that the safe ones are seen late.
 static void
 common_segment_is_refused_when_safe_requests_are_few(void **state)
@@ -456,6 +483,8 @@
 	    cmocka_unit_test(safe_segment_always_comes_with_the_crashing_one),
 	    cmocka_unit_test(rule_is_too_narrow_to_match),
 	    cmocka_unit_test(two_crashing_segments_come_at_once),
+	    cmocka_unit_test(
+		two_crashing_segments_at_two_engines_spare_what_they_share),
 	    cmocka_unit_test(
 		common_segment_is_refused_when_safe_requests_are_few),
 	    cmocka_unit_test(engines_of_a_zone_end_together),
