--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
@@ -251,8 +252,7 @@
 	note_pause(request, &info);
 	note_brittle(request, &info);
 	if (info.leaving && !info.misdirected)
-		entry_note_departure(
-		    request->entry, &request->target, "answer");
+		departures_note(request->entry, &request->target, "answer");
 	if (info.not_run) {
 		handle_upstream_refusal(request, &info);
 		goto out;
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
@@ -215,7 +216,7 @@
 	if (answer->head != NULL) {
 		request->entry->site->read_answer(answer->head, &info);
 		if (info.leaving)
-			entry_note_departure(
+			departures_note(
 			    request->entry, &request->copy_source, "copy");
 	}
 	request->entry->site->read_copy_answer(
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -11,10 +11,11 @@
 
 #include "godwitvale/entry/admin.h"
 #include "godwitvale/entry/crash_probe.h"
+#include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/entry/entry_peers.h"
 #include "godwitvale/entry/reports.h"
 #include "godwitvale/entry/entry_request.h"
-#include "godwitvale/entry/forwarding.h"
 #include "godwitvale/entry/reach_monitor.h"
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/resumption.h"
@@ -65,24 +66,6 @@
     .refused = on_refused,
 };
 
-/// Hands over the generations of all upstreams that have begun to leave. Runs
-/// only after all pending directory changes were handled, so that no generation
-/// is moved to an upstream that is leaving, too.
-static void
-handle_departures(struct entry *entry)
-{
-	GHashTableIter iter;
-	void *id;
-	void *address;
-
-	g_hash_table_iter_init(&iter, entry->departing);
-	while (g_hash_table_iter_next(&iter, &id, &address)) {
-		if (entry_request_handle_leaving_upstream(entry, id, 0) > 0)
-			reports_schedule_query(entry->reports, id, address);
-		g_hash_table_iter_remove(&iter);
-	}
-}
-
 /// Loop callback: handles departing upstreams and places waiting requests.
 static gboolean
 on_update_due(gpointer data)
@@ -90,63 +73,20 @@
 	struct entry *entry = data;
 
 	entry->update_source = 0;
-	handle_departures(entry);
+	departures_handle(entry);
 	entry_request_place_waiting(entry);
 	return G_SOURCE_REMOVE;
 }
 
-/// Schedules on_update_due(), unless it is already scheduled.
-static void
-schedule_update(struct entry *entry)
-{
-	if (entry->update_source == 0)
-		entry->update_source = g_idle_add(on_update_due, entry);
-}
-
-/// Prepares the handover of the generations at an upstream that leaves.
-static void
-begin_departure(struct entry *entry, const char *id, const char *address,
-    const char *source)
-{
-	series_add(
-	    &entry_metric_upstream_changes, "upstream-says-leaving", NULL, 1);
-	log_event(LOG_LEVEL_INFO, "upstream-says-leaving",
-	    "upstream=%s address=%s source=%s outcome=not-used", id, address,
-	    source);
-	g_hash_table_replace(entry->departing, g_strdup(id), g_strdup(address));
-	schedule_update(entry);
-}
-
-/// Checks whether an upstream is ready as far as the store has told.
-static bool
-is_ready_in_store(const struct entry *entry, const char *id)
-{
-	const struct upstream_record *record =
-	    directory_find(view_directory(entry->view), id);
-
-	return record != NULL && record->entry.state == UPSTREAM_READY;
-}
-
-/// Handles an upstream's statement that it leaves: it gets no new requests. If
-/// the store hasn't said the same, its generations are handed over, and the
-/// other instances are told.
+/// Schedules the handling of departures and the placement of waiting requests,
+/// unless it is scheduled already.
 ///
-/// @param entry   instance that has heard the statement
-/// @param target  the upstream
-/// @param source  kind of the answer with the statement, in one word
+/// @param entry  instance whose departures are handled
 void
-entry_note_departure(struct entry *entry, const struct dispatch_target *target,
-    const char *source)
+entry_schedule_update(struct entry *entry)
 {
-	bool is_news = is_ready_in_store(entry, target->id);
-
-	if (target->incarnation_key == 0 ||
-	    !upstream_notices_set_leaving(entry->notices,
-		target->incarnation_key, g_get_monotonic_time(), is_news) ||
-	    !is_news)
-		return;
-	begin_departure(entry, target->id, target->address, source);
-	peers_broadcast(entry->peers, PEERS_DEPARTURES);
+	if (entry->update_source == 0)
+		entry->update_source = g_idle_add(on_update_due, entry);
 }
 
 /// Schedules the placement of waiting requests, because there may be capacity
@@ -157,7 +97,7 @@
 entry_schedule_placement(struct entry *entry)
 {
 	if (wait_queue_length(entry->waiting) > 0)
-		schedule_update(entry);
+		entry_schedule_update(entry);
 }
 
 /// View callback: a new configuration is in force.
@@ -223,7 +163,7 @@
 		g_hash_table_replace(entry->departing,
 		    g_strdup(record->entry.id),
 		    g_strdup(record->entry.address));
-	schedule_update(entry);
+	entry_schedule_update(entry);
 }
 
 static const struct view_vtable view_vtable = {
@@ -273,193 +213,6 @@
     .changes_read = on_upstream_changes_read,
 };
 
-/// Peers callback: checks whether this instance can reach the store.
-static bool
-can_reach_store(void *owner)
-{
-	const struct entry *entry = owner;
-
-	return entry->store != NULL && store_is_reachable(entry->store);
-}
-
-/// Peers callback: another instance can reach the store, and no other instance
-/// could before.
-static void
-on_store_reached_by_peer(void *owner)
-{
-	const struct entry *entry = owner;
-
-	if (entry->store != NULL)
-		store_shorten_backoff(entry->store);
-}
-
-/// Peers callback: the load from other instances has changed.
-static void
-on_loads_changed(void *owner)
-{
-	entry_schedule_placement(owner);
-}
-
-/// Peers callback: lists the services that this instance is cut off from.
-static size_t
-list_cut_off(void *owner, uint64_t *services, size_t max)
-{
-	const struct entry *entry = owner;
-
-	return reachability_list_cut_off(
-	    reach_monitor_reachability(entry->reach_monitor), services, max);
-}
-
-/// Peers callback: another instance says which services it is cut off from.
-static void
-on_reach_reported(
-    void *owner, uint64_t member, const uint64_t *services, size_t n_services)
-{
-	const struct entry *entry = owner;
-
-	reachability_set_member(
-	    reach_monitor_reachability(entry->reach_monitor),
-	    g_get_monotonic_time(), member, services, n_services);
-}
-
-/// Peers callback: lists the services that are brittle.
-static size_t
-list_brittle(void *owner, struct peers_brittle *brittle, size_t max)
-{
-	const struct entry *entry = owner;
-
-	return entry->dispatch == NULL
-	    ? 0
-	    : dispatch_list_brittle(entry->dispatch, brittle, max);
-}
-
-/// Peers callback: another instance says that a service is brittle.
-static void
-on_brittle_reported(void *owner, const struct peers_brittle *brittle)
-{
-	const struct entry *entry = owner;
-
-	if (entry->dispatch != NULL &&
-	    dispatch_set_brittle(
-		entry->dispatch, brittle->service, brittle->left))
-		log_event(LOG_LEVEL_INFO, "service-brittle",
-		    "service_hash=%016" G_GINT64_MODIFIER
-		    "x left_ms=%" G_GINT64_FORMAT
-		    " source=another-instance outcome=places-divided",
-		    brittle->service, brittle->left / USEC_PER_MSEC);
-}
-
-/// Peers callback: another instance has fallen silent or was restarted.
-static void
-on_member_lost(void *owner, const struct member *member)
-{
-	forwarding_handle_lost_member(owner, member->name);
-}
-
-/// Peers callback: lists upstreams that refused connections of this instance.
-/// If it is cut off, the upstreams are not at fault.
-static size_t
-list_unreachable(void *owner, uint64_t *upstreams, size_t max)
-{
-	const struct entry *entry = owner;
-	uint64_t service;
-
-	return entry->dispatch == NULL || list_cut_off(owner, &service, 1) > 0
-	    ? 0
-	    : dispatch_list_unreachable(entry->dispatch, upstreams, max);
-}
-
-/// Peers callback: an upstream refused a connection of another instance.
-static void
-on_unreachable_reported(void *owner, uint64_t upstream)
-{
-	const struct entry *entry = owner;
-
-	if (entry->dispatch != NULL)
-		dispatch_set_suspect(entry->dispatch, upstream);
-}
-
-/// Peers callback: an upstream has told another instance of a limit, or that it
-/// has none any more.
-static void
-on_limit_reported(void *owner, enum rate_limit_change change,
-    const struct rate_limit_statement *statement)
-{
-	struct entry *entry = owner;
-
-	if (entry->dispatch == NULL)
-		return;
-	dispatch_log_limit_change(
-	    entry->dispatch, change, statement, "another-instance");
-	if (change == RATE_LIMIT_LIFTED)
-		entry_schedule_placement(entry);
-}
-
-/// Peers callback: another instance has heard that an upstream leaves.
-static void
-on_departure_reported(void *owner, uint64_t upstream, usec_t at)
-{
-	struct entry *entry = owner;
-	const struct upstream_record *record = entry->dispatch == NULL
-	    ? NULL
-	    : dispatch_find_incarnation(entry->dispatch, upstream);
-	bool is_news = record == NULL || record->entry.state == UPSTREAM_READY;
-
-	if (upstream_notices_set_leaving(
-		entry->notices, upstream, at, is_news) &&
-	    is_news && record != NULL)
-		begin_departure(entry, record->entry.id, record->entry.address,
-		    "another-instance");
-}
-
-/// Peers callback: another instance has data of a later era of the store.
-static void
-on_later_era_reported(void *owner, uint64_t era)
-{
-	const struct entry *entry = owner;
-
-	if (entry->store != NULL)
-		store_note_era(entry->store, era);
-}
-
-/// Peers callback: checks whether a service has had several software versions.
-static bool
-has_several_versions(void *owner, uint64_t service)
-{
-	const struct entry *entry = owner;
-
-	return resumption_has_several_versions(entry->resumption, service);
-}
-
-/// Peers callback: another instance was asked for a stream and has answered.
-static void
-on_stream_answered(
-    void *owner, uint64_t stream, uint64_t instance, bool several_versions)
-{
-	const struct entry *entry = owner;
-
-	resumption_on_answer(
-	    entry->resumption, stream, instance, several_versions);
-}
-
-static const struct peers_vtable peers_vtable = {
-    .is_store_reachable = can_reach_store,
-    .peer_reached_store = on_store_reached_by_peer,
-    .loads_changed = on_loads_changed,
-    .list_cut_off = list_cut_off,
-    .reach_reported = on_reach_reported,
-    .list_brittle = list_brittle,
-    .brittle_reported = on_brittle_reported,
-    .member_lost = on_member_lost,
-    .list_unreachable = list_unreachable,
-    .unreachable_reported = on_unreachable_reported,
-    .limit_reported = on_limit_reported,
-    .departure_reported = on_departure_reported,
-    .later_era_reported = on_later_era_reported,
-    .has_several_versions = has_several_versions,
-    .stream_answered = on_stream_answered,
-};
-
 /// @return CLOCK_BOOTTIME minus the monotonic clock, in microseconds. It grows
 ///         while the machine is suspended, as only CLOCK_BOOTTIME runs then.
 static usec_t
@@ -596,34 +349,6 @@
 	return entry->caller_server != NULL;
 }
 
-/// Starts the exchange of messages with the other instances.
-static bool
-open_peers(struct entry *entry, GError **error)
-{
-	const struct entry_settings *settings = entry->settings;
-	const struct peers_options options = {
-	    .vtable = &peers_vtable,
-	    .owner = entry,
-	    .name = settings->instance,
-	    .zone = settings->zone,
-	    .ip = settings->control.ip,
-	    .port = settings->peer_port,
-	    .control_port = settings->control.port,
-	    .seeds = settings->seeds,
-	    .view = entry->view,
-	    .loads = entry->loads,
-	    .quarantine = segment_guard_quarantine(entry->guard),
-	    .suspects = request_guard_suspects(entry->request_guard),
-	    .rate_limits = entry->rate_limits,
-	    .notices = entry->notices,
-	    .stream_versions = resumption_versions(entry->resumption),
-	    .pool = entry->pool,
-	};
-
-	entry->peers = peers_new(&options, error);
-	return entry->peers != NULL;
-}
-
 /// Dispatch callback: this instance sends a request to an upstream with a low
 /// limit.
 static void
@@ -703,7 +428,7 @@
 	entry->reach_monitor = reach_monitor_new(entry);
 	entry->resumption = resumption_new(entry);
 	entry->version_checks = version_checks_new(entry);
-	if (!open_callers(entry, error) || !open_peers(entry, error))
+	if (!open_callers(entry, error) || !entry_peers_open(entry, error))
 		return false;
 	open_dispatch_and_store(entry);
 	if (!admin_open(entry, error))
--- a/src/godwitvale/entry/entry.h
+++ b/src/godwitvale/entry/entry.h
@@ -9,7 +9,6 @@
 
 int entry_run(const char *settings_path, const struct site *site);
 void entry_schedule_placement(struct entry *entry);
-void entry_note_departure(struct entry *entry,
-    const struct dispatch_target *target, const char *source);
+void entry_schedule_update(struct entry *entry);
 
 #endif
--- a/src/godwitvale/entry/reports.c
+++ b/src/godwitvale/entry/reports.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_request.h"
 #include "godwitvale/entry/version_check.h"
@@ -115,7 +116,7 @@
 		    .address = query->address,
 		    .incarnation_key = query->incarnation_key};
 
-		entry_note_departure(entry, &target, "report");
+		departures_note(entry, &target, "report");
 		entry_request_handle_leaving_upstream(entry, query->id,
 		    report.leaves_in < 0
 			? 0
