Forwarding: not with hardly any time left; a service without upstreams isn't cut off

By reading: with under 10 ms left the receiver would have got a time of 0, which it takes for none, and so the route's whole timeout; and an instance whose service lost its last upstream while it was out of reach would have stayed cut off from it. reachability_test has the second case (without the change the new case fails: the state stays).

--- a/src/godwitvale/core/reachability.c
+++ b/src/godwitvale/core/reachability.c
@@ -172,6 +172,16 @@
 	suspect_all(reachability, now);
 }
 
+/// Notes that this instance isn't cut off from a service any more.
+static void
+end_cut(struct reachability *reachability, const char *service,
+    struct service_state *state)
+{
+	state->is_cut_off = false;
+	reachability->listener(
+	    reachability->owner, REACHABILITY_REGAINED, service);
+}
+
 /// Handles the outcome of a probe.
 ///
 /// @param reachability  state to change
@@ -188,11 +198,8 @@
 	if (has_answered) {
 		state->next_round_at = now + REACHABILITY_ROUND_INTERVAL;
 		state->is_second_step = true;
-		if (!state->is_cut_off)
-			return;
-		state->is_cut_off = false;
-		reachability->listener(
-		    reachability->owner, REACHABILITY_REGAINED, service);
+		if (state->is_cut_off)
+			end_cut(reachability, service, state);
 		return;
 	}
 	if (state->is_cut_off || state->n_pending > 0 ||
@@ -220,7 +227,10 @@
 		if (!state->is_cut_off || now < state->next_probe_at)
 			continue;
 		state->next_probe_at = now + REACHABILITY_PROBE_INTERVAL;
-		begin_probes(reachability, service, state, 1);
+		/* Without an upstream there is nothing to be cut off from. */
+		if (!begin_probes(reachability, service, state, 1) &&
+		    state->n_pending == 0)
+			end_cut(reachability, service, state);
 	}
 }
 
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -268,6 +268,7 @@
 forwarding_is_possible(const struct entry_request *request)
 {
 	return !request->is_forwarded &&
+	    entry_request_time_left(request) > 2 * FORWARDING_MARGIN &&
 	    request->n_helpers < ENTRY_REQUEST_HELPERS_MAX &&
 	    reachability_can_be_helped(
 		reach_monitor_reachability(request->entry->reach_monitor),
--- a/test/unit/reachability_test.c
+++ b/test/unit/reachability_test.c
@@ -22,6 +22,7 @@
 	unsigned n_probes_ever;
 	unsigned n_cuts;
 	unsigned n_returns;
+	bool has_no_upstream;
 };
 
 static void
@@ -39,6 +40,8 @@
 {
 	struct instance *instance = owner;
 
+	if (instance->has_no_upstream)
+		return 0;
 	if (strcmp(service, "shop") != 0)
 		return n_probes;
 	instance->n_probes += n_probes;
@@ -133,6 +136,25 @@
 	reachability_free(instance.reachability);
 }
 
+/// The last upstream of a service that is out of reach is removed.
+static void
+services_without_upstreams_are_not_cut_off(void **state)
+{
+	struct instance instance;
+
+	(void)state;
+	instance_start(&instance);
+	reachability_suspect(instance.reachability, START, "shop");
+	end_probes(&instance, START, false);
+	end_probes(&instance, START, false);
+	assert_true(is_cut_off(&instance));
+	instance.has_no_upstream = true;
+	reachability_tick(instance.reachability, START + 2 * SECOND);
+	assert_false(is_cut_off(&instance));
+	assert_int_equal(instance.n_returns, 1);
+	reachability_free(instance.reachability);
+}
+
 /// The first answer of a step settles it, whatever the others bring.
 static void
 answers_outweigh_later_failures(void **state)
@@ -222,6 +244,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(cuts_are_found_and_their_end_is),
 	    cmocka_unit_test(single_upstreams_that_fail_are_no_cut),
+	    cmocka_unit_test(services_without_upstreams_are_not_cut_off),
 	    cmocka_unit_test(answers_outweigh_later_failures),
 	    cmocka_unit_test(other_services_are_suspected),
 	    cmocka_unit_test(helpless_instances_are_spared),
