--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -18,7 +18,11 @@
 	for pid in "${pids[@]}"; do
 		wait "$pid" 2>/dev/null
 	done
-	rm -rf "$workdir"
+	if [ -n "${KEEP_LOGS:-}" ]; then
+		mv "$workdir" "$KEEP_LOGS"
+	else
+		rm -rf "$workdir"
+	fi
 }
 trap cleanup EXIT
 
