--- /dev/null
+++ b/src/godwitvale/http/server_state.h
@@ -0,0 +1,57 @@
+/* State of the HTTP server, shared by server.c and server_call.c. */
+#ifndef GODWITVALE_HTTP_SERVER_STATE_H
+#define GODWITVALE_HTTP_SERVER_STATE_H
+
+#include <gio/gio.h>
+
+#include "godwitvale/http/conn.h"
+#include "godwitvale/http/reader.h"
+#include "godwitvale/http/server.h"
+
+struct http_server {
+	struct http_server_options options;
+	struct http_limits limits;
+	GSocket *socket;
+	guint listen_source;
+	guint timeout_timer;
+	GHashTable *callers; /// struct caller * as a set
+	unsigned open_calls;
+	bool keep_alive_disabled;
+};
+
+/// A caller's connection.
+struct caller {
+	struct http_server *server;
+	struct conn *conn;
+	struct http_reader reader;
+	GByteArray *body;
+	GByteArray *pipelined;
+	struct http_call *call; /// request in progress; NULL between requests
+	usec_t deadline;       /// of the current read; USEC_NEVER during a call
+	usec_t received_at;    /// when the request's first byte was read
+	bool lingering;        /// waits for the caller to close
+	bool processing_input; /// process_input() is running
+};
+
+/// One request and its response.
+struct http_call {
+	struct caller *caller; /// NULL: disconnected
+	struct http_server *server;
+	struct http_head head;
+	GByteArray *body;
+	usec_t received_at;
+	http_disconnect_handler disconnect_handler;
+	void *disconnect_owner;
+	http_drain_handler drain_handler; /// NULL: none
+	void *drain_owner;
+	bool chunked;
+	bool close; /// the connection closes after the response
+	bool is_head_request;
+};
+
+/* server.c */
+void server_caller_free(struct caller *caller);
+void server_start_linger(struct caller *caller);
+void server_process_input(struct caller *caller, const char *data, size_t len);
+
+#endif
