Model orders: an order that a later holder has superseded isn't open any more

An open order is closed, too, when the engine reports a fencing number above its own: another holder has ordered since. Orders of other instances are closed by their holders as before. model_plan_test has the case: it fails on the code before (m/3 stays) and passes.

--- a/src/godwitvale/core/model_plan.c
+++ b/src/godwitvale/core/model_plan.c
@@ -2,7 +2,8 @@
  * Plan of model orders: decides which engine is to load which model weights
  * next. For each engine, the plan keeps the weights that the bundle specifies,
  * the weights that the engine reports as loaded, and the open order. An order
- * is open until the engine reports the ordered weights or a restart, until the
+ * is open until the engine reports the ordered weights, a later order or a
+ * restart, until the
  * order is refused or could not be sent, or until load_timeout has passed.
  */
 #include "godwitvale/core/model_plan.h"
@@ -26,6 +27,8 @@
 	/// local time at which the last report was requested
 	usec_t report_requested_at;
 	char *order_target; /// "NAME/VERSION" of the open order, or NULL
+	/// fencing number of the open order; 0: another instance sent it
+	uint64_t order_fence;
 	usec_t order_decided_at;
 	usec_t order_expires_at; /// time at which the open order is given up
 	usec_t retry_at;         /// earliest time of the next order
@@ -371,10 +374,18 @@
 	g_ptr_array_unref(old_engines);
 }
 
+/// Checks whether an engine has got a later order than the open one, from an
+/// instance that holds the lease since.
+static bool
+is_superseded(const struct engine *engine)
+{
+	return engine->order_fence != 0 && engine->fence > engine->order_fence;
+}
+
 /// Handles a report of an engine. A report that was not requested after the
 /// last report is ignored. Closes the engine's open order if the report was
-/// requested after the decision on the order and shows the ordered weights or a
-/// restart of the engine.
+/// requested after the decision on the order and shows the ordered weights, a
+/// later order or a restart of the engine.
 ///
 /// @param plan    updated
 /// @param id      engine id; ignored if the bundle has no engine with this id
@@ -402,7 +413,8 @@
 	    : g_strdup(report->loaded);
 	if (engine->order_target != NULL &&
 	    report->requested_at > engine->order_decided_at &&
-	    (restarted || g_strcmp0(engine->loaded, engine->order_target) == 0))
+	    (restarted || is_superseded(engine) ||
+		g_strcmp0(engine->loaded, engine->order_target) == 0))
 		close_order(engine);
 }
 
@@ -429,6 +441,7 @@
 	}
 	g_free(engine->order_target);
 	engine->order_target = g_strdup(target);
+	engine->order_fence = 0;
 	engine->order_decided_at = now;
 	engine->order_expires_at = MIN(until, now + plan->options.load_timeout);
 }
@@ -541,6 +554,7 @@
 	plan->next_order_at = now + plan->options.order_interval;
 	g_free(engine->order_target);
 	engine->order_target = g_strdup(engine->target);
+	engine->order_fence = order->fence;
 	engine->order_decided_at = now;
 	engine->order_expires_at = now + plan->options.load_timeout;
 	return MODEL_PLAN_ORDER;
--- a/test/unit/model_plan_test.c
+++ b/test/unit/model_plan_test.c
@@ -450,6 +450,39 @@
 	model_plan_free(second);
 }
 
+/// A holder is paused while an engine loads what it has ordered. Another one
+/// orders a newer version meanwhile. The first one holds the lease again: its
+/// old order doesn't block new ones.
+static void
+order_from_before_a_pause_blocks_nothing(void **state)
+{
+	struct simulation sim;
+	struct model_plan *first = new_plan(0);
+	struct model_plan *second = new_plan(0);
+	struct model_order order = {0};
+
+	(void)state;
+	init_simulation(&sim, 2, true);
+	set_bundle(first, &sim, 1, "2");
+	set_bundle(second, &sim, 2, "3");
+	model_plan_start_lease(first, 0, 1, LEASE_TERM);
+	assert_true(run_until(&sim, first, 10 * USEC_PER_SEC, &order));
+	model_plan_finish_order(
+	    first, sim.now, &order, deliver_order(&sim, &order));
+	sim.now += LEASE_TERM + TIME_STEP;
+	model_plan_start_lease(second, sim.now, 2, sim.now + LEASE_TERM);
+	run_until(&sim, second, sim.now + 30 * USEC_PER_SEC, NULL);
+	assert_string_equal(sim.engines[0].loaded, "m/3");
+	assert_string_equal(sim.engines[1].loaded, "m/3");
+	set_bundle(first, &sim, 3, "4");
+	model_plan_start_lease(first, sim.now, 3, sim.now + LEASE_TERM);
+	run_until(&sim, first, sim.now + 30 * USEC_PER_SEC, NULL);
+	assert_string_equal(sim.engines[0].loaded, "m/4");
+	assert_string_equal(sim.engines[1].loaded, "m/4");
+	model_plan_free(first);
+	model_plan_free(second);
+}
+
 static void
 paused_holder_sends_nothing(void **state)
 {
@@ -530,6 +563,7 @@
 	    cmocka_unit_test(outcome_decides_whether_order_stays_open),
 	    cmocka_unit_test(no_order_without_report_service_or_lease),
 	    cmocka_unit_test(new_holder_does_not_repeat_open_order),
+	    cmocka_unit_test(order_from_before_a_pause_blocks_nothing),
 	    cmocka_unit_test(paused_holder_sends_nothing),
 	    cmocka_unit_test(new_holder_waits_for_former_orders),
 	};
