Quarantine of requests: one trial if never answered; one message for all suspects of a crash

A request that was never answered is tried once; its callers have long given up anyway.

Each request at a crashed upstream caused a broadcast; they are joined within 5 ms.

--- a/src/godwitvale/core/crash_suspects.c
+++ b/src/godwitvale/core/crash_suspects.c
@@ -435,11 +435,14 @@
     struct crash_suspects *suspects, usec_t now, uint64_t fingerprint)
 {
 	struct crash_suspect *suspect = find_suspect(suspects, fingerprint);
+	unsigned max_trials;
 
 	if (suspect == NULL)
 		return;
+	max_trials = suspect->answered_at == 0 ? CRASH_SUSPECT_TRIALS_UNKNOWN
+					       : CRASH_SUSPECT_TRIALS_KNOWN;
 	suspect->n_trials++;
-	suspect->trial_at = suspect->n_trials < CRASH_SUSPECT_TRIALS_MAX
+	suspect->trial_at = suspect->n_trials < max_trials
 	    ? now + CRASH_TRIAL_INTERVAL
 	    : USEC_NEVER;
 }
--- a/src/godwitvale/core/crash_suspects.h
+++ b/src/godwitvale/core/crash_suspects.h
@@ -30,8 +30,10 @@
 #define CRASH_EXPOSURES_MAX 4
 /// Maximum number of suspects that crash_suspects_list() returns.
 #define CRASH_SUSPECTS_LISTED_MAX 24
-/// Trials of a request in quarantine. Each may crash one more upstream.
-#define CRASH_SUSPECT_TRIALS_MAX 2
+/// Trials of a request in quarantine that was never answered, and of one that
+/// was. Each may crash one more upstream.
+#define CRASH_SUSPECT_TRIALS_UNKNOWN 1
+#define CRASH_SUSPECT_TRIALS_KNOWN 2
 /// A request in quarantine that hasn't come for this long is forgotten.
 #define CRASH_SUSPECT_IDLE_SPAN (10 * 60 * USEC_PER_SEC)
 
--- a/src/godwitvale/entry/request_guard.c
+++ b/src/godwitvale/entry/request_guard.c
@@ -12,6 +12,10 @@
 /// before.
 #define REQUEST_GUARD_SHORT_SPAN (5 * USEC_PER_MSEC)
 
+/// Delay from new evidence until the other instances are told, in milliseconds.
+/// A crash is evidence on each of the requests that were there.
+#define REQUEST_GUARD_TELL_DELAY_MS 5
+
 struct request_guard {
 	struct entry *entry;
 	struct crash_suspects *suspects;
@@ -19,6 +23,7 @@
 	/// answered since.
 	GHashTable *down;
 	guint sweep_source; /// GLib source id; 0: no sweep is scheduled
+	guint tell_source;  /// tells the other instances; 0: not scheduled
 };
 
 /// Guard callback: checks whether a request is in quarantine.
@@ -44,6 +49,26 @@
 	return G_SOURCE_REMOVE;
 }
 
+/// Loop callback: the delay after new evidence is over.
+static gboolean
+on_tell_due(gpointer data)
+{
+	struct request_guard *guard = data;
+
+	guard->tell_source = 0;
+	peers_broadcast(guard->entry->peers, PEERS_SUSPECTS);
+	return G_SOURCE_REMOVE;
+}
+
+/// Schedules that the other instances are told of new evidence.
+static void
+schedule_tell(struct request_guard *guard)
+{
+	if (guard->tell_source == 0)
+		guard->tell_source = g_timeout_add(
+		    REQUEST_GUARD_TELL_DELAY_MS, on_tell_due, guard);
+}
+
 /// Suspects callback: a quarantine has begun or ended.
 static void
 on_change(void *owner, enum crash_suspect_change change,
@@ -99,6 +124,8 @@
 {
 	if (guard->sweep_source != 0)
 		g_source_remove(guard->sweep_source);
+	if (guard->tell_source != 0)
+		g_source_remove(guard->tell_source);
 	g_hash_table_unref(guard->down);
 	crash_suspects_free(guard->suspects);
 	g_free(guard);
@@ -151,7 +178,7 @@
 	    request->params.id, request->target.id, request->fingerprint,
 	    suspect->n_trials);
 	crash_suspects_begin_trial(guard->suspects, now, request->fingerprint);
-	peers_broadcast(guard->entry->peers, PEERS_SUSPECTS);
+	schedule_tell(guard);
 }
 
 /// Notes that an attempt at an upstream has failed.
@@ -197,7 +224,7 @@
 
 	if (crash_suspects_note_answered(
 		guard->suspects, g_get_monotonic_time(), request->fingerprint))
-		peers_broadcast(guard->entry->peers, PEERS_SUSPECTS);
+		schedule_tell(guard);
 }
 
 /// Adds the crash of an upstream to which a request had been sent.
@@ -221,7 +248,7 @@
 		return;
 	if (crash_suspects_add(guard->suspects, g_get_monotonic_time(),
 		report->fingerprint, &exposure))
-		peers_broadcast(guard->entry->peers, PEERS_SUSPECTS);
+		schedule_tell(guard);
 }
 
 /// Forgets evidence that is of no use any more.
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -202,7 +202,8 @@
 
 /// Processes bytes that a caller sent.
 ///
-/// @param caller  caller without a request in progress
+/// @param caller  a caller; later requests are buffered while one is in
+/// progress
 /// @param data    the bytes
 /// @param len     their number
 void
--- a/test/unit/crash_suspects_test.c
+++ b/test/unit/crash_suspects_test.c
@@ -278,42 +278,56 @@
 		instance_stop(&fleet[i]);
 }
 
-/// Two trials, however many instances there are, and none after that; an
-/// answer to one lifts the quarantine everywhere.
-static void
-trials_are_few_and_an_answer_lifts_the_quarantine(void **state)
+/// Plays a quarantine at two instances, and counts the trials.
+static unsigned
+count_trials(struct instance *fleet, usec_t *now)
 {
-	struct instance fleet[2];
-	usec_t now = START;
 	unsigned trials = 0;
 
-	(void)state;
-	instance_start(&fleet[0]);
-	instance_start(&fleet[1]);
-	expose(&fleet[0], START, 1, DEADLY, RUN);
-	expose(&fleet[0], START + SECOND, 2, DEADLY, RUN);
-	tell(&fleet[0], &fleet[1], START + SECOND, 3 * MSEC);
-	for (unsigned i = 0; i < 1000; i++, now += SECOND) {
+	for (unsigned i = 0; i < 1000; i++, *now += SECOND) {
 		struct instance *at = &fleet[i % 2];
 		const struct crash_suspect *suspect =
-		    crash_suspects_match(at->suspects, now, DEADLY);
+		    crash_suspects_match(at->suspects, *now, DEADLY);
 
-		crash_suspects_tick(at->suspects, now);
-		if (suspect == NULL || now < suspect->trial_at)
+		crash_suspects_tick(at->suspects, *now);
+		if (suspect == NULL || *now < suspect->trial_at)
 			continue;
 		trials++;
-		crash_suspects_begin_trial(at->suspects, now, DEADLY);
-		tell(at, &fleet[(i + 1) % 2], now, 3 * MSEC);
+		crash_suspects_begin_trial(at->suspects, *now, DEADLY);
+		tell(at, &fleet[(i + 1) % 2], *now, 3 * MSEC);
 	}
-	assert_int_equal(trials, CRASH_SUSPECT_TRIALS_MAX);
-	assert_true(refuses(&fleet[0], now, DEADLY));
-	assert_true(refuses(&fleet[1], now, DEADLY));
-	answer(&fleet[0], now, DEADLY);
-	tell(&fleet[0], &fleet[1], now, 3 * MSEC);
-	for (int i = 0; i < 2; i++) {
-		assert_false(refuses(&fleet[i], now, DEADLY));
-		assert_int_equal(fleet[i].n_changes[CRASH_SUSPECT_LIFTED], 1);
-		instance_stop(&fleet[i]);
+	return trials;
+}
+
+/// One trial of a request that was never answered, two of another one, however
+/// many instances there are, and none after that; an answer to one lifts the
+/// quarantine everywhere.
+static void
+trials_are_few_and_an_answer_lifts_the_quarantine(void **state)
+{
+	(void)state;
+	for (int known = 0; known < 2; known++) {
+		struct instance fleet[2];
+		usec_t now = START;
+
+		instance_start(&fleet[0]);
+		instance_start(&fleet[1]);
+		if (known)
+			answer(&fleet[0], START - SECOND, DEADLY);
+		for (unsigned i = 0; i < 3; i++)
+			expose(&fleet[0], START + i * SECOND, i, DEADLY, RUN);
+		tell(&fleet[0], &fleet[1], START + 2 * SECOND, 3 * MSEC);
+		assert_int_equal(count_trials(fleet, &now),
+		    known ? CRASH_SUSPECT_TRIALS_KNOWN
+			  : CRASH_SUSPECT_TRIALS_UNKNOWN);
+		answer(&fleet[0], now, DEADLY);
+		tell(&fleet[0], &fleet[1], now, 3 * MSEC);
+		for (int i = 0; i < 2; i++) {
+			assert_false(refuses(&fleet[i], now, DEADLY));
+			assert_int_equal(
+			    fleet[i].n_changes[CRASH_SUSPECT_LIFTED], 1);
+			instance_stop(&fleet[i]);
+		}
 	}
 }
 
