Peers: reports of crashes that waited while the process stood still are dropped

An instance that was stopped for six seconds read reports of one crash on waking, took their ages for those of then, and told the others of a second crash.

--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -5,6 +5,7 @@
 #include "godwitvale/fleet/peers.h"
 
 #include <errno.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
@@ -79,6 +80,35 @@
 	}
 }
 
+/// @return time since the machine's start, in microseconds, with the time for
+///         which it was suspended
+static usec_t
+get_boot_time(void)
+{
+	struct timespec boot;
+
+	clock_gettime(CLOCK_BOOTTIME, &boot);
+	return (usec_t)boot.tv_sec * USEC_PER_SEC + boot.tv_nsec / 1000;
+}
+
+/// Notes that this process runs, and detects that it has stood still.
+///
+/// @param peers  marked if it has
+void
+peers_note_run(struct peers *peers)
+{
+	usec_t now = get_boot_time();
+
+	if (peers->last_run_at != 0 &&
+	    now > peers->last_run_at + PEERS_STALL_SPAN) {
+		peers->has_stalled = true;
+		log_event(LOG_LEVEL_WARN, "peers-stalled",
+		    "for_ms=%" G_GINT64_FORMAT " outcome=evidence-dropped",
+		    (now - peers->last_run_at) / USEC_PER_MSEC);
+	}
+	peers->last_run_at = now;
+}
+
 /// Loop callback: performs periodic work and sends a heartbeat when it is due.
 static gboolean
 on_tick(gpointer data)
@@ -86,6 +116,7 @@
 	struct peers *peers = data;
 	usec_t now = g_get_monotonic_time();
 
+	peers_note_run(peers);
 	membership_tick(peers->membership, now);
 	remove_expired_targets(peers, now);
 	if (now >= peers->next_heartbeat_at) {
--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -189,6 +189,15 @@
 	}
 }
 
+/// Checks whether a message tells of crashes, with their ages. Members tell of
+/// them again with their heartbeats.
+static bool
+is_evidence(const fleet_message *message)
+{
+	return message->kind == FLEET_EVIDENCE ||
+	    message->kind == FLEET_SUSPECTS;
+}
+
 /// Loop callback: datagrams are ready to be received.
 ///
 /// @param fd         the socket
@@ -205,6 +214,7 @@
 	ssize_t len;
 
 	(void)condition;
+	peers_note_run(peers);
 	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0) {
 		if (!fleet_message_decode(
 			bytes, (size_t)len, &message, &trailer)) {
@@ -212,8 +222,10 @@
 			    "bytes=%zd outcome=dropped", len);
 			continue;
 		}
-		handle_message(peers, &message, &trailer);
+		if (!peers->has_stalled || !is_evidence(&message))
+			handle_message(peers, &message, &trailer);
 		fleet_message_clear(&message);
 	}
+	peers->has_stalled = false;
 	return G_SOURCE_CONTINUE;
 }
--- a/src/godwitvale/fleet/peers_state.h
+++ b/src/godwitvale/fleet/peers_state.h
@@ -12,6 +12,9 @@
 /// heartbeat that contained it, so that both sides of a network partition find
 /// each other again.
 #define PEERS_TARGET_TTL (60 * USEC_PER_SEC)
+/// A process that handles nothing for longer than this has stood still. The
+/// ages in datagrams that have waited meanwhile are too low.
+#define PEERS_STALL_SPAN (600 * USEC_PER_MSEC)
 /// Size of the buffers for encoded and received datagrams, in bytes.
 #define PEERS_BUFFER_BYTES 65536
 
@@ -30,6 +33,10 @@
 	usec_t next_heartbeat_at; /// when the next heartbeat is due
 	usec_t list_addresses_until; /// every heartbeat lists them until then
 	unsigned n_heartbeats;       /// sent so far
+	/// when this process last handled its peers, by boot time
+	usec_t last_run_at;
+	/// it has stood still, and datagrams may have waited meanwhile
+	bool has_stalled;
 	bool leaving;
 	struct snapshot_sync *snapshot_sync;
 	struct stream_sync *stream_sync;
@@ -42,6 +49,7 @@
 };
 
 /* peers.c */
+void peers_note_run(struct peers *peers);
 uint32_t peers_parse_ipv4(const char *ip);
 void peers_add_target(
     struct peers *peers, uint32_t number, usec_t expires_at, bool is_seed);
--- a/test/functional/entry_crashing_request.sh
+++ b/test/functional/entry_crashing_request.sh
@@ -109,6 +109,20 @@
 workers_are_back
 echo "another one: $(draft e3 g4 5 -d 'a sound one' | tail -1)"
 
+echo "== an instance that stood still takes an old report for no new crash"
+workers_are_back
+kill -STOP "${entry_pid[e3]}"
+echo "e1: $(ask e1 /order/once o4 'a deadly one')"
+wait_for "the crash" logged e1 'upstream-cut-at-start","id":"o4"'
+sleep 2.5 # longer than reports of one crash may differ
+kill -CONT "${entry_pid[e3]}"
+wait_for "e3 to notice" logged e3 '"peers-stalled"'
+sleep 1.5 # some heartbeats
+fingerprint=$(grep -m1 '"id":"o4".*"fingerprint"' "$workdir/e1.log" |
+    sed 's/.*"fingerprint":"\([0-9a-f]*\)".*/\1/')
+echo "rules after one crash: $(cat "$workdir"/e?.log |
+    grep -c "\"event\":\"request-quarantined\",\"fingerprint\":\"$fingerprint")"
+
 echo "== it no longer crashes workers: a trial lifts the rule everywhere"
 ctl crashing-body/none
 trial_passes()
