Forwarding: a failure at the other instance isn't taken for not run

The verdict is settled before an answer of an instance's own is written, and before a request is refused; the sender takes no status but 503 for a refusal. Refusals name their reason: only one that holds for that instance alone is tried at another, and only "no-upstream" keeps requests from being forwarded for half a second (full, limited and quarantined refusals did so, too, by reading).

--- a/src/godwitvale/core/retry_after.c
+++ b/src/godwitvale/core/retry_after.c
@@ -22,6 +22,23 @@
 /// Shortest retry time; a shorter one would make callers retry in a busy loop.
 #define RETRY_AFTER_MIN (50 * USEC_PER_MSEC)
 
+/// @param reason  why a request is refused
+/// @return the reason as one word
+const char *
+retry_after_reason_name(enum retry_after_reason reason)
+{
+	static const char *const names[] = {
+	    [RETRY_AFTER_UPSTREAMS_FULL] = "full",
+	    [RETRY_AFTER_NO_UPSTREAM] = "no-upstream",
+	    [RETRY_AFTER_LEAVING] = "leaving",
+	    [RETRY_AFTER_STARTING] = "starting",
+	    [RETRY_AFTER_LIMITED] = "limited",
+	    [RETRY_AFTER_QUARANTINED] = "quarantined",
+	};
+
+	return names[reason];
+}
+
 /// Spreads callers that are told of the same moment: they return after it, over
 /// half the time until then.
 ///
--- a/src/godwitvale/core/retry_after.h
+++ b/src/godwitvale/core/retry_after.h
@@ -25,6 +25,10 @@
 	RETRY_AFTER_QUARANTINED,
 };
 
+/// Number of reasons, which begin with 1.
+#define RETRY_AFTER_N_REASONS RETRY_AFTER_QUARANTINED
+
+const char *retry_after_reason_name(enum retry_after_reason reason);
 usec_t retry_after_spread(usec_t span, double jitter);
 usec_t retry_after_span(enum retry_after_reason reason, usec_t target_latency,
     usec_t time_left, double jitter);
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -137,22 +137,25 @@
 
 /// Sends a response from this instance itself, without a body.
 ///
+/// @param reason       why the request is refused; 0: it fails
 /// @param retry_after  time after which the caller may retry; 0: no
 ///                     Retry-After header
 static void
-send_own_response(
-    struct entry_request *request, unsigned status, usec_t retry_after)
+send_own_response(struct entry_request *request, unsigned status,
+    enum retry_after_reason reason, usec_t retry_after)
 {
 	struct http_head head;
 	char seconds[32];
 
+	/* The verdict is part of what another instance gets. */
+	mark_may_have_run_if_sent(request);
 	http_head_init(&head);
 	head.status = status;
 	if (request->params.id != NULL)
 		http_head_add(
 		    &head, request->entry->site->id_field, request->params.id);
 	if (request->is_forwarded)
-		forward_fields_write_verdict(&head, request->verdict);
+		forward_fields_write_own(&head, request->verdict, reason);
 	if (retry_after > 0) {
 		g_snprintf(seconds, sizeof(seconds), "%.2f",
 		    (double)retry_after / (double)USEC_PER_SEC);
@@ -180,6 +183,7 @@
 	double jitter = g_random_double();
 	usec_t span;
 
+	mark_may_have_run_if_sent(request);
 	if (request->verdict != VERDICT_NOT_RUN) {
 		entry_request_fail(request, 502, outcome);
 		return;
@@ -190,7 +194,7 @@
 	else
 		span = retry_after_spread(
 		    retry_at - g_get_monotonic_time(), jitter);
-	send_own_response(request, 503, span);
+	send_own_response(request, 503, reason, span);
 	entry_request_finish(request, 503, outcome);
 }
 
@@ -235,7 +239,8 @@
 		http_call_abort(request->call);
 		status = 0;
 	} else {
-		send_own_response(request, status, 0);
+		send_own_response(
+		    request, status, (enum retry_after_reason)0, 0);
 	}
 	entry_request_finish(request, status, outcome);
 }
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -78,7 +78,11 @@
 	/* Forwarding to another instance, which `target` then names. */
 	uint64_t helpers[ENTRY_REQUEST_HELPERS_MAX]; /// asked, by name hash
 	unsigned n_helpers;
-	enum verdict own_verdict; /// of an answer of the other instance's own
+	/* What an answer of the other instance's own says. */
+	enum verdict own_verdict;
+	enum retry_after_reason own_reason; /// 0: it refuses for no known one
+	unsigned own_status;
+	usec_t own_retry_at; /// USEC_NEVER: not given
 
 	/* Handover to another upstream. */
 	unsigned handovers;
--- a/src/godwitvale/entry/forward_fields.c
+++ b/src/godwitvale/entry/forward_fields.c
@@ -12,10 +12,11 @@
 #define FIELD_ATTEMPTS "Godwitvale-Attempts"
 #define FIELD_VERSION "Godwitvale-Stream-Version"
 #define FIELD_VERDICT "Godwitvale-Verdict"
+#define FIELD_REASON "Godwitvale-Refusal"
 
 static const char *const all_fields[] = {FIELD_SENDER, FIELD_INCARNATION,
     FIELD_ORGANISATION, FIELD_CONFIG, FIELD_ATTEMPTS, FIELD_VERSION,
-    FIELD_VERDICT};
+    FIELD_VERDICT, FIELD_REASON};
 
 static const enum verdict verdicts[] = {
     VERDICT_NOT_RUN, VERDICT_MAY_HAVE_RUN, VERDICT_RAN};
@@ -123,10 +124,15 @@
 ///
 /// @param head     head of the answer
 /// @param verdict  whether the request ran
+/// @param reason   why it is refused; 0: it isn't
 void
-forward_fields_write_verdict(struct http_head *head, enum verdict verdict)
+forward_fields_write_own(struct http_head *head, enum verdict verdict,
+    enum retry_after_reason reason)
 {
 	http_head_add(head, FIELD_VERDICT, verdict_name(verdict));
+	if (reason != 0)
+		http_head_add(
+		    head, FIELD_REASON, retry_after_reason_name(reason));
 }
 
 /// Adds the software version of the upstream that answers.
@@ -139,6 +145,21 @@
 	add_hex(head, FIELD_VERSION, version_key);
 }
 
+/// @return why the receiver refuses; 0: unknown
+static enum retry_after_reason
+read_reason(const struct http_head *head)
+{
+	const char *name = http_head_get(head, FIELD_REASON);
+
+	for (int reason = 1; name != NULL && reason <= RETRY_AFTER_N_REASONS;
+	     reason++)
+		if (strcmp(retry_after_reason_name(
+			       (enum retry_after_reason)reason),
+			name) == 0)
+			return (enum retry_after_reason)reason;
+	return (enum retry_after_reason)0;
+}
+
 /// Reads what the answer to a forwarded request says.
 ///
 /// @param head    head of the answer
@@ -154,5 +175,6 @@
 	for (size_t i = 0; name != NULL && i < G_N_ELEMENTS(verdicts); i++)
 		if (strcmp(verdict_name(verdicts[i]), name) == 0)
 			answer->verdict = verdicts[i];
+	answer->reason = read_reason(head);
 	read_number(head, FIELD_VERSION, 16, G_MAXUINT64, &answer->version_key);
 }
--- a/src/godwitvale/entry/forward_fields.h
+++ b/src/godwitvale/entry/forward_fields.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "godwitvale/core/retry_after.h"
 #include "godwitvale/core/verdict_defs.h"
 #include "godwitvale/http/head.h"
 
@@ -30,6 +31,8 @@
 	/// ran.
 	bool is_own;
 	enum verdict verdict;
+	/// Why the receiver refuses; 0: it doesn't, or another reason.
+	enum retry_after_reason reason;
 	uint64_t version_key; /// of the upstream that answers; 0: unknown
 };
 
@@ -39,7 +42,8 @@
 bool forward_fields_read_request(
     const struct http_head *head, struct forward_request *request);
 void forward_request_clear(struct forward_request *request);
-void forward_fields_write_verdict(struct http_head *head, enum verdict verdict);
+void forward_fields_write_own(struct http_head *head, enum verdict verdict,
+    enum retry_after_reason reason);
 void forward_fields_write_version(struct http_head *head, uint64_t version_key);
 void forward_fields_read_answer(
     const struct http_head *head, struct forward_answer *answer);
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -108,6 +108,27 @@
 	forward_fields_write_request(head, &fields);
 }
 
+/// Notes an answer of the other instance's own.
+static void
+note_own_answer(struct entry_request *request, const struct http_head *head,
+    const struct forward_answer *answer)
+{
+	const char *text = http_head_get(head, "Retry-After");
+	double seconds = text == NULL ? 0 : g_ascii_strtod(text, NULL);
+
+	request->is_own_answer = true;
+	request->own_verdict = answer->verdict;
+	/* Only a refusal says that it hasn't run. */
+	if (head->status != 503)
+		request->own_verdict =
+		    verdict_raise(request->own_verdict, VERDICT_MAY_HAVE_RUN);
+	request->own_reason = answer->reason;
+	request->own_status = head->status;
+	request->own_retry_at = seconds > 0
+	    ? g_get_monotonic_time() + (usec_t)(seconds * (double)USEC_PER_SEC)
+	    : USEC_NEVER;
+}
+
 /// Exchange callback: the head of an answer has arrived.
 static void
 on_head(void *owner, const struct http_head *head)
@@ -119,19 +140,19 @@
 	request->heard_at = g_get_monotonic_time();
 	forward_fields_read_answer(head, &answer);
 	if (answer.is_own) {
-		request->own_verdict = answer.verdict;
-		request->is_own_answer = true;
-	} else {
-		request->entry->site->read_answer(head, &info);
-		request->target.version_key = answer.version_key;
+		note_own_answer(request, head, &answer);
+		goto out;
 	}
-	if (answer.is_own || answer_accept_head(request, head, &info)) {
+	request->entry->site->read_answer(head, &info);
+	request->target.version_key = answer.version_key;
+	if (answer_accept_head(request, head, &info)) {
 		http_head_clear(&request->answer_head);
 		http_head_init(&request->answer_head);
 		request->answer_head.status = head->status;
 		http_head_copy_end_to_end(&request->answer_head, head);
 		forward_fields_remove(&request->answer_head);
 	}
+out:
 	entry_request_unref(request);
 }
 
@@ -145,36 +166,47 @@
 		answer_vtable()->body(request, data, len);
 }
 
-/// Asks the next instance, if there is one, or refuses the request as the last
-/// one has.
+/// Checks whether another instance may serve a request that one has refused. A
+/// refusal because of its upstreams' state would be the same there.
+static bool
+is_refused_here_only(const struct entry_request *request)
+{
+	return request->own_reason == RETRY_AFTER_NO_UPSTREAM ||
+	    request->own_reason == RETRY_AFTER_STARTING ||
+	    request->own_reason == RETRY_AFTER_LEAVING;
+}
+
+/// Asks the next instance, if that makes sense, or refuses the request as the
+/// last one has.
 static void
 handle_refusal(struct entry_request *request)
 {
-	const char *text = http_head_get(&request->answer_head, "Retry-After");
-	double seconds = text == NULL ? 0 : g_ascii_strtod(text, NULL);
+	enum retry_after_reason reason = request->own_reason;
 
-	if (forwarding_start(request))
+	if (is_refused_here_only(request) && forwarding_start(request))
 		return;
-	reachability_note_helpless(
-	    reach_monitor_reachability(request->entry->reach_monitor),
-	    g_get_monotonic_time(), request->service);
-	entry_request_refuse_until(request,
-	    seconds > 0 ? g_get_monotonic_time() +
-		    (usec_t)(seconds * (double)USEC_PER_SEC)
-			: USEC_NEVER,
-	    RETRY_AFTER_NO_UPSTREAM, "forward-refused");
+	if (reason == RETRY_AFTER_NO_UPSTREAM)
+		reachability_note_helpless(
+		    reach_monitor_reachability(request->entry->reach_monitor),
+		    g_get_monotonic_time(), request->service);
+	entry_request_refuse_until(request, request->own_retry_at,
+	    reason == 0 ? RETRY_AFTER_NO_UPSTREAM : reason, "forward-refused");
 }
 
 /// Handles a complete answer of the other instance's own.
 static void
 handle_own_answer(struct entry_request *request)
 {
-	unsigned status = request->answer_head.status;
+	unsigned status = request->own_status;
 
 	log_event(LOG_LEVEL_INFO, "forward-not-served",
-	    "id=%s to=%s status=%u verdict=%s age_ms=%" G_GINT64_FORMAT,
+	    "id=%s to=%s status=%u verdict=%s reason=%s "
+	    "age_ms=%" G_GINT64_FORMAT,
 	    request->params.id, request->target.id, status,
 	    verdict_name(request->own_verdict),
+	    request->own_reason == 0
+		? "-"
+		: retry_after_reason_name(request->own_reason),
 	    (g_get_monotonic_time() - request->sent_at) / USEC_PER_MSEC);
 	series_add(&entry_metric_forwards, request->service, "not-served", 1);
 	request->verdict =
--- a/test/functional/entry_cut_off.sh
+++ b/test/functional/entry_cut_off.sh
@@ -123,13 +123,33 @@
     logged e4 '"request-ended","id":"gone".*"outcome":"caller-gone"'
 echo "ended"
 
-echo "== the helper is killed: a stream goes on, an order isn't repeated"
+echo "== the helper leaves, and its process ends before the answer"
 settings_entry e5 "${entry_control[e1]}"
 start_instance e5
 for instance in e1 e2 e3; do
 	wait_for "$instance to know e5" logged "$instance" \
 	    '"peer-joined","peer":"e5"'
 done
+for worker in lm1 lm2; do
+	ctl "worker/$worker/mute"
+done
+draft e1 left 5 >"$workdir/left" &
+left=$!
+pids+=("$left")
+wait_for "the draft to run" bash -c "[ \$(curl -s '$site/ctl/runs/left') = 1 ]"
+helper=$(grep '"request-forwarded","id":"left"' "$workdir/e1.log" |
+    sed 's/.*"to":"\(e[45]\)".*/\1/')
+kill -TERM "${entry_pid[$helper]}"
+wait "$left"
+echo "draft: $(tail -1 "$workdir/left"), run $(runs left) times"
+for worker in lm1 lm2; do
+	ctl "worker/$worker/well"
+done
+wait "${entry_pid[$helper]}"
+start_instance "$helper"
+
+echo "== the helper is killed: a stream goes on"
+sleep 1.5 # some heartbeats
 start_get "$workdir/long" "${entry_caller[e1]}/hint/x" \
     -H 'Host: a.example' -H 'Authorization: Token k1' -H 'Attempt-Id: long' \
     -H 'Token-Usage: 100,400' -H 'Deadline-Ms: 20000' -X POST
