Quarantine of requests: a cut of the instance's own links is no crash of upstreams

Such a crash now counts once the instance has heard from any upstream since, within ten seconds; an answered probe of reachability does. Where all upstreams of a service crash, those of others are heard, or the first that is back.

--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -4,6 +4,7 @@
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/forwarding.h"
+#include "godwitvale/entry/request_guard.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -65,6 +66,8 @@
 	    (now - probe->sent_at) / USEC_PER_MSEC);
 	series_add(&entry_metric_reach_probes, probe->service,
 	    has_answered ? "answered" : "failed", 1);
+	if (has_answered)
+		request_guard_note_heard(monitor->entry);
 	reachability_note_probe(
 	    monitor->reachability, now, probe->service, has_answered);
 	g_hash_table_remove(monitor->probes, probe);
