--- a/src/godwitvale/core/crash_suspects.h
+++ b/src/godwitvale/core/crash_suspects.h
@@ -51,11 +51,11 @@
 struct crash_suspect {
 	uint64_t fingerprint;
 	struct crash_exposure exposures[CRASH_EXPOSURES_MAX];
+	usec_t answered_at; /// 0: never
+	usec_t trial_at;    /// time of the next trial; USEC_NEVER: none is left
+	usec_t matched_at;  /// time at which such a request last came
 	unsigned n_exposures; /// since it was last answered; oldest first
-	usec_t answered_at;   /// 0: never
 	unsigned n_trials;
-	usec_t trial_at;   /// time of the next trial; USEC_NEVER: none is left
-	usec_t matched_at; /// time at which such a request last came
 	bool is_quarantined;
 	/// Another instance reports a crash that was followed by an answer
 	/// here.
--- a/src/godwitvale/core/place_share.c
+++ b/src/godwitvale/core/place_share.c
@@ -3,7 +3,6 @@
 
 #include <glib.h>
 
-
 /// @param share  the upstream and this instance
 /// @return number of places that belong to this instance; the places of all
 ///         instances with the same view of the fleet add up to the capacity
--- a/src/godwitvale/entry/request_guard.c
+++ b/src/godwitvale/entry/request_guard.c
@@ -83,6 +83,15 @@
 		    REQUEST_GUARD_TELL_DELAY_MS, on_tell_due, guard);
 }
 
+/// Adds a crash, and has the other instances told if it is new.
+static void
+add_exposure(struct request_guard *guard, const struct doubtful_crash *crash)
+{
+	if (crash_suspects_add(guard->suspects, g_get_monotonic_time(),
+		crash->fingerprint, &crash->exposure))
+		schedule_tell(guard);
+}
+
 /// Suspects callback: a quarantine has begun or ended.
 static void
 on_change(void *owner, enum crash_suspect_change change,
@@ -244,15 +253,6 @@
 		schedule_tell(guard);
 }
 
-/// Adds a crash, and has the other instances told if it is new.
-static void
-add_exposure(struct request_guard *guard, const struct doubtful_crash *crash)
-{
-	if (crash_suspects_add(guard->suspects, g_get_monotonic_time(),
-		crash->fingerprint, &crash->exposure))
-		schedule_tell(guard);
-}
-
 /// Notes that something has come from an upstream: this instance isn't cut off,
 /// so the crashes before were no cut of its own links.
 ///
