--- a/src/godwitvale/core/membership.c
+++ b/src/godwitvale/core/membership.c
@@ -16,6 +16,7 @@
 	membership_listener listener;
 	void *owner;
 	GHashTable *members; /// name -> struct member *
+	GHashTable *by_hash; /// hash of a name -> struct member *, not owned
 	unsigned peak_size;  /// maximum of membership_size() so far
 	GRand *rand;         /// chooses among members with equal configurations
 };
@@ -51,6 +52,7 @@
 	membership->owner = owner;
 	membership->members =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
+	membership->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	membership->peak_size = 1;
 	membership->rand = g_rand_new_with_seed((guint32)hash_name(own_name));
 	return membership;
@@ -62,6 +64,7 @@
 void
 membership_free(struct membership *membership)
 {
+	g_hash_table_unref(membership->by_hash);
 	g_hash_table_unref(membership->members);
 	g_rand_free(membership->rand);
 	g_free(membership->own_name);
@@ -80,6 +83,7 @@
 	member->name_hash = hash_name(heartbeat->name);
 	member->incarnation = heartbeat->incarnation;
 	g_hash_table_insert(membership->members, member->name, member);
+	g_hash_table_insert(membership->by_hash, &member->name_hash, member);
 	membership->peak_size =
 	    MAX(membership->peak_size, membership_size(membership));
 	return member;
@@ -99,6 +103,17 @@
 	return false;
 }
 
+/// Postpones the time at which a member counts as lost.
+static void
+note_alive(
+    const struct membership *membership, struct member *member, usec_t now)
+{
+	member->last_heartbeat_at = now;
+	member->lost_deadline = now +
+	    MAX(MEMBERSHIP_LOST_HEARTBEATS * member->interval,
+		membership->lost_timeout);
+}
+
 /// Handles a received heartbeat.
 ///
 /// @param membership  membership to update
@@ -140,10 +155,12 @@
 	member->zone = heartbeat->zone;
 	member->store_reachable = heartbeat->store_reachable;
 	member->leaving = heartbeat->leaving;
-	member->last_heartbeat_at = now;
-	member->lost_deadline = now +
-	    MAX(MEMBERSHIP_LOST_HEARTBEATS * heartbeat->interval,
-		membership->lost_timeout);
+	member->link_mbps = heartbeat->link_mbps;
+	member->interval = heartbeat->interval;
+	member->sequence = has_restarted
+	    ? heartbeat->sequence
+	    : MAX(member->sequence, heartbeat->sequence);
+	note_alive(membership, member, now);
 	if (has_restarted)
 		membership->listener(
 		    membership->owner, MEMBER_RESTARTED, member);
@@ -155,6 +172,47 @@
 	return member;
 }
 
+/// Handles a heartbeat that says only that the sender's state is unchanged.
+///
+/// @param membership   membership to update
+/// @param now          current time
+/// @param name_hash    hash of the sender's name
+/// @param incarnation  of the sender
+/// @return the sender; NULL if this incarnation of it isn't a member
+const struct member *
+membership_handle_alive(struct membership *membership, usec_t now,
+    uint64_t name_hash, uint64_t incarnation)
+{
+	struct member *member =
+	    g_hash_table_lookup(membership->by_hash, &name_hash);
+
+	if (member == NULL || member->incarnation != incarnation)
+		return NULL;
+	note_alive(membership, member, now);
+	return member;
+}
+
+/// Checks whether a numbered message is newer than all that came before from
+/// the same incarnation of its sender, and notes its number.
+///
+/// @param membership  membership to update
+/// @param name        the sender; must be a member
+/// @param sequence    number of the message; 0: the sender's build sends none
+/// @return whether the message is to be applied
+bool
+membership_accept_sequence(
+    struct membership *membership, const char *name, uint64_t sequence)
+{
+	struct member *member = g_hash_table_lookup(membership->members, name);
+
+	if (sequence == 0)
+		return true;
+	if (member == NULL || sequence <= member->sequence)
+		return false;
+	member->sequence = sequence;
+	return true;
+}
+
 /// Removes the members whose `lost_deadline` has passed, and reports them as
 /// lost.
 ///
@@ -173,6 +231,7 @@
 		if (now < member->lost_deadline)
 			continue;
 		membership->listener(membership->owner, MEMBER_LOST, member);
+		g_hash_table_remove(membership->by_hash, &member->name_hash);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -191,6 +250,8 @@
 	g_hash_table_iter_init(&iter, membership->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		membership->listener(membership->owner, MEMBER_LOST, value);
+		g_hash_table_remove(membership->by_hash,
+		    &((const struct member *)value)->name_hash);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -266,6 +327,37 @@
 	return g_hash_table_lookup(membership->members, name);
 }
 
+/// @param membership  membership to search
+/// @param name_hash   hash of the name of an instance
+/// @return the member, or NULL when no member has this name
+const struct member *
+membership_find_by_hash(const struct membership *membership, uint64_t name_hash)
+{
+	return g_hash_table_lookup(membership->by_hash, &name_hash);
+}
+
+/// @param membership   membership to count
+/// @param now          current time
+/// @param n_intervals  number of heartbeats
+/// @return number of members that have missed this many heartbeats or more
+unsigned
+membership_count_silent(
+    const struct membership *membership, usec_t now, unsigned n_intervals)
+{
+	GHashTableIter iter;
+	void *value;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, membership->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		n += now >
+		    member->last_heartbeat_at + n_intervals * member->interval;
+	}
+	return n;
+}
+
 /// Compares two members by a property.
 ///
 /// @return negative, zero or positive, as the first one is older, the same or
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -29,10 +29,15 @@
 #define MEMBER_FEATURE_SUSPECTS 4
 /// The instance's build serves requests that other instances forward.
 #define MEMBER_FEATURE_FORWARDS 8
+/// The instance's build exchanges messages through hubs.
+#define MEMBER_FEATURE_HUBS 16
 /// Features of this build.
-#define MEMBER_FEATURES                                  \
-	(MEMBER_FEATURE_STREAMS | MEMBER_FEATURE_TURNS | \
-	    MEMBER_FEATURE_SUSPECTS | MEMBER_FEATURE_FORWARDS)
+#define MEMBER_FEATURES                                         \
+	(MEMBER_FEATURE_STREAMS | MEMBER_FEATURE_TURNS |        \
+	    MEMBER_FEATURE_SUSPECTS | MEMBER_FEATURE_FORWARDS | \
+	    MEMBER_FEATURE_HUBS)
+/// Not a feature of the build: the instance has subscribers as a hub.
+#define MEMBER_IS_HUB (UINT64_C(1) << 32)
 
 /// Contents of a heartbeat.
 struct member_heartbeat {
@@ -48,6 +53,8 @@
 	usec_t interval;         /// time until the sender's next heartbeat
 	uint64_t features;       /// MEMBER_FEATURE_... of the sender's build
 	uint64_t zone;           /// hash of the sender's zone; 0: unknown
+	uint64_t sequence;       /// of the message; 0: unknown
+	uint64_t link_mbps;      /// of the sender's link; 0: unknown
 	bool store_reachable;    /// the sender can read the store
 	bool leaving;            /// the sender is shutting down
 };
@@ -67,6 +74,9 @@
 	usec_t lost_deadline;
 	uint64_t features;
 	uint64_t zone;
+	uint64_t sequence; /// of the last message with a number
+	uint64_t link_mbps;
+	usec_t interval; /// time until the next heartbeat
 	bool store_reachable;
 	bool leaving;
 };
@@ -92,6 +102,10 @@
 void membership_free(struct membership *membership);
 const struct member *membership_handle_heartbeat(struct membership *membership,
     usec_t now, const struct member_heartbeat *heartbeat);
+const struct member *membership_handle_alive(struct membership *membership,
+    usec_t now, uint64_t name_hash, uint64_t incarnation);
+bool membership_accept_sequence(
+    struct membership *membership, const char *name, uint64_t sequence);
 void membership_tick(struct membership *membership, usec_t now);
 void membership_forget_all(struct membership *membership);
 unsigned membership_size(const struct membership *membership);
@@ -101,6 +115,10 @@
     const struct membership *membership, bool store_reachable);
 const struct member *membership_find(
     const struct membership *membership, const char *name);
+const struct member *membership_find_by_hash(
+    const struct membership *membership, uint64_t name_hash);
+unsigned membership_count_silent(
+    const struct membership *membership, usec_t now, unsigned n_intervals);
 const struct member *membership_find_newest_config(
     const struct membership *membership);
 unsigned membership_task_rank(
--- a/src/godwitvale/entry/entry_peers.c
+++ b/src/godwitvale/entry/entry_peers.c
@@ -215,6 +215,7 @@
 	    .port = settings->peer_port,
 	    .control_port = settings->control.port,
 	    .seeds = settings->seeds,
+	    .link_mbps = (uint64_t)settings->link_mbps,
 	    .view = entry->view,
 	    .loads = entry->loads,
 	    .quarantine = segment_guard_quarantine(entry->guard),
--- a/src/godwitvale/entry/entry_settings.c
+++ b/src/godwitvale/entry/entry_settings.c
@@ -70,6 +70,9 @@
 	.doc = "least severe level that is logged"},
     NUMBER(JSON_UINT32, "limits.max_callers", max_callers, 16, 1000000, "2000",
 	"maximum number of open connections of callers"),
+    NUMBER(JSON_DOUBLE, "limits.link_mbps", link_mbps, 0, 1000000, "0",
+	"rate of the machine's network link in Mbit/s; instances with a fast "
+	"one pass on messages for others first; 0: unknown"),
     NUMBER(JSON_DOUBLE, "retries.ratio", retry_ratio, 0, 10, "0.1",
 	"maximum ratio of retries to first requests of a service, over all "
 	"instances together"),
--- a/src/godwitvale/entry/entry_settings.h
+++ b/src/godwitvale/entry/entry_settings.h
@@ -34,6 +34,8 @@
 	char *upstream_source;
 	int log_level;        /// "log.level": error|warn|info|debug
 	uint32_t max_callers; /// "limits.max_callers": open connections
+	/// "limits.link_mbps": rate of the machine's link; 0: unknown
+	double link_mbps;
 	/// "retries.ratio": maximum ratio of retries to first requests.
 	double retry_ratio;
 	/// "retries.slack": retries per window in addition to that ratio.
--- a/src/godwitvale/fleet/fleet_codec.c
+++ b/src/godwitvale/fleet/fleet_codec.c
@@ -6,7 +6,9 @@
 #include "godwitvale/core/store_revision.h"
 
 /// Size of a trailer, in bytes.
-#define TRAILER_BYTES 32
+#define TRAILER_BYTES 48
+/// Size of the trailer of the builds before hubs, in bytes.
+#define TRAILER_ZONE_BYTES 32
 /// Size of the trailer of the build before zones, in bytes.
 #define TRAILER_FEATURES_BYTES 24
 /// Size of the trailer of the build before features, in bytes.
@@ -30,12 +32,21 @@
 	return xdr_u_quad_t(xdr, (u_quad_t *)&trailer->features);
 }
 
+/// Encodes or decodes the hash of the zone.
+static bool
+convert_zone(XDR *xdr, struct fleet_trailer *trailer)
+{
+	return xdr_u_quad_t(xdr, (u_quad_t *)&trailer->zone);
+}
+
 /// Encodes or decodes a trailer.
 static bool
 convert_trailer(XDR *xdr, struct fleet_trailer *trailer)
 {
 	return convert_base(xdr, trailer) && convert_features(xdr, trailer) &&
-	    xdr_u_quad_t(xdr, (u_quad_t *)&trailer->zone);
+	    convert_zone(xdr, trailer) &&
+	    xdr_u_quad_t(xdr, (u_quad_t *)&trailer->sequence) &&
+	    xdr_u_quad_t(xdr, (u_quad_t *)&trailer->link_mbps);
 }
 
 /// Appends a trailer to an encoded message.
@@ -73,7 +84,8 @@
 {
 	XDR xdr;
 	bool has_features = end + TRAILER_FEATURES_BYTES <= len;
-	bool has_zone = end + TRAILER_BYTES <= len;
+	bool has_zone = end + TRAILER_ZONE_BYTES <= len;
+	bool is_whole = end + TRAILER_BYTES <= len;
 	bool ok;
 
 	memset(trailer, 0, sizeof(*trailer));
@@ -81,11 +93,12 @@
 		return;
 	xdrmem_create(
 	    &xdr, (char *)bytes + end, (u_int)(len - end), XDR_DECODE);
-	if (has_zone)
+	if (is_whole)
 		ok = convert_trailer(&xdr, trailer);
 	else
 		ok = convert_base(&xdr, trailer) &&
-		    (!has_features || convert_features(&xdr, trailer));
+		    (!has_features || convert_features(&xdr, trailer)) &&
+		    (!has_zone || convert_zone(&xdr, trailer));
 	if (!ok)
 		memset(trailer, 0, sizeof(*trailer));
 	xdr_destroy(&xdr);
--- a/src/godwitvale/fleet/fleet_codec.h
+++ b/src/godwitvale/fleet/fleet_codec.h
@@ -15,6 +15,9 @@
 	uint64_t config_version; /// of the sender; 0: unknown
 	uint64_t features;       /// MEMBER_FEATURE_... of the sender's build
 	uint64_t zone;           /// hash of the sender's zone; 0: unknown
+	/// grows with each numbered message of the sender; 0: not numbered
+	uint64_t sequence;
+	uint64_t link_mbps; /// of the sender's link; 0: unknown
 };
 
 size_t fleet_trailer_append(
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -18,6 +18,8 @@
 const FLEET_LIMITS_MAX = 64;
 const FLEET_DEPARTURES_MAX = 64;
 const FLEET_STREAMS_MAX = 64;
+const FLEET_PACKED_MAX = 64;
+const FLEET_PACKED_BYTES = 32768;
 const FLEET_ITEMS = 4096;
 const FLEET_VALUE_BYTES = 1048576;
 
@@ -196,6 +198,33 @@
 	unsigned int age_ms;
 };
 
+/* Message of an instance, on its way through hubs. */
+struct fleet_packed {
+	unsigned hyper origin; /* hash of the instance's name */
+	opaque message<FLEET_PACKED_BYTES>;
+};
+
+enum fleet_hop {
+	FLEET_TO_HUB = 1, /* from a subscriber, for all instances */
+	FLEET_BETWEEN_HUBS = 2, /* for the subscribers of the receiver */
+	FLEET_TO_SUBSCRIBER = 3
+};
+
+/* Messages that a hub passes on, or is to pass on. */
+struct fleet_pack {
+	unsigned hyper sender; /* hash of its name */
+	unsigned int ip; /* of the sender */
+	fleet_hop hop;
+	unsigned int subscribe_ms; /* the receiver is to send for this long */
+	fleet_packed messages<FLEET_PACKED_MAX>;
+};
+
+/* Heartbeat of an instance whose state is unchanged. */
+struct fleet_alive {
+	unsigned hyper sender; /* hash of its name */
+	unsigned hyper incarnation;
+};
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
@@ -208,7 +237,9 @@
 	FLEET_STREAM_ANSWER = 9,
 	FLEET_TURN = 10,
 	FLEET_SUSPECTS = 11,
-	FLEET_SERVICES = 12
+	FLEET_SERVICES = 12,
+	FLEET_PACK = 13,
+	FLEET_ALIVE = 14
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -236,6 +267,10 @@
 	fleet_suspects suspects;
 case FLEET_SERVICES:
 	fleet_services services;
+case FLEET_PACK:
+	fleet_pack pack;
+case FLEET_ALIVE:
+	fleet_alive alive;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -477,6 +477,59 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_packed (XDR *xdrs, fleet_packed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->origin))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->message.message_val, (u_int *) &objp->message.message_len, FLEET_PACKED_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_hop (XDR *xdrs, fleet_hop *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_pack (XDR *xdrs, fleet_pack *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_fleet_hop (xdrs, &objp->hop))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->subscribe_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->messages.messages_val, (u_int *) &objp->messages.messages_len, FLEET_PACKED_MAX,
+		sizeof (fleet_packed), (xdrproc_t) xdr_fleet_packed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_alive (XDR *xdrs, fleet_alive *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_kind (XDR *xdrs, fleet_kind *objp)
 {
@@ -543,6 +596,14 @@
 		 if (!xdr_fleet_services (xdrs, &objp->fleet_message_u.services))
 			 return FALSE;
 		break;
+	case FLEET_PACK:
+		 if (!xdr_fleet_pack (xdrs, &objp->fleet_message_u.pack))
+			 return FALSE;
+		break;
+	case FLEET_ALIVE:
+		 if (!xdr_fleet_alive (xdrs, &objp->fleet_message_u.alive))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -28,6 +28,8 @@
 #define FLEET_LIMITS_MAX 64
 #define FLEET_DEPARTURES_MAX 64
 #define FLEET_STREAMS_MAX 64
+#define FLEET_PACKED_MAX 64
+#define FLEET_PACKED_BYTES 32768
 #define FLEET_ITEMS 4096
 #define FLEET_VALUE_BYTES 1048576
 
@@ -268,6 +270,40 @@
 };
 typedef struct fleet_turn fleet_turn;
 
+struct fleet_packed {
+	u_quad_t origin;
+	struct {
+		u_int message_len;
+		char *message_val;
+	} message;
+};
+typedef struct fleet_packed fleet_packed;
+
+enum fleet_hop {
+	FLEET_TO_HUB = 1,
+	FLEET_BETWEEN_HUBS = 2,
+	FLEET_TO_SUBSCRIBER = 3,
+};
+typedef enum fleet_hop fleet_hop;
+
+struct fleet_pack {
+	u_quad_t sender;
+	u_int ip;
+	fleet_hop hop;
+	u_int subscribe_ms;
+	struct {
+		u_int messages_len;
+		fleet_packed *messages_val;
+	} messages;
+};
+typedef struct fleet_pack fleet_pack;
+
+struct fleet_alive {
+	u_quad_t sender;
+	u_quad_t incarnation;
+};
+typedef struct fleet_alive fleet_alive;
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_NEWS = 2,
@@ -281,6 +317,8 @@
 	FLEET_TURN = 10,
 	FLEET_SUSPECTS = 11,
 	FLEET_SERVICES = 12,
+	FLEET_PACK = 13,
+	FLEET_ALIVE = 14,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -299,6 +337,8 @@
 		fleet_turn turn;
 		fleet_suspects suspects;
 		fleet_services services;
+		fleet_pack pack;
+		fleet_alive alive;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -339,6 +379,10 @@
 extern  bool_t xdr_fleet_brittle (XDR *, fleet_brittle*);
 extern  bool_t xdr_fleet_services (XDR *, fleet_services*);
 extern  bool_t xdr_fleet_turn (XDR *, fleet_turn*);
+extern  bool_t xdr_fleet_packed (XDR *, fleet_packed*);
+extern  bool_t xdr_fleet_hop (XDR *, fleet_hop*);
+extern  bool_t xdr_fleet_pack (XDR *, fleet_pack*);
+extern  bool_t xdr_fleet_alive (XDR *, fleet_alive*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_message (XDR *, fleet_message*);
 extern  bool_t xdr_fleet_snapshot (XDR *, fleet_snapshot*);
@@ -367,6 +411,10 @@
 extern bool_t xdr_fleet_brittle ();
 extern bool_t xdr_fleet_services ();
 extern bool_t xdr_fleet_turn ();
+extern bool_t xdr_fleet_packed ();
+extern bool_t xdr_fleet_hop ();
+extern bool_t xdr_fleet_pack ();
+extern bool_t xdr_fleet_alive ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_message ();
 extern bool_t xdr_fleet_snapshot ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -13,6 +13,7 @@
 #include <glib-unix.h>
 #include <sys/socket.h>
 
+#include "godwitvale/core/hash.h"
 #include "godwitvale/fleet/peers_state.h"
 #include "godwitvale/fleet/snapshot_sync.h"
 #include "godwitvale/http/address.h"
@@ -38,48 +39,6 @@
 						     : 0;
 }
 
-/// Adds an address to the heartbeat targets, or extends its lifetime. Ignores
-/// an invalid address and the address of this instance.
-///
-/// @param peers       sends heartbeats to the address
-/// @param number      the address, in host byte order
-/// @param expires_at  when to stop, unless another heartbeat names it
-/// @param is_seed     whether it is from the settings, and never expires
-void
-peers_add_target(
-    struct peers *peers, uint32_t number, usec_t expires_at, bool is_seed)
-{
-	struct heartbeat_target *target;
-
-	if (number == 0 || number == peers_parse_ipv4(peers->ip))
-		return;
-	target = g_hash_table_lookup(peers->targets, GUINT_TO_POINTER(number));
-	if (target == NULL) {
-		target = g_new0(struct heartbeat_target, 1);
-		g_hash_table_insert(
-		    peers->targets, GUINT_TO_POINTER(number), target);
-	}
-	target->expires_at = MAX(target->expires_at, expires_at);
-	target->is_seed = target->is_seed || is_seed;
-}
-
-/// Removes targets whose address no heartbeat has contained for
-/// PEERS_TARGET_TTL. Seeds are never removed.
-static void
-remove_expired_targets(struct peers *peers, usec_t now)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, peers->targets);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct heartbeat_target *target = value;
-
-		if (!target->is_seed && now >= target->expires_at)
-			g_hash_table_iter_remove(&iter);
-	}
-}
-
 /// @return time since the machine's start, in microseconds, with the time for
 ///         which it was suspended
 static usec_t
@@ -118,7 +77,8 @@
 
 	peers_note_run(peers);
 	membership_tick(peers->membership, now);
-	remove_expired_targets(peers, now);
+	address_book_expire(peers->addresses, now);
+	hub_tick(peers->hub, now);
 	if (now >= peers->next_heartbeat_at) {
 		peers_send_heartbeat(peers);
 		peers_gossip(peers);
@@ -162,6 +122,89 @@
 		    peers->options.owner, member);
 }
 
+/// Loop callback: the hub has gathered messages for long enough.
+static gboolean
+on_flush_due(gpointer data)
+{
+	struct peers *peers = data;
+
+	peers->flush_timer = 0;
+	peers_note_run(peers);
+	hub_flush(peers->hub, g_get_monotonic_time());
+	return G_SOURCE_REMOVE;
+}
+
+/// Hub callback: the hub has begun to gather messages.
+static void
+schedule_flush(void *owner)
+{
+	struct peers *peers = owner;
+
+	if (peers->flush_timer == 0)
+		peers->flush_timer =
+		    g_timeout_add((guint)(HUB_GATHER_SPAN / USEC_PER_MSEC),
+			on_flush_due, peers);
+}
+
+/// Hub callback: sends a datagram.
+static void
+send_to_address(void *owner, uint32_t ip, const char *bytes, size_t len)
+{
+	peers_send_datagram(owner, ip, bytes, len);
+}
+
+/// Hub callback: this instance has become a hub, or is none any more.
+static void
+on_role_changed(void *owner, bool is_hub)
+{
+	struct peers *peers = owner;
+
+	log_event(LOG_LEVEL_INFO, "hub-role", "is_hub=%d subscribers=%u",
+	    is_hub, hub_count_subscribers(peers->hub));
+	peers_announce(peers);
+}
+
+/// Hub callback: this instance uses another hub.
+static void
+on_hub_changed(void *owner, enum hub_change reason, const char *name)
+{
+	static const char *const reasons[] = {
+	    [HUB_KEPT] = "none",
+	    [HUB_CHOSEN] = "members",
+	    [HUB_SILENT] = "silent",
+	    [HUB_CUT_OFF] = "cut-off",
+	};
+	const struct peers *peers = owner;
+
+	log_event(LOG_LEVEL_INFO, "hub-changed", "hub=%s reason=%s members=%u",
+	    name, reasons[reason], membership_size(peers->membership));
+}
+
+static const struct hub_vtable hub_vtable = {
+    .send = send_to_address,
+    .deliver = peers_deliver,
+    .flush_needed = schedule_flush,
+    .role_changed = on_role_changed,
+    .hub_changed = on_hub_changed,
+};
+
+/// Creates the exchange through hubs.
+static struct hub *
+open_hub(struct peers *peers)
+{
+	const struct hub_options options = {
+	    .vtable = &hub_vtable,
+	    .owner = peers,
+	    .name = peers->name,
+	    .zone = hash_name(peers->zone),
+	    .ip = peers_parse_ipv4(peers->ip),
+	    .link_mbps = peers->options.link_mbps,
+	    .membership = peers->membership,
+	};
+
+	return hub_new(&options);
+}
+
 /// Stream callback: sends a datagram to one instance.
 static void
 send_to_ip(void *owner, const char *ip, const char *bytes, size_t len)
@@ -246,12 +289,14 @@
 	peers->ip = g_strdup(options->ip);
 	peers->zone = g_strdup(options->zone);
 	peers->incarnation = (uint64_t)g_get_real_time();
-	peers->targets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	peers->addresses =
+	    address_book_new(peers_parse_ipv4(peers->ip), g_random_int());
 	peers->membership = membership_new(
 	    peers->name, PEERS_LOST_TIMEOUT, on_member_change, peers);
 	peers->snapshot_sync = snapshot_sync_new(options->view, options->pool,
 	    peers->membership, options->control_port);
 	peers->stream_sync = open_stream_sync(peers);
+	peers->hub = open_hub(peers);
 	if (!open_socket(peers, error)) {
 		peers_free(peers);
 		return NULL;
@@ -277,12 +322,15 @@
 		g_source_remove(peers->tick_timer);
 	if (peers->load_timer != 0)
 		g_source_remove(peers->load_timer);
+	if (peers->flush_timer != 0)
+		g_source_remove(peers->flush_timer);
 	g_clear_pointer(&peers->snapshot_sync, snapshot_sync_free);
 	if (peers->fd >= 0)
 		close(peers->fd);
+	hub_free(peers->hub);
 	membership_free(peers->membership);
 	stream_sync_free(peers->stream_sync);
-	g_hash_table_unref(peers->targets);
+	address_book_free(peers->addresses);
 	g_free(peers->name);
 	g_free(peers->ip);
 	g_free(peers->zone);
@@ -302,8 +350,8 @@
 		struct address address;
 
 		if (address_parse(g_strstrip(*seed), &address))
-			peers_add_target(
-			    peers, peers_parse_ipv4(address.ip), 0, true);
+			address_book_add_seed(
+			    peers->addresses, peers_parse_ipv4(address.ip));
 	}
 	g_strfreev(seed_list);
 }
@@ -315,6 +363,7 @@
 peers_set_leaving(struct peers *peers)
 {
 	peers->leaving = true;
+	hub_set_leaving(peers->hub);
 	peers_send_heartbeat(peers);
 }
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -87,6 +87,7 @@
 	uint16_t port;         /// UDP port, the same at every instance
 	uint16_t control_port; /// HTTP port, the same at every instance
 	const char *seeds;     /// IP:PORT,... of instances; may be outdated
+	uint64_t link_mbps;    /// of this instance's link; 0: unknown
 	struct view *view;
 	struct loads *loads;
 	struct quarantine *quarantine;
--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -24,14 +24,17 @@
 /// Applies a message with the load that another instance places on the
 /// upstreams.
 static void
-handle_load_update(struct peers *peers, const fleet_work *work)
+handle_load_update(struct peers *peers, const fleet_work *work,
+    const struct fleet_trailer *trailer)
 {
 	const struct peers_options *options = &peers->options;
 	const struct member *member =
 	    membership_find(peers->membership, work->name);
 	struct load_entry loads[FLEET_LOADS];
 
-	if (member == NULL || member->incarnation != work->incarnation)
+	if (member == NULL || member->incarnation != work->incarnation ||
+	    !membership_accept_sequence(
+		peers->membership, work->name, trailer->sequence))
 		return;
 	decode_loads(work->loads.loads_val, work->loads.loads_len, loads);
 	loads_merge_peer(
@@ -39,6 +42,63 @@
 	options->vtable->loads_changed(options->owner);
 }
 
+/// Checks whether a later message of the same incarnation came before this one.
+static bool
+is_overtaken(const struct peers *peers, const fleet_beat *received,
+    const struct fleet_trailer *trailer)
+{
+	const struct member *member =
+	    membership_find(peers->membership, received->name);
+
+	return member != NULL && trailer->sequence != 0 &&
+	    member->incarnation == received->incarnation &&
+	    trailer->sequence <= member->sequence;
+}
+
+/// Applies a heartbeat that says only that its sender runs.
+static void
+handle_alive(struct peers *peers, const fleet_alive *received)
+{
+	usec_t now = g_get_monotonic_time();
+	const struct member *member = membership_handle_alive(
+	    peers->membership, now, received->sender, received->incarnation);
+
+	if (member != NULL)
+		address_book_add(peers->addresses, peers_parse_ipv4(member->ip),
+		    now + PEERS_TARGET_TTL);
+}
+
+/// Adds an address. A hub greets a hub that it didn't know.
+static void
+learn_address(struct peers *peers, usec_t now, uint32_t address, bool is_hub)
+{
+	address_book_add(peers->addresses, address, now + PEERS_TARGET_TTL);
+	if (address_book_note_hub(peers->addresses, address, is_hub) &&
+	    hub_is_hub(peers->hub)) {
+		peers_greet_hub(peers, address);
+		hub_greet(peers->hub, now, address);
+	}
+}
+
+/// Adds the addresses that a heartbeat names. Those that a hub names are hubs.
+static void
+learn_addresses(struct peers *peers, usec_t now, const fleet_beat *received,
+    const struct fleet_trailer *trailer)
+{
+	bool is_hub = (trailer->features & MEMBER_IS_HUB) != 0;
+
+	learn_address(peers, now, peers_parse_ipv4(received->ip), is_hub);
+	for (u_int i = 0; i < received->known.known_len; i++) {
+		uint32_t address = received->known.known_val[i];
+
+		if (is_hub)
+			learn_address(peers, now, address, true);
+		else
+			address_book_add(
+			    peers->addresses, address, now + PEERS_TARGET_TTL);
+	}
+}
+
 /// Applies a heartbeat.
 static void
 handle_heartbeat(struct peers *peers, const fleet_beat *received,
@@ -56,21 +116,22 @@
 	    .store_era = trailer->era,
 	    .features = trailer->features,
 	    .zone = trailer->zone,
+	    .sequence = trailer->sequence,
+	    .link_mbps = trailer->link_mbps,
 	    .interval = received->interval_ms * USEC_PER_MSEC,
 	    .store_reachable = received->reads_store,
 	    .leaving = received->leaving,
 	};
-	const struct member *member =
-	    membership_handle_heartbeat(peers->membership, now, &heartbeat);
+	const struct member *member;
 	struct load_entry loads[FLEET_LOADS];
 
+	if (is_overtaken(peers, received, trailer))
+		return;
+	member =
+	    membership_handle_heartbeat(peers->membership, now, &heartbeat);
 	if (member == NULL)
 		return;
-	peers_add_target(peers, peers_parse_ipv4(received->ip),
-	    now + PEERS_TARGET_TTL, false);
-	for (u_int i = 0; i < received->known.known_len; i++)
-		peers_add_target(peers, received->known.known_val[i],
-		    now + PEERS_TARGET_TTL, false);
+	learn_addresses(peers, now, received, trailer);
 	decode_loads(
 	    received->loads.loads_val, received->loads.loads_len, loads);
 	loads_set_peer(options->loads, member->name_hash, loads,
@@ -145,7 +206,8 @@
 		handle_changes(peers, &message->fleet_message_u.news, trailer);
 		break;
 	case FLEET_WORK:
-		handle_load_update(peers, &message->fleet_message_u.work);
+		handle_load_update(
+		    peers, &message->fleet_message_u.work, trailer);
 		break;
 	case FLEET_EVIDENCE:
 		evidence_sync_apply(peers->options.quarantine,
@@ -186,6 +248,13 @@
 		stream_sync_on_answer(peers->stream_sync,
 		    &message->fleet_message_u.stream_answer);
 		break;
+	case FLEET_ALIVE:
+		handle_alive(peers, &message->fleet_message_u.alive);
+		break;
+	case FLEET_PACK:
+		hub_receive(peers->hub, g_get_monotonic_time(),
+		    &message->fleet_message_u.pack, peers->has_stalled);
+		break;
 	}
 }
 
@@ -198,6 +267,39 @@
 	    message->kind == FLEET_SUSPECTS;
 }
 
+/// Decodes a message and applies it.
+///
+/// @param is_packed  it was in a pack, and must not be one itself
+static void
+handle_bytes(struct peers *peers, const char *bytes, size_t len, bool is_packed)
+{
+	struct fleet_trailer trailer;
+	fleet_message message;
+
+	if (!fleet_message_decode(bytes, len, &message, &trailer)) {
+		log_event(LOG_LEVEL_WARN, "peer-message-unreadable",
+		    "bytes=%zu outcome=dropped", len);
+		return;
+	}
+	if (is_packed && message.kind == FLEET_PACK)
+		log_event(LOG_LEVEL_WARN, "peer-message-unreadable",
+		    "bytes=%zu reason=nested outcome=dropped", len);
+	else if (!peers->has_stalled || !is_evidence(&message))
+		handle_message(peers, &message, &trailer);
+	fleet_message_clear(&message);
+}
+
+/// Hub callback: a message of another instance has arrived in a pack.
+///
+/// @param owner  struct peers
+/// @param bytes  encoded fleet_message
+/// @param len    its length
+void
+peers_deliver(void *owner, const char *bytes, size_t len)
+{
+	handle_bytes(owner, bytes, len, true);
+}
+
 /// Loop callback: datagrams are ready to be received.
 ///
 /// @param fd         the socket
@@ -209,23 +311,12 @@
 {
 	struct peers *peers = data;
 	static char bytes[PEERS_BUFFER_BYTES];
-	struct fleet_trailer trailer;
-	fleet_message message;
 	ssize_t len;
 
 	(void)condition;
 	peers_note_run(peers);
-	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0) {
-		if (!fleet_message_decode(
-			bytes, (size_t)len, &message, &trailer)) {
-			log_event(LOG_LEVEL_WARN, "peer-message-unreadable",
-			    "bytes=%zd outcome=dropped", len);
-			continue;
-		}
-		if (!peers->has_stalled || !is_evidence(&message))
-			handle_message(peers, &message, &trailer);
-		fleet_message_clear(&message);
-	}
+	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0)
+		handle_bytes(peers, bytes, (size_t)len, false);
 	peers->has_stalled = false;
 	return G_SOURCE_CONTINUE;
 }
--- a/src/godwitvale/fleet/peers_send.c
+++ b/src/godwitvale/fleet/peers_send.c
@@ -19,6 +19,9 @@
 #define PEERS_HEARTBEAT_MAX_MS 1000
 /// At other times one in this many heartbeats lists the addresses.
 #define PEERS_ADDRESS_LIST_PERIOD 5
+/// One in this many heartbeats through hubs is a whole one, unless it says
+/// something new.
+#define PEERS_WHOLE_HEARTBEAT_PERIOD 10
 /// Delay from the placement of a request until the changed loads are sent, in
 /// milliseconds. It is short because other instances that place requests at the
 /// same time must not choose the same upstream.
@@ -35,6 +38,8 @@
 #define PEERS_TURN_COPIES 3
 /// Size of the buffer for a message on a turn, in bytes.
 #define PEERS_TURN_BYTES 64
+/// Size of the buffer for a heartbeat without loads and addresses, in bytes.
+#define PEERS_STATE_BYTES 1024
 /// Size of the buffer for a message on services, in bytes.
 #define PEERS_SERVICES_BYTES 1024
 
@@ -57,40 +62,79 @@
 	    (struct sockaddr *)&address, sizeof(address));
 }
 
-/// Sends one datagram to every heartbeat target.
+/// Sends one datagram to some addresses, and frees their list.
 static void
-send_datagram_to_all(struct peers *peers, const char *bytes, size_t len)
+send_datagram_to(
+    struct peers *peers, GArray *addresses, const char *bytes, size_t len)
 {
-	GHashTableIter iter;
-	void *key;
+	for (guint i = 0; i < addresses->len; i++)
+		peers_send_datagram(
+		    peers, g_array_index(addresses, uint32_t, i), bytes, len);
+	g_array_unref(addresses);
+}
 
-	g_hash_table_iter_init(&iter, peers->targets);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		peers_send_datagram(peers, GPOINTER_TO_UINT(key), bytes, len);
+/// Sends one datagram to every known address.
+static void
+send_datagram_to_all(struct peers *peers, const char *bytes, size_t len)
+{
+	send_datagram_to(
+	    peers, address_book_list(peers->addresses), bytes, len);
 }
 
-/// Lists addresses of live members, for instances that know fewer members. The
-/// list starts at a random member when there are more than fit.
-///
-/// @param addresses  filled in; room for FLEET_KNOWN addresses
-/// @return number of addresses
-static size_t
-list_member_addresses(struct peers *peers, u_int *addresses)
+/// Lists the live members whose build has a feature; 0: all of them.
+static GPtrArray *
+list_members_with(const struct peers *peers, uint64_t feature)
 {
 	GPtrArray *members = membership_list(peers->membership);
-	size_t n = 0;
-	guint first = members->len > FLEET_KNOWN
-	    ? (guint)g_random_int_range(0, (gint32)members->len)
-	    : 0;
 
-	for (guint i = 0; i < members->len && n < FLEET_KNOWN; i++) {
-		const struct member *member =
-		    members->pdata[(first + i) % members->len];
+	for (guint i = members->len; i > 0; i--) {
+		const struct member *member = members->pdata[i - 1];
+
+		if ((member->features & feature) != feature)
+			g_ptr_array_remove_index_fast(members, i - 1);
+	}
+	return members;
+}
+
+/// Sends a datagram to the live members that know no hubs, and whose build has
+/// a feature; 0: to all that know no hubs.
+static void
+send_datagram_to_hubless(
+    struct peers *peers, uint64_t feature, const char *bytes, size_t len)
+{
+	GPtrArray *members = list_members_with(peers, feature);
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct member *member = members->pdata[i];
 
-		addresses[n++] = peers_parse_ipv4(member->ip);
+		if ((member->features & MEMBER_FEATURE_HUBS) == 0)
+			peers_send_datagram(
+			    peers, peers_parse_ipv4(member->ip), bytes, len);
 	}
 	g_ptr_array_unref(members);
-	return n;
+}
+
+/// Checks whether a message of a length goes through hubs.
+static bool
+goes_through_hubs(const struct peers *peers, size_t len)
+{
+	return hub_is_active(peers->hub) && len <= HUB_MESSAGE_BYTES_MAX;
+}
+
+/// Sends a message to all instances: through hubs in a large fleet, directly in
+/// a small one.
+///
+/// @param copies  number of hubs that pass it on
+static void
+send_to_all(
+    struct peers *peers, enum hub_copies copies, const char *bytes, size_t len)
+{
+	if (!goes_through_hubs(peers, len)) {
+		send_datagram_to_all(peers, bytes, len);
+		return;
+	}
+	hub_publish(peers->hub, g_get_monotonic_time(), copies, bytes, len);
+	send_datagram_to_hubless(peers, 0, bytes, len);
 }
 
 /// Converts loads to their wire format.
@@ -120,40 +164,71 @@
 	    peers->n_heartbeats % PEERS_ADDRESS_LIST_PERIOD == 0;
 }
 
-/// Encodes a message with revisions of the store, and their era.
+/// Encodes a message with a trailer.
+///
+/// @param era       store era of the revisions in the message; 0: it has none
+/// @param sequence  number of the message; 0: it isn't numbered
 static size_t
 encode_with_trailer(struct peers *peers, const fleet_message *message,
-    uint64_t era, char *bytes, size_t size)
+    uint64_t era, uint64_t sequence, char *bytes, size_t size)
 {
-	const struct fleet_trailer trailer = {era,
-	    view_config_version(peers->options.view), MEMBER_FEATURES,
-	    hash_name(peers->zone)};
+	const struct fleet_trailer trailer = {
+	    .era = era,
+	    .config_version = view_config_version(peers->options.view),
+	    .features =
+		MEMBER_FEATURES | (hub_is_hub(peers->hub) ? MEMBER_IS_HUB : 0),
+	    .zone = hash_name(peers->zone),
+	    .sequence = sequence,
+	    .link_mbps = peers->options.link_mbps,
+	};
 	size_t len = fleet_message_encode(message, bytes, size);
 
 	return fleet_trailer_append(&trailer, bytes, len, size);
 }
 
-/// Sends a heartbeat and sets the time of the next one.
-///
-/// @param peers  sends to all its targets
-void
-peers_send_heartbeat(struct peers *peers)
+/// Sends the loads that have changed since they were last sent.
+static void
+send_changed_loads(struct peers *peers)
 {
-	usec_t now = g_get_monotonic_time();
-	const struct peers_options *options = &peers->options;
 	struct load_entry loads[FLEET_LOADS];
 	fleet_load wire[FLEET_LOADS];
-	u_int addresses[FLEET_KNOWN];
-	uint64_t unreachable[FLEET_GONE];
-	uint64_t cut_off[1];
-	struct peers_brittle brittle;
 	char bytes[PEERS_BUFFER_BYTES];
-	fleet_message message = {.kind = FLEET_BEAT};
-	fleet_beat *heartbeat = &message.fleet_message_u.beat;
-	size_t n_loads = loads_list_own(options->loads, loads, FLEET_LOADS);
+	fleet_message message = {.kind = FLEET_WORK};
+	fleet_work *work = &message.fleet_message_u.work;
+	size_t n_loads =
+	    loads_list_changed(peers->options.loads, loads, FLEET_LOADS);
 	size_t len;
 
+	if (n_loads == 0)
+		return;
 	encode_loads(loads, n_loads, wire);
+	*work = (fleet_work){
+	    .name = peers->name,
+	    .incarnation = peers->incarnation,
+	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
+	};
+	len = encode_with_trailer(
+	    peers, &message, 0, ++peers->sequence, bytes, sizeof(bytes));
+	if (len > 0)
+		send_to_all(peers, HUB_ONE_COPY, bytes, len);
+}
+
+/// Parts of a heartbeat that are encoded, but not part of the message.
+struct heartbeat_parts {
+	fleet_load loads[FLEET_LOADS];
+	u_int addresses[FLEET_KNOWN];
+	uint64_t unreachable[FLEET_GONE];
+};
+
+/// Fills in a heartbeat, but for the loads and the addresses of members.
+///
+/// @param parts  the message refers to it
+static void
+fill_heartbeat(const struct peers *peers, fleet_beat *heartbeat,
+    struct heartbeat_parts *parts)
+{
+	const struct peers_options *options = &peers->options;
+
 	*heartbeat = (fleet_beat){
 	    .name = peers->name,
 	    .ip = peers->ip,
@@ -165,65 +240,197 @@
 		store_revision_number(view_config_revision(options->view)),
 	    .reads_store = options->vtable->is_store_reachable(options->owner),
 	    .leaving = peers->leaving,
-	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
-	    .known = {.known_val = addresses},
+	    .loads = {.loads_val = parts->loads},
+	    .known = {.known_val = parts->addresses},
+	    .gone = {.gone_val = parts->unreachable},
 	};
-	if (should_list_addresses(peers, now))
-		heartbeat->known.known_len =
-		    (u_int)list_member_addresses(peers, addresses);
-	peers->n_heartbeats++;
-	peers->next_heartbeat_at = now + heartbeat->interval_ms * USEC_PER_MSEC;
 	heartbeat->gone.gone_len = (u_int)options->vtable->list_unreachable(
-	    options->owner, unreachable, FLEET_GONE);
-	heartbeat->gone.gone_val = unreachable;
-	len = encode_with_trailer(
-	    peers, &message, view_era(options->view), bytes, sizeof(bytes));
+	    options->owner, parts->unreachable, FLEET_GONE);
+}
+
+/// Computes a hash of what a heartbeat says, but for what changes all the time
+/// and is told in other ways.
+///
+/// @param heartbeat  without loads and addresses
+static uint64_t
+hash_state(struct peers *peers, const fleet_beat *heartbeat)
+{
+	char bytes[PEERS_STATE_BYTES];
+	fleet_message message = {
+	    .kind = FLEET_BEAT, .fleet_message_u.beat = *heartbeat};
+	fleet_beat *state = &message.fleet_message_u.beat;
+	size_t len;
+
+	/* Other instances look only at whether there is a revision. */
+	state->directory_revision = state->directory_revision != 0;
+	len = encode_with_trailer(peers, &message,
+	    view_era(peers->options.view), 0, bytes, sizeof(bytes));
+	return hash_bytes(bytes, len, 0);
+}
+
+/// Encodes a whole heartbeat.
+///
+/// @param heartbeat  without loads and addresses; they are filled in
+static size_t
+encode_heartbeat(struct peers *peers, fleet_beat *heartbeat,
+    struct heartbeat_parts *parts, char *bytes, size_t size)
+{
+	struct load_entry loads[FLEET_LOADS];
+	size_t n_loads =
+	    loads_list_own(peers->options.loads, loads, FLEET_LOADS);
+	fleet_message message = {.kind = FLEET_BEAT};
+
+	encode_loads(loads, n_loads, parts->loads);
+	heartbeat->loads.loads_len = (u_int)n_loads;
+	if (should_list_addresses(peers, g_get_monotonic_time()))
+		heartbeat->known.known_len =
+		    (u_int)hub_list_addresses(peers->hub, parts->addresses);
+	message.fleet_message_u.beat = *heartbeat;
+	return encode_with_trailer(peers, &message,
+	    view_era(peers->options.view), ++peers->sequence, bytes, size);
+}
+
+/// Sends a whole heartbeat to all known addresses.
+static void
+send_heartbeat_directly(
+    struct peers *peers, fleet_beat *heartbeat, struct heartbeat_parts *parts)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	size_t len =
+	    encode_heartbeat(peers, heartbeat, parts, bytes, sizeof(bytes));
+
 	if (len > 0)
 		send_datagram_to_all(peers, bytes, len);
+}
+
+/// Sends a whole heartbeat directly to some random addresses, and to those to
+/// which it always goes directly: seeds while the fleet changes, and, from a
+/// hub, the other hubs, also those that it knew before a partition.
+static void
+probe_addresses(struct peers *peers, usec_t now, const char *bytes, size_t len)
+{
+	const struct address_probes probes = {
+	    .n_random = PEERS_GOSSIP_FANOUT,
+	    .seeds = should_list_addresses(peers, now),
+	    .hubs = hub_is_hub(peers->hub),
+	};
+
+	send_datagram_to(peers,
+	    address_book_list_probes(peers->addresses, &probes), bytes, len);
+}
+
+/// Tells all instances through hubs only that this one runs.
+static void
+publish_alive(struct peers *peers, usec_t now)
+{
+	char bytes[PEERS_TURN_BYTES];
+	const fleet_message message = {
+	    .kind = FLEET_ALIVE,
+	    .fleet_message_u.alive = {hash_name(peers->name),
+		peers->incarnation},
+	};
+	size_t len = fleet_message_encode(&message, bytes, sizeof(bytes));
+
+	hub_publish(peers->hub, now, HUB_ONE_COPY, bytes, len);
+}
+
+/// Checks whether the next heartbeat through hubs is a whole one.
+static bool
+is_whole_due(const struct peers *peers, usec_t now, uint64_t state)
+{
+	return state != peers->told_state ||
+	    now < peers->list_addresses_until ||
+	    peers->n_heartbeats % PEERS_WHOLE_HEARTBEAT_PERIOD == 0;
+}
+
+/// Sends a heartbeat through hubs, and a whole one directly to a few targets.
+static void
+send_heartbeat_through_hubs(struct peers *peers, usec_t now,
+    fleet_beat *heartbeat, struct heartbeat_parts *parts)
+{
+	char bytes[PEERS_BUFFER_BYTES];
+	uint64_t state = hash_state(peers, heartbeat);
+	bool is_whole = is_whole_due(peers, now, state);
+	size_t len;
+
+	hub_subscribe(peers->hub, now);
+	if (!is_whole)
+		send_changed_loads(peers);
+	len = encode_heartbeat(peers, heartbeat, parts, bytes, sizeof(bytes));
+	if (len == 0)
+		return;
+	if (is_whole) {
+		send_to_all(peers, HUB_ONE_COPY, bytes, len);
+		peers->told_state = state;
+	} else {
+		publish_alive(peers, now);
+		send_datagram_to_hubless(peers, 0, bytes, len);
+	}
+	probe_addresses(peers, now, bytes, len);
+}
+
+/// Sends a heartbeat and sets the time of the next one.
+///
+/// @param peers  sends to all instances
+void
+peers_send_heartbeat(struct peers *peers)
+{
+	usec_t now = g_get_monotonic_time();
+	const struct peers_options *options = &peers->options;
+	struct heartbeat_parts parts;
+	fleet_beat heartbeat;
+	uint64_t cut_off[1];
+	struct peers_brittle brittle;
+
+	fill_heartbeat(peers, &heartbeat, &parts);
+	peers->n_heartbeats++;
+	peers->next_heartbeat_at = now + heartbeat.interval_ms * USEC_PER_MSEC;
+	if (hub_is_active(peers->hub))
+		send_heartbeat_through_hubs(peers, now, &heartbeat, &parts);
+	else
+		send_heartbeat_directly(peers, &heartbeat, &parts);
 	if (options->vtable->list_cut_off(options->owner, cut_off, 1) > 0 ||
 	    options->vtable->list_brittle(options->owner, &brittle, 1) > 0)
 		peers_tell_services(peers);
 }
 
-/// Sends the loads that have changed since they were last sent.
+/// Sends a whole heartbeat directly to some addresses, and frees their list.
 static void
-send_changed_loads(struct peers *peers)
+send_extra_heartbeat(struct peers *peers, GArray *addresses)
 {
-	struct load_entry loads[FLEET_LOADS];
-	fleet_load wire[FLEET_LOADS];
 	char bytes[PEERS_BUFFER_BYTES];
-	fleet_message message = {.kind = FLEET_WORK};
-	fleet_work *work = &message.fleet_message_u.work;
-	size_t n_loads =
-	    loads_list_changed(peers->options.loads, loads, FLEET_LOADS);
+	struct heartbeat_parts parts;
+	fleet_beat heartbeat;
 	size_t len;
 
-	if (n_loads == 0)
-		return;
-	encode_loads(loads, n_loads, wire);
-	*work = (fleet_work){
-	    .name = peers->name,
-	    .incarnation = peers->incarnation,
-	    .loads = {.loads_len = (u_int)n_loads, .loads_val = wire},
-	};
-	len = fleet_message_encode(&message, bytes, sizeof(bytes));
-	if (len > 0)
-		send_datagram_to_all(peers, bytes, len);
+	/* The others have not been told of the loads that it contains. */
+	send_changed_loads(peers);
+	fill_heartbeat(peers, &heartbeat, &parts);
+	len = encode_heartbeat(peers, &heartbeat, &parts, bytes, sizeof(bytes));
+	send_datagram_to(peers, addresses, bytes, len);
 }
 
-/// Lists the live members whose build has a feature; 0: all of them.
-static GPtrArray *
-list_members_with(const struct peers *peers, uint64_t feature)
+/// Tells all known addresses directly what this instance is. Called when it has
+/// become a hub, as the others don't send to it as one yet.
+///
+/// @param peers  sends to all known addresses
+void
+peers_announce(struct peers *peers)
 {
-	GPtrArray *members = membership_list(peers->membership);
+	send_extra_heartbeat(peers, address_book_list(peers->addresses));
+}
 
-	for (guint i = members->len; i > 0; i--) {
-		const struct member *member = members->pdata[i - 1];
+/// Tells another hub that this instance is one.
+///
+/// @param peers    sends a heartbeat at once
+/// @param address  of the other hub, in host byte order
+void
+peers_greet_hub(struct peers *peers, uint32_t address)
+{
+	GArray *addresses = g_array_new(false, false, sizeof(uint32_t));
 
-		if ((member->features & feature) != feature)
-			g_ptr_array_remove_index_fast(members, i - 1);
-	}
-	return members;
+	g_array_append_val(addresses, address);
+	send_extra_heartbeat(peers, addresses);
 }
 
 /// Sends a datagram to all live members whose build has a feature.
@@ -231,8 +438,15 @@
 send_datagram_to_featured(
     struct peers *peers, uint64_t feature, const char *bytes, size_t len)
 {
-	GPtrArray *members = list_members_with(peers, feature);
+	GPtrArray *members;
 
+	if (goes_through_hubs(peers, len)) {
+		hub_publish(peers->hub, g_get_monotonic_time(), HUB_TWO_COPIES,
+		    bytes, len);
+		send_datagram_to_hubless(peers, feature, bytes, len);
+		return;
+	}
+	members = list_members_with(peers, feature);
 	for (guint i = 0; i < members->len; i++) {
 		const struct member *member = members->pdata[i];
 
@@ -326,7 +540,7 @@
 	if (len == 0)
 		return;
 	if (feature == 0)
-		send_datagram_to_all(peers, bytes, len);
+		send_to_all(peers, HUB_TWO_COPIES, bytes, len);
 	else
 		send_datagram_to_featured(peers, feature, bytes, len);
 }
@@ -406,10 +620,10 @@
 	    .items = {.items_len = batch->len,
 		.items_val = (fleet_item *)(void *)batch->data},
 	};
-	len = encode_with_trailer(
-	    peers, &message, store_revision_era(as_of), bytes, sizeof(bytes));
+	len = encode_with_trailer(peers, &message, store_revision_era(as_of), 0,
+	    bytes, sizeof(bytes));
 	if (len > 0)
-		send_datagram_to_all(peers, bytes, len);
+		send_to_all(peers, HUB_TWO_COPIES, bytes, len);
 }
 
 /// Loop callback: the delay after the placement of a request is over.
--- a/src/godwitvale/fleet/peers_state.h
+++ b/src/godwitvale/fleet/peers_state.h
@@ -3,6 +3,8 @@
 #ifndef GODWITVALE_FLEET_PEERS_STATE_H
 #define GODWITVALE_FLEET_PEERS_STATE_H
 
+#include "godwitvale/core/address_book.h"
+#include "godwitvale/fleet/hub.h"
 #include "godwitvale/fleet/peers.h"
 
 /// Minimum interval of heartbeats, in milliseconds. The timer that checks for
@@ -24,43 +26,43 @@
 	char *ip;
 	char *zone;
 	struct membership *membership;
-	GHashTable *targets; /// IPv4 number -> struct heartbeat_target
+	struct address_book *addresses; /// that heartbeats are sent to
 	uint64_t incarnation;
 	int fd;
 	guint socket_source;
 	guint tick_timer;
-	guint load_timer;         /// sends the changed loads; 0: not scheduled
-	usec_t next_heartbeat_at; /// when the next heartbeat is due
+	guint load_timer;  /// sends the changed loads; 0: not scheduled
+	guint flush_timer; /// passes on what the hub gathered; 0: not scheduled
+	usec_t next_heartbeat_at;    /// when the next heartbeat is due
 	usec_t list_addresses_until; /// every heartbeat lists them until then
 	unsigned n_heartbeats;       /// sent so far
+	uint64_t sequence;           /// of the last numbered message
+	/// what the last whole heartbeat said, but for the loads, as a hash
+	uint64_t told_state;
 	/// when this process last handled its peers, by boot time
 	usec_t last_run_at;
 	/// it has stood still, and datagrams may have waited meanwhile
 	bool has_stalled;
 	bool leaving;
+	struct hub *hub;
 	struct snapshot_sync *snapshot_sync;
 	struct stream_sync *stream_sync;
 };
 
-/// An address that heartbeats are sent to.
-struct heartbeat_target {
-	usec_t expires_at; /// ignored for a seed
-	bool is_seed;      /// from the settings
-};
-
 /* peers.c */
 void peers_note_run(struct peers *peers);
 uint32_t peers_parse_ipv4(const char *ip);
-void peers_add_target(
-    struct peers *peers, uint32_t number, usec_t expires_at, bool is_seed);
 
 /* peers_send.c */
 void peers_send_datagram(
     struct peers *peers, uint32_t number, const char *bytes, size_t len);
 void peers_send_heartbeat(struct peers *peers);
+void peers_announce(struct peers *peers);
+void peers_greet_hub(struct peers *peers, uint32_t address);
 void peers_gossip(struct peers *peers);
 
 /* peers_receive.c */
+void peers_deliver(void *owner, const char *bytes, size_t len);
 gboolean peers_on_readable(gint fd, GIOCondition condition, gpointer data);
 
 #endif
--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -215,7 +215,10 @@
 		store_revision_number(view_revision(view, SITE_SCOPE_OPERATOR)),
 	};
 	const struct fleet_trailer trailer = {
-	    view_era(view), view_config_version(view), MEMBER_FEATURES, 0};
+	    .era = view_era(view),
+	    .config_version = view_config_version(view),
+	    .features = MEMBER_FEATURES,
+	};
 	GBytes *bytes = NULL;
 
 	for (guint i = 0; i < items->len; i++) {
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -15,7 +15,8 @@
 
 #define SEC USEC_PER_SEC
 /// Size of the trailer of messages and snapshots.
-#define TRAILER_BYTES 32
+#define TRAILER_BYTES 48
+#define TRAILER_ZONE_BYTES 32
 #define TRAILER_FEATURES_BYTES 24
 /// Size of the trailer of the build before, which names no features, in bytes.
 #define TRAILER_BASE_BYTES 16
@@ -293,7 +294,12 @@
 	fleet_load loads[] = {{7, 1, 2000, 300}};
 	u_int known[] = {0x0a000001};
 	fleet_message message = {.kind = FLEET_BEAT};
-	const struct fleet_trailer sent = {4, 17, 5, 9};
+	const struct fleet_trailer sent = {.era = 4,
+	    .config_version = 17,
+	    .features = 5,
+	    .zone = 9,
+	    .sequence = 12,
+	    .link_mbps = 200};
 	struct fleet_trailer trailer;
 	fleet_message decoded;
 	char bytes[1024];
@@ -316,8 +322,16 @@
 	assert_int_equal(trailer.config_version, 17);
 	assert_int_equal(trailer.features, 5);
 	assert_int_equal(trailer.zone, 9);
+	assert_int_equal(trailer.sequence, 12);
+	assert_int_equal(trailer.link_mbps, 200);
 	fleet_message_clear(&decoded);
-	/* The build before names no zone. */
+	/* The build before doesn't number its messages. */
+	assert_true(fleet_message_decode(
+	    bytes, len + TRAILER_ZONE_BYTES, &decoded, &trailer));
+	assert_int_equal(trailer.zone, 9);
+	assert_int_equal(trailer.sequence, 0);
+	fleet_message_clear(&decoded);
+	/* The build before that names no zone. */
 	assert_true(fleet_message_decode(
 	    bytes, len + TRAILER_FEATURES_BYTES, &decoded, &trailer));
 	assert_int_equal(trailer.features, 5);
