Connections: one source of the main loop for all of them

Cause: the loop visits each of its sources at each wake-up.

Change: http/fd_watch keeps all sockets of connections in one epoll set, which is one source. Handles name a watch, so that an event that waits for a descriptor that was closed and used again reaches nobody.

--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -6,12 +6,13 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
-#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "godwitvale/http/fd_watch.h"
+
 /// Bytes read from a socket in one call.
 #define CONN_READ_BYTES 16384
 /// Reads from one socket per loop callback, so that other sockets are served
@@ -30,7 +31,8 @@
 	const struct conn_vtable *vtable;
 	void *owner;
 	GByteArray *unsent;
-	guint source;
+	fd_watch watch;
+	guint failure_source; /// reports that it could not be opened
 	int fd;
 	int ref_count;
 	GIOCondition watched;
@@ -57,9 +59,11 @@
 static void
 release_socket(struct conn *conn)
 {
-	if (conn->source != 0)
-		g_source_remove(conn->source);
-	conn->source = 0;
+	fd_watch_remove(conn->watch);
+	conn->watch = 0;
+	if (conn->failure_source != 0)
+		g_source_remove(conn->failure_source);
+	conn->failure_source = 0;
 	if (conn->fd >= 0)
 		close(conn->fd);
 	conn->fd = -1;
@@ -80,7 +84,7 @@
 	conn->vtable->ended(conn->owner, end);
 }
 
-static gboolean on_socket_ready(gint fd, GIOCondition condition, gpointer data);
+static void on_socket_ready(GIOCondition condition, void *data);
 
 /// Updates the socket events that the loop watches for. A half close by a
 /// caller is still reported while reading is paused.
@@ -97,12 +101,12 @@
 		wanted |= (GIOCondition)POLLRDHUP;
 	if (conn->connecting || conn->unsent->len > 0)
 		wanted |= G_IO_OUT;
-	if (conn->source != 0 && wanted == conn->watched)
-		return;
-	if (conn->source != 0)
-		g_source_remove(conn->source);
+	if (conn->watch == 0)
+		conn->watch =
+		    fd_watch_add(conn->fd, wanted, on_socket_ready, conn);
+	else if (wanted != conn->watched)
+		fd_watch_set_events(conn->watch, wanted);
 	conn->watched = wanted;
-	conn->source = g_unix_fd_add(conn->fd, wanted, on_socket_ready, conn);
 }
 
 /// Sends buffered bytes until the kernel accepts no more.
@@ -178,13 +182,12 @@
 }
 
 /// Loop callback: the socket is readable or writable, or has failed.
-static gboolean
-on_socket_ready(gint fd, GIOCondition condition, gpointer data)
+static void
+on_socket_ready(GIOCondition condition, void *data)
 {
 	struct conn *conn = data;
 	bool had_unsent;
 
-	(void)fd;
 	conn->ref_count++;
 	if (conn->connecting && (condition & (G_IO_OUT | G_IO_ERR | G_IO_HUP)))
 		finish_connecting(conn);
@@ -203,7 +206,6 @@
 	if (!conn->closed)
 		update_watch(conn);
 	conn_unref(conn);
-	return G_SOURCE_CONTINUE;
 }
 
 /// Sets the options of every socket: no send delay, keep-alive probes and a
@@ -255,7 +257,7 @@
 {
 	struct conn *conn = data;
 
-	conn->source = 0;
+	conn->failure_source = 0;
 	report_end(conn, CONN_END_REFUSED);
 	return G_SOURCE_REMOVE;
 }
@@ -333,7 +335,7 @@
 	update_watch(conn);
 	return conn;
 fail:
-	conn->source = g_idle_add(on_open_failed, conn);
+	conn->failure_source = g_idle_add(on_open_failed, conn);
 	return conn;
 }
 
