Store: readers pass on the operator's changes, too

Ruled out: sending whole configurations to all. Tried: 23 datagrams of 8 KB fill the socket's buffer on a link of 10 Mbit/s, and the confirmations after them were lost (18 instances read the store again within a second).

Change: a reader's watch covers both scopes in one call and confirms both to all (FLEET_OPERATOR). Short changes, as evacuations are, come with it; longer ones are announced, and each instance reads them within 200 ms. An instance without a confirmation for a second reads the store itself, as for upstreams, and doesn't let it delay the answer. Repeated changes are not decoded again. An instance looks at the confirmation when it runs out, not ten times a second.

--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -31,11 +31,13 @@
 #define MEMBER_FEATURE_FORWARDS 8
 /// The instance's build exchanges messages through hubs.
 #define MEMBER_FEATURE_HUBS 16
+/// The instance's build takes the operator's changes from other instances.
+#define MEMBER_FEATURE_OPERATOR 32
 /// Features of this build.
 #define MEMBER_FEATURES                                         \
 	(MEMBER_FEATURE_STREAMS | MEMBER_FEATURE_TURNS |        \
 	    MEMBER_FEATURE_SUSPECTS | MEMBER_FEATURE_FORWARDS | \
-	    MEMBER_FEATURE_HUBS)
+	    MEMBER_FEATURE_HUBS | MEMBER_FEATURE_OPERATOR)
 /// Not a feature of the build: the instance has subscribers as a hub.
 #define MEMBER_IS_HUB (UINT64_C(1) << 32)
 
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -196,21 +196,25 @@
 	    : membership_size(peers_membership(entry->peers));
 }
 
-/// Store callback: sends changes of upstreams to the other instances.
+/// Store callback: sends changes that this instance has read to the others.
 static void
-on_upstream_changes_read(
-    void *owner, GPtrArray *items, uint64_t after, uint64_t as_of)
+on_changes_read(void *owner, enum site_scope scope, GPtrArray *items,
+    uint64_t after, uint64_t as_of)
 {
 	struct entry *entry = owner;
 
-	if (entry->peers != NULL)
+	if (entry->peers == NULL)
+		return;
+	if (scope == SITE_SCOPE_UPSTREAMS)
 		peers_send_changes(entry->peers, items, after, as_of);
+	else
+		peers_send_operator_changes(entry->peers, items, after, as_of);
 }
 
 static const struct store_vtable store_vtable = {
     .reader_rank = reader_rank,
     .fleet_size = fleet_size,
-    .changes_read = on_upstream_changes_read,
+    .changes_read = on_changes_read,
 };
 
 /// @return CLOCK_BOOTTIME minus the monotonic clock, in microseconds. It grows
--- a/src/godwitvale/entry/entry_peers.c
+++ b/src/godwitvale/entry/entry_peers.c
@@ -159,6 +159,17 @@
 		store_note_era(entry->store, era);
 }
 
+/// Peers callback: there are changes of the operator that the readers of the
+/// store can't pass on.
+static void
+on_operator_changed(void *owner)
+{
+	const struct entry *entry = owner;
+
+	if (entry->store != NULL)
+		store_read_operator(entry->store);
+}
+
 /// Peers callback: checks whether a service has had several software versions.
 static bool
 has_several_versions(void *owner, uint64_t service)
@@ -193,6 +204,7 @@
     .limit_reported = on_limit_reported,
     .departure_reported = on_departure_reported,
     .later_era_reported = on_later_era_reported,
+    .operator_changed = on_operator_changed,
     .has_several_versions = has_several_versions,
     .stream_answered = on_stream_answered,
 };
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -71,6 +71,12 @@
 	fleet_item items<FLEET_ITEMS>;
 };
 
+/* The operator's changes between two revisions of the store. */
+struct fleet_operator {
+	fleet_news changes;
+	bool complete; /* false: the changes are too long to be sent */
+};
+
 /* Crash of an engine that began to answer a request with these segments. */
 struct fleet_crash {
 	unsigned hyper id; /* the same at all instances */
@@ -239,7 +245,8 @@
 	FLEET_SUSPECTS = 11,
 	FLEET_SERVICES = 12,
 	FLEET_PACK = 13,
-	FLEET_ALIVE = 14
+	FLEET_ALIVE = 14,
+	FLEET_OPERATOR = 15
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -271,6 +278,8 @@
 	fleet_pack pack;
 case FLEET_ALIVE:
 	fleet_alive alive;
+case FLEET_OPERATOR:
+	fleet_operator operator_news;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -106,6 +106,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_operator (XDR *xdrs, fleet_operator *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_news (xdrs, &objp->changes))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_crash (XDR *xdrs, fleet_crash *objp)
 {
@@ -604,6 +616,10 @@
 		 if (!xdr_fleet_alive (xdrs, &objp->fleet_message_u.alive))
 			 return FALSE;
 		break;
+	case FLEET_OPERATOR:
+		 if (!xdr_fleet_operator (xdrs, &objp->fleet_message_u.operator_news))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -99,6 +99,12 @@
 };
 typedef struct fleet_news fleet_news;
 
+struct fleet_operator {
+	fleet_news changes;
+	bool_t complete;
+};
+typedef struct fleet_operator fleet_operator;
+
 struct fleet_crash {
 	u_quad_t id;
 	u_quad_t upstream;
@@ -319,6 +325,7 @@
 	FLEET_SERVICES = 12,
 	FLEET_PACK = 13,
 	FLEET_ALIVE = 14,
+	FLEET_OPERATOR = 15,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -339,6 +346,7 @@
 		fleet_services services;
 		fleet_pack pack;
 		fleet_alive alive;
+		fleet_operator operator_news;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -361,6 +369,7 @@
 extern  bool_t xdr_fleet_work (XDR *, fleet_work*);
 extern  bool_t xdr_fleet_item (XDR *, fleet_item*);
 extern  bool_t xdr_fleet_news (XDR *, fleet_news*);
+extern  bool_t xdr_fleet_operator (XDR *, fleet_operator*);
 extern  bool_t xdr_fleet_crash (XDR *, fleet_crash*);
 extern  bool_t xdr_fleet_safe (XDR *, fleet_safe*);
 extern  bool_t xdr_fleet_rule (XDR *, fleet_rule*);
@@ -393,6 +402,7 @@
 extern bool_t xdr_fleet_work ();
 extern bool_t xdr_fleet_item ();
 extern bool_t xdr_fleet_news ();
+extern bool_t xdr_fleet_operator ();
 extern bool_t xdr_fleet_crash ();
 extern bool_t xdr_fleet_safe ();
 extern bool_t xdr_fleet_rule ();
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -67,6 +67,9 @@
 	    const struct rate_limit_statement *statement);
 	/// Another instance has data of a later era of the store.
 	void (*later_era_reported)(void *owner, uint64_t era);
+	/// Another instance has read changes of the operator, and can't pass
+	/// them on.
+	void (*operator_changed)(void *owner);
 	/// Another instance reports that an upstream leaves. `upstream` is the
 	/// hash of its id and incarnation.
 	void (*departure_reported)(void *owner, uint64_t upstream, usec_t at);
@@ -105,6 +108,8 @@
 void peers_set_leaving(struct peers *peers);
 void peers_send_changes(
     struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
+void peers_send_operator_changes(
+    struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of);
 void peers_broadcast(struct peers *peers, enum peers_topic topic);
 void peers_tell_services(struct peers *peers);
 void peers_tell_turn(struct peers *peers, const struct rate_limit_turn *turn);
--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -142,35 +142,66 @@
 	options->vtable->loads_changed(options->owner);
 }
 
-/// Applies changes of the upstreams. Ignores them when earlier changes are
-/// missing, as the view must not skip any, and when they are of another era of
-/// the store. Members of earlier builds name no era.
-static void
-handle_changes(struct peers *peers, const fleet_news *changes,
-    const struct fleet_trailer *trailer)
+/// Checks whether another instance's changes of a scope follow what is known.
+/// They don't when earlier changes are missing, as the view must not skip any,
+/// and when they are of another era of the store. Members of earlier builds
+/// name no era.
+///
+/// @param era  set to the era of the changes
+static bool
+do_changes_follow(struct peers *peers, enum site_scope scope,
+    const fleet_news *changes, const struct fleet_trailer *trailer,
+    uint64_t *era)
 {
 	const struct peers_options *options = &peers->options;
-	struct view *view = options->view;
-	uint64_t revision = view_revision(view, SITE_SCOPE_UPSTREAMS);
-	uint64_t era = trailer->era;
-	GPtrArray *items;
+	const struct view *view = options->view;
+	uint64_t revision = view_revision(view, scope);
 
+	*era = trailer->era;
 	if (strcmp(changes->name, peers->name) == 0 || revision == 0)
-		return;
-	if (era == 0 && !view_has_seen_restore(view))
-		era = store_revision_era(revision);
-	if (era > store_revision_era(revision))
-		options->vtable->later_era_reported(options->owner, era);
-	if (era != store_revision_era(revision) ||
-	    store_revision_make(era, changes->after) > revision)
+		return false;
+	if (*era == 0 && !view_has_seen_restore(view))
+		*era = store_revision_era(revision);
+	if (*era > store_revision_era(revision))
+		options->vtable->later_era_reported(options->owner, *era);
+	return *era == store_revision_era(revision) &&
+	    store_revision_make(*era, changes->after) <= revision;
+}
+
+/// Applies changes of a scope that another instance has read.
+static void
+handle_changes(struct peers *peers, enum site_scope scope,
+    const fleet_news *changes, const struct fleet_trailer *trailer)
+{
+	GPtrArray *items;
+	uint64_t era;
+
+	if (!do_changes_follow(peers, scope, changes, trailer, &era))
 		return;
 	items = fleet_items_to_site(
 	    changes->items.items_val, changes->items.items_len, era);
-	view_apply_changes(view, g_get_monotonic_time(), SITE_SCOPE_UPSTREAMS,
+	view_apply_changes(peers->options.view, g_get_monotonic_time(), scope,
 	    items, store_revision_make(era, changes->as_of));
 	g_ptr_array_unref(items);
 }
 
+/// Applies changes of the operator. Those that are too long are read from the
+/// store.
+static void
+handle_operator_changes(struct peers *peers, const fleet_operator *received,
+    const struct fleet_trailer *trailer)
+{
+	const struct peers_options *options = &peers->options;
+	uint64_t known = view_revision(options->view, SITE_SCOPE_OPERATOR);
+
+	if (received->complete)
+		handle_changes(
+		    peers, SITE_SCOPE_OPERATOR, &received->changes, trailer);
+	else if (store_revision_make(trailer->era, received->changes.as_of) >
+	    known)
+		options->vtable->operator_changed(options->owner);
+}
+
 /// Passes on what another instance says of services.
 static void
 handle_services(struct peers *peers, const fleet_services *received)
@@ -203,7 +234,12 @@
 		    peers, &message->fleet_message_u.beat, trailer);
 		break;
 	case FLEET_NEWS:
-		handle_changes(peers, &message->fleet_message_u.news, trailer);
+		handle_changes(peers, SITE_SCOPE_UPSTREAMS,
+		    &message->fleet_message_u.news, trailer);
+		break;
+	case FLEET_OPERATOR:
+		handle_operator_changes(
+		    peers, &message->fleet_message_u.operator_news, trailer);
 		break;
 	case FLEET_WORK:
 		handle_load_update(
--- a/src/godwitvale/fleet/peers_send.c
+++ b/src/godwitvale/fleet/peers_send.c
@@ -29,6 +29,9 @@
 /// Maximum total size of the values in one datagram with changes, in bytes. It
 /// keeps the datagram to about the size of one Ethernet packet.
 #define PEERS_CHANGE_BYTES_MAX 1400
+/// Maximum length of a datagram with the operator's changes, in bytes. Longer
+/// ones, sent to many, would fill the socket's buffer on a slow link.
+#define PEERS_OPERATOR_BYTES_MAX 1400
 /// Number of instances that get what this instance knows of prompt segments and
 /// upstreams with each heartbeat. Each of them passes it on, so that it
 /// also reaches instances that were restarted or can't be reached from here.
@@ -689,3 +692,63 @@
 	send_change_batch(peers, batch, after, as_of);
 	g_array_unref(batch);
 }
+
+/// Converts the operator's items to their wire format.
+///
+/// @return fleet_item, whose contents belong to the items; free with
+///         g_array_unref()
+static GArray *
+encode_operator_items(const GPtrArray *items)
+{
+	GArray *wire = g_array_new(false, false, sizeof(fleet_item));
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct site_item *item = items->pdata[i];
+		fleet_item encoded;
+
+		if (item->kind == SITE_ITEM_OTHER)
+			continue;
+		encoded = fleet_item_from_store_item(item);
+		g_array_append_val(wire, encoded);
+	}
+	return wire;
+}
+
+/// Sends the operator's changes to all instances whose build takes them. An
+/// empty list confirms that there are none. Changes that are too long are
+/// only announced, and each instance reads them.
+///
+/// @param peers  sends the changes to its members
+/// @param items  struct site_item *, in the order of their revisions
+/// @param after  store revision before the changes
+/// @param as_of  store revision after the changes
+void
+peers_send_operator_changes(
+    struct peers *peers, GPtrArray *items, uint64_t after, uint64_t as_of)
+{
+	GArray *wire = encode_operator_items(items);
+	uint64_t era = store_revision_era(as_of);
+	char bytes[PEERS_OPERATOR_BYTES_MAX];
+	fleet_message message = {.kind = FLEET_OPERATOR};
+	fleet_operator *news = &message.fleet_message_u.operator_news;
+	size_t len;
+
+	*news = (fleet_operator){
+	    .changes = {.name = peers->name,
+		.incarnation = peers->incarnation,
+		.after = store_revision_number(after),
+		.as_of = store_revision_number(as_of),
+		.items = {wire->len, (fleet_item *)(void *)wire->data}},
+	    .complete = true,
+	};
+	len =
+	    encode_with_trailer(peers, &message, era, 0, bytes, sizeof(bytes));
+	if (len == 0) {
+		news->changes.items.items_len = 0;
+		news->complete = false;
+		len = encode_with_trailer(
+		    peers, &message, era, 0, bytes, sizeof(bytes));
+	}
+	send_datagram_to_featured(peers, MEMBER_FEATURE_OPERATOR, bytes, len);
+	g_array_unref(wire);
+}
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -21,6 +21,12 @@
 /// The same pause when the last changes were not significant, for example in a
 /// store in which every heartbeat of an upstream is a change.
 #define STORE_IDLE_PAUSE (200 * USEC_PER_MSEC)
+/// An instance whose last call for a scope failed tries again this often while
+/// the readers provide the data.
+#define STORE_UNREACHABLE_INTERVAL (5 * USEC_PER_SEC)
+/// Maximum random delay until an instance reads changes that a reader could not
+/// pass on.
+#define STORE_CHANGE_SPREAD (200 * USEC_PER_MSEC)
 /// Timeout of a call, in addition to the wait that the call asks for.
 #define STORE_ANSWER_TIMEOUT (1 * USEC_PER_SEC)
 /// After a failure calls don't ask the store to wait, so that its recovery is
@@ -31,9 +37,9 @@
 /// An instance that isn't a reader reads the upstreams itself when its data is
 /// older than this, because no reader has confirmed it since.
 #define STORE_PEER_DATA_MAX_AGE (1000 * USEC_PER_MSEC)
-/// Interval at which an instance that gets its data from the readers checks
-/// whether they still confirm it.
-#define STORE_PEER_DATA_CHECK_INTERVAL (100 * USEC_PER_MSEC)
+/// Minimum time until an instance that gets its data from the readers checks
+/// again whether they still confirm it.
+#define STORE_PEER_DATA_CHECK_MIN (20 * USEC_PER_MSEC)
 
 /// After a restore of the store all instances read it anew. Their lists are
 /// spread over this time for each instance of the fleet.
@@ -52,7 +58,11 @@
 	bool is_list_call; /// the current call reads a list
 	uint64_t watch_after; /// revision after which the current watch starts
 	GPtrArray *pages;     /// struct site_reply *, of an incomplete list
-	bool reachable;       /// the last call succeeded
+	bool must_read; /// there are changes that the readers don't pass on
+	/// the current call watches the operator's changes, too
+	bool covers_operator;
+	usec_t failed_at; /// end of the last call that failed
+	bool reachable;   /// the last call succeeded
 };
 
 struct store {
@@ -129,6 +139,7 @@
 	    store_revision_number(
 		view_revision(reader->store->options.view, reader->scope)));
 	reader->reachable = false;
+	reader->failed_at = g_get_monotonic_time();
 	g_clear_pointer(&reader->pages, g_ptr_array_unref);
 	backoff_record_failure(&reader->backoff, g_get_monotonic_time(),
 	    options->vtable->fleet_size(options->owner), n_others_failing,
@@ -217,10 +228,42 @@
 	    : STORE_SECOND_READER_PAUSE;
 }
 
-/// Handles the changes that a watch returned. The listener gets them
+/// Lists the items of a reply that are of a scope. They stay in the reply.
+static GPtrArray *
+list_scope_items(const struct site_reply *reply, enum site_scope scope)
+{
+	GPtrArray *items = g_ptr_array_new();
+
+	for (guint i = 0; i < reply->items->len; i++) {
+		const struct site_item *item = reply->items->pdata[i];
+
+		if ((item->kind == SITE_ITEM_UPSTREAM) ==
+		    (scope == SITE_SCOPE_UPSTREAMS))
+			g_ptr_array_add(items, reply->items->pdata[i]);
+	}
+	return items;
+}
+
+/// Applies the changes of a scope that a watch returned. The listener gets them
 /// before the view applies them, because only the old state of the view shows
 /// which changes are significant.
 static void
+apply_scope_changes(struct scope_reader *reader, enum site_scope scope,
+    const struct site_reply *reply)
+{
+	const struct store_options *options = &reader->store->options;
+	GPtrArray *items = list_scope_items(reply, scope);
+
+	if (reader->scope == SITE_SCOPE_UPSTREAMS)
+		options->vtable->changes_read(options->owner, scope, items,
+		    reader->watch_after, reply->as_of);
+	view_apply_changes(
+	    options->view, g_get_monotonic_time(), scope, items, reply->as_of);
+	g_ptr_array_unref(items);
+}
+
+/// Handles the changes that a watch returned.
+static void
 handle_changes(struct scope_reader *reader, struct site_reply *reply)
 {
 	struct store *store = reader->store;
@@ -228,11 +271,10 @@
 	    has_significant_change(store->options.view, reply->items);
 	bool is_empty = reply->items->len == 0;
 
-	if (reader->scope == SITE_SCOPE_UPSTREAMS)
-		store->options.vtable->changes_read(store->options.owner,
-		    reply->items, reader->watch_after, reply->as_of);
-	view_apply_changes(store->options.view, g_get_monotonic_time(),
-	    reader->scope, reply->items, reply->as_of);
+	reader->must_read = false;
+	if (reader->covers_operator)
+		apply_scope_changes(reader, SITE_SCOPE_OPERATOR, reply);
+	apply_scope_changes(reader, reader->scope, reply);
 	site_reply_free(reply);
 	if (reader->scope == SITE_SCOPE_UPSTREAMS && !is_empty)
 		schedule_call(reader, next_pause(store, is_significant));
@@ -314,6 +356,21 @@
 	}
 }
 
+/// Discards what a watch continued, as the store doesn't know its changes any
+/// more. The items of all scopes that it covers are listed anew.
+static void
+discard_list(struct scope_reader *reader)
+{
+	struct scope_reader *other = other_reader(reader);
+
+	reader->has_list = false;
+	if (!reader->covers_operator)
+		return;
+	other->has_list = false;
+	if (other->fetch == NULL && other->backoff.failures == 0)
+		schedule_call(other, 0);
+}
+
 /// Fetch callback: a call was answered or has failed.
 static void
 on_answer(void *owner, const struct fetch_response *answer)
@@ -333,7 +390,7 @@
 		    "scope=%s after=%" G_GUINT64_FORMAT " outcome=list",
 		    scope_name(reader->scope),
 		    store_revision_number(reader->watch_after));
-		reader->has_list = false;
+		discard_list(reader);
 		start_call(reader);
 		return;
 	}
@@ -358,6 +415,38 @@
 		handle_changes(reader, reply);
 }
 
+/// Checks whether a watch for the changes of upstreams can return the
+/// operator's, too: this instance reads for the others, and has listed the
+/// operator's items.
+static bool
+can_cover_operator(const struct scope_reader *reader)
+{
+	const struct store *store = reader->store;
+	const struct store_options *options = &store->options;
+
+	return reader->scope == SITE_SCOPE_UPSTREAMS &&
+	    store->readers[SITE_SCOPE_OPERATOR].has_list &&
+	    store_revision_era(view_revision(
+		options->view, SITE_SCOPE_OPERATOR)) == store->era &&
+	    options->vtable->reader_rank(options->owner) >= 0;
+}
+
+/// @return time for which the store may delay its answer to the next watch
+static usec_t
+get_watch_wait(const struct scope_reader *reader)
+{
+	const struct store_options *options = &reader->store->options;
+
+	if (reader->backoff.failures > 0)
+		return 0;
+	if (reader->scope == SITE_SCOPE_OPERATOR)
+		return STORE_OPERATOR_WAIT;
+	/* Data that no reader confirms must not get older by waiting. */
+	return options->vtable->reader_rank(options->owner) >= 0
+	    ? STORE_UPSTREAM_WAIT
+	    : 0;
+}
+
 /// Builds the request target of the next call. Calls list the items until a
 /// list is complete; later calls watch for changes.
 ///
@@ -385,32 +474,54 @@
 		}
 		return site->list_target(reader->scope, after, false);
 	}
-	if (reader->backoff.failures == 0)
-		*wait = reader->scope == SITE_SCOPE_UPSTREAMS
-		    ? STORE_UPSTREAM_WAIT
-		    : STORE_OPERATOR_WAIT;
+	*wait = get_watch_wait(reader);
 	reader->watch_after =
 	    view_revision(reader->store->options.view, reader->scope);
+	reader->covers_operator = can_cover_operator(reader);
+	if (reader->covers_operator)
+		reader->watch_after = MIN(reader->watch_after,
+		    view_revision(
+			reader->store->options.view, SITE_SCOPE_OPERATOR));
 	return site->watch_target(
-	    reader->scope, store_revision_number(reader->watch_after), *wait);
+	    reader->covers_operator ? SITE_SCOPE_ALL : reader->scope,
+	    store_revision_number(reader->watch_after), *wait);
 }
 
-/// Checks whether other instances read this scope on behalf of this one and
-/// have confirmed its data recently.
+/// Checks whether this scope need not be read: the data was confirmed recently,
+/// by other instances that read it on behalf of this one, or by this instance's
+/// watch for both scopes.
 static bool
 is_updated_by_peers(const struct scope_reader *reader)
 {
 	const struct store_options *options = &reader->store->options;
 
-	if (reader->scope != SITE_SCOPE_UPSTREAMS || !reader->has_list)
+	if (!reader->has_list || reader->must_read)
+		return false;
+	if (!reader->reachable &&
+	    g_get_monotonic_time() >=
+		reader->failed_at + STORE_UNREACHABLE_INTERVAL)
 		return false;
-	if (options->vtable->reader_rank(options->owner) >= 0)
+	/* A reader's own watch for upstreams covers the operator's scope. */
+	if (reader->scope == SITE_SCOPE_UPSTREAMS &&
+	    options->vtable->reader_rank(options->owner) >= 0)
 		return false;
 	return g_get_monotonic_time() <
 	    view_confirmed_at(options->view, reader->scope) +
 	    STORE_PEER_DATA_MAX_AGE;
 }
 
+/// @return time until the data counts as outdated, unless it is confirmed again
+static usec_t
+time_until_outdated(const struct scope_reader *reader)
+{
+	usec_t outdated_at =
+	    view_confirmed_at(reader->store->options.view, reader->scope) +
+	    STORE_PEER_DATA_MAX_AGE;
+
+	return MAX(
+	    outdated_at - g_get_monotonic_time(), STORE_PEER_DATA_CHECK_MIN);
+}
+
 /// @return timeout of the next call, on top of the time for which the call lets
 ///         the store delay its answer
 static usec_t
@@ -442,7 +553,7 @@
 	if (reader->fetch != NULL)
 		return;
 	if (is_updated_by_peers(reader)) {
-		schedule_call(reader, STORE_PEER_DATA_CHECK_INTERVAL);
+		schedule_call(reader, time_until_outdated(reader));
 		return;
 	}
 	target = build_target(reader, &wait);
@@ -454,6 +565,22 @@
 	g_free(target);
 }
 
+/// Reads the operator's changes soon, as a reader has more than it can pass on.
+///
+/// @param store  client that reads them
+void
+store_read_operator(struct store *store)
+{
+	struct scope_reader *reader = &store->readers[SITE_SCOPE_OPERATOR];
+
+	if (reader->must_read || reader->fetch != NULL)
+		return;
+	reader->must_read = true;
+	if (reader->backoff.failures == 0)
+		schedule_call(reader,
+		    (usec_t)(g_random_double() * (double)STORE_CHANGE_SPREAD));
+}
+
 /// Creates a client and starts to read the store.
 ///
 /// @param options  copied; what the fields point to must outlive the client
--- a/src/godwitvale/fleet/store.h
+++ b/src/godwitvale/fleet/store.h
@@ -1,9 +1,10 @@
 /*
  * The client of the platform's store, which keeps a view up to date.
  *
- * Load pattern: every instance watches the operator's changes itself. Changes
- * of upstreams occur many times a second, so only a few instances, the readers,
- * read them from the store and pass them on to all others.
+ * Load pattern: all instances need the same changes, and each call is paid for.
+ * Only a few instances, the readers, read them from the store and pass them on
+ * to all others. An instance that hears nothing from a reader for a while, or
+ * whose data isn't as new as the reader's, reads the store itself.
  */
 #ifndef GODWITVALE_FLEET_STORE_H
 #define GODWITVALE_FLEET_STORE_H
@@ -20,10 +21,11 @@
 	int (*reader_rank)(void *owner);
 	/// Returns the number of live instances, including this one.
 	unsigned (*fleet_size)(void *owner);
-	/// Changes of the upstreams were read, from the store revision `after`
-	/// to `as_of`. Called before they are applied to the view.
-	void (*changes_read)(
-	    void *owner, GPtrArray *items, uint64_t after, uint64_t as_of);
+	/// Changes of a scope were read, from the store revision `after` to
+	/// `as_of`, by an instance that reads for the others. Called before
+	/// they are applied to the view.
+	void (*changes_read)(void *owner, enum site_scope scope,
+	    GPtrArray *items, uint64_t after, uint64_t as_of);
 };
 
 /// Options of the client.
@@ -42,6 +44,7 @@
 void store_restart_calls(struct store *store);
 void store_shorten_backoff(struct store *store);
 void store_note_era(struct store *store, uint64_t era);
+void store_read_operator(struct store *store);
 uint64_t store_call_count(const struct store *store);
 
 #endif
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -380,6 +380,22 @@
 	g_hash_table_unref(listed);
 }
 
+/// Checks whether a change is known and would change nothing. Both readers of
+/// the store pass on the same changes.
+static bool
+is_applied(const struct view *view, enum site_scope scope,
+    const struct site_item *item)
+{
+	const struct upstream_record *record;
+
+	if (item->kind != SITE_ITEM_UPSTREAM ||
+	    !is_saved(&view->scopes[scope], item))
+		return false;
+	record = directory_find(view->directory, item->name);
+	/* A known entry ends a hold. */
+	return record != NULL && record->missing_deadline == 0;
+}
+
 /// Applies changes that follow the revision of the view without a gap.
 ///
 /// @param view   updated
@@ -399,7 +415,9 @@
 		return;
 	confirm_revision(view, now, scope, as_of);
 	for (guint i = 0; i < items->len; i++)
-		apply_item(view, now, &view->scopes[scope], items->pdata[i]);
+		if (!is_applied(view, scope, items->pdata[i]))
+			apply_item(
+			    view, now, &view->scopes[scope], items->pdata[i]);
 }
 
 /// Ends held evacuations whose time is over.
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -49,6 +49,7 @@
 enum site_scope {
 	SITE_SCOPE_UPSTREAMS,
 	SITE_SCOPE_OPERATOR, /// configuration and evacuations
+	SITE_SCOPE_ALL,      /// both; for watches only
 };
 
 /// Fields in the head of a caller's request.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -181,6 +181,11 @@
 	assert_string_equal(
 	    target, "/v1/kv-watch?prefix=op/&after=411&wait_ms=4000");
 	g_free(target);
+	target = platform_build_watch_target(
+	    SITE_SCOPE_ALL, 411, 500 * USEC_PER_MSEC);
+	assert_string_equal(
+	    target, "/v1/kv-watch?prefix=&after=411&wait_ms=500");
+	g_free(target);
 	target = platform_build_list_target(
 	    SITE_SCOPE_UPSTREAMS, "servers/a&b", true);
 	assert_string_equal(target,
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -442,6 +442,29 @@
 	assert_events("returned:a ");
 }
 
+/// A list that shows what is known already keeps it, and ends a hold, as does a
+/// repeated change.
+static void
+known_entries_are_kept(void **state)
+{
+	const char *value = make_entry("ready", 1000, 5);
+	GPtrArray *items = new_list();
+
+	(void)state;
+	add_item(items, SITE_ITEM_UPSTREAM, "u1", 10, value);
+	apply_list(SEC, SITE_SCOPE_UPSTREAMS, 0, 10, items);
+	assert_events("1:u1 ");
+	items = new_list();
+	add_item(items, SITE_ITEM_UPSTREAM, "u1", 10, value);
+	apply_list(2 * SEC, SITE_SCOPE_UPSTREAMS, 0, 12, items);
+	view_tick(view, 3 * SEC);
+	assert_events("");
+	apply_change(3 * SEC, SITE_ITEM_UPSTREAM, "u1", 10, value);
+	view_tick(view, 4 * SEC);
+	assert_events("");
+	assert_non_null(directory_find(view_directory(view), "u1"));
+}
+
 /// The copy lacks an upstream that was added since, revives one that is gone,
 /// and shows one as ready that leaves.
 static void
@@ -575,6 +598,8 @@
 		decodes_messages_and_rejects_truncated_ones, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		restored_store_takes_the_configuration_back, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		known_entries_are_kept, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		restored_store_takes_upstreams_back, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
