Soak: drivers that start at the same moment use different ports

Cause: each driver looked for free ports from the same number on, and began to listen only later. Another one took the port in between; link_new() returned NULL, and link_set() wrote through it. Shown with an address-sanitised driver, four at once: two ended in link_set() called by soak_plan_end_faults().

Ruled out: a fault of the programs under test; none of them had ended.

Change: a driver holds the first port of a block of 1000 for as long as it runs, and a port that is taken ends the run with a message.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -1,6 +1,7 @@
 /* Main program of the fault soak: soak --bindir DIR [--seeds N] [--from S]
  * [--span S] */
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -19,7 +20,11 @@
 /// Time from the end of the faults to the earliest end of a run.
 #define CALM_SPAN (5 * USEC_PER_SEC)
 
+/// Number of ports of a driver.
+#define PORT_BLOCK 1000
+
 static int first_port = 21000;
+static int next_free_port;
 
 /// Records a failed check.
 ///
@@ -55,23 +60,51 @@
 	va_end(arguments);
 }
 
-/// Returns the next port on which nothing listens.
+/// Binds a socket to a port of all addresses.
+///
+/// @param shares  whether connections of an earlier socket may be ending there
+/// @return the socket; -1 if the port is taken
+static int
+bind_port(int port, bool shares)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_ANY)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	const int on = shares;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/// Takes a block of ports for this process. Drivers that run at the same time
+/// would find the same ports free. The first port of the block stays bound.
+static void
+take_port_block(void)
+{
+	while (bind_port(first_port, false) < 0)
+		first_port += PORT_BLOCK;
+	next_free_port = first_port + 1;
+}
+
+/// Returns the next port of the block on which nothing listens.
 static uint16_t
 next_port(void)
 {
-	for (;; first_port++) {
-		struct sockaddr_in address = {.sin_family = AF_INET,
-		    .sin_port = htons((uint16_t)first_port),
-		    .sin_addr.s_addr = htonl(INADDR_ANY)};
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
-		const int on = 1;
-		int result;
-
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		result = bind(fd, (struct sockaddr *)&address, sizeof(address));
-		close(fd);
-		if (result == 0)
-			return (uint16_t)first_port++;
+	for (;;) {
+		int port = next_free_port++;
+		int fd;
+
+		if (next_free_port == first_port + PORT_BLOCK)
+			next_free_port = first_port + 1;
+		fd = bind_port(port, true);
+		if (fd >= 0) {
+			close(fd);
+			return (uint16_t)port;
+		}
 	}
 }
 
@@ -166,8 +199,10 @@
 		soak.worker_ports[i] = next_pair();
 	for (int i = 0; i < 5; i++)
 		soak.ports[i] = next_port();
-	if (!soak_world_start(&soak))
-		soak_fail(&soak, "a port was taken");
+	if (!soak_world_start(&soak)) {
+		g_print("seed %u FAILED: a port was taken\n", seed);
+		exit(EXIT_FAILURE);
+	}
 	sources[0] = g_timeout_add(CALL_MS, on_call, &soak);
 	sources[1] = g_timeout_add(FAULT_MS, on_fault, &soak);
 	sources[2] = g_timeout_add(50, on_watch, &soak);
@@ -218,6 +253,7 @@
 	if (!g_option_context_parse(context, &argc, &argv, NULL))
 		return 64;
 	g_option_context_free(context);
+	take_port_block();
 	for (int i = 0; i < seeds; i++)
 		failed += !play((guint32)(from + i),
 		    bindir == NULL ? "build" : bindir, span);
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -201,11 +201,14 @@
 {
 	start_site(soak);
 	soak->store_link = link_new(soak->store_port + 1, soak->store_port);
-	for (int i = 0; i < SOAK_WORKERS; i++)
-		soak->worker_links[i] =
-		    link_new(soak->worker_ports[i] + 1, soak->worker_ports[i]);
 	if (soak->store_link == NULL)
 		return false;
+	for (int i = 0; i < SOAK_WORKERS; i++) {
+		soak->worker_links[i] =
+		    link_new(soak->worker_ports[i] + 1, soak->worker_ports[i]);
+		if (soak->worker_links[i] == NULL)
+			return false;
+	}
 	g_usleep(300000); /* time for the platform to start */
 	soak_world_configure(soak);
 	/* Two software versions serve side by side. */
