--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -12,6 +12,8 @@
 /// instances that fall behind at the same time send their requests at different
 /// times, so that the later ones find more peers that have the newer data.
 #define SNAPSHOT_SYNC_SPREAD_PER_INSTANCE (10 * USEC_PER_MSEC)
+/// Limit of that extra delay.
+#define SNAPSHOT_SYNC_SPREAD_MAX (1000 * USEC_PER_MSEC)
 /// Timeout of the request for a snapshot.
 #define SNAPSHOT_SYNC_TIMEOUT (500 * USEC_PER_MSEC)
 
@@ -184,8 +186,9 @@
 		snapshot_sync->behind_since = now;
 		snapshot_sync->delay = SNAPSHOT_SYNC_DELAY +
 		    g_random_int_range(0,
-			(gint32)(membership_size(snapshot_sync->membership) *
-			    SNAPSHOT_SYNC_SPREAD_PER_INSTANCE));
+			(gint32)MIN(membership_size(snapshot_sync->membership) *
+				SNAPSHOT_SYNC_SPREAD_PER_INSTANCE,
+			    SNAPSHOT_SYNC_SPREAD_MAX));
 	}
 	if (snapshot_sync->fetch != NULL ||
 	    now < snapshot_sync->behind_since + snapshot_sync->delay)
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -139,6 +139,7 @@
 	    store_revision_number(
 		view_revision(reader->store->options.view, reader->scope)));
 	reader->reachable = false;
+	reader->must_read = false;
 	reader->failed_at = g_get_monotonic_time();
 	g_clear_pointer(&reader->pages, g_ptr_array_unref);
 	backoff_record_failure(&reader->backoff, g_get_monotonic_time(),
@@ -566,6 +567,7 @@
 }
 
 /// Reads the operator's changes soon, as a reader has more than it can pass on.
+/// An instance that doesn't reach the store gets them by a snapshot.
 ///
 /// @param store  client that reads them
 void
@@ -573,12 +575,11 @@
 {
 	struct scope_reader *reader = &store->readers[SITE_SCOPE_OPERATOR];
 
-	if (reader->must_read || reader->fetch != NULL)
+	if (reader->must_read || !reader->reachable || reader->fetch != NULL)
 		return;
 	reader->must_read = true;
-	if (reader->backoff.failures == 0)
-		schedule_call(reader,
-		    (usec_t)(g_random_double() * (double)STORE_CHANGE_SPREAD));
+	schedule_call(
+	    reader, (usec_t)(g_random_double() * (double)STORE_CHANGE_SPREAD));
 }
 
 /// Creates a client and starts to read the store.
