Settings: the size of the fleet from which on messages go through hubs

The exchange through hubs ran over real processes only in fleets of 40. The soak uses hubs with even seeds.

Behaviour is unchanged with the default, 40.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -4,6 +4,7 @@
 declare -A entry_zone entry_caller entry_ready entry_control entry_metrics entry_pid
 site_version=1
 retry_slack=10
+hub_min=40
 site_routes=
 n_entries=0
 fleet_ports=
@@ -113,6 +114,7 @@
 		"store": { "address": "$site" },
 		"upstreams": { "source": "$entry_ip" },
 		"retries": { "slack": $retry_slack },
+		"hubs": { "min_instances": $hub_min },
 		"leaving": { "grace_ms": 4000 }
 	}
 	END
--- a/src/godwitvale/core/hub_choice.h
+++ b/src/godwitvale/core/hub_choice.h
@@ -16,9 +16,6 @@
 #include "godwitvale/core/membership.h"
 #include "godwitvale/core/time_defs.h"
 
-/// Number of instances from which on messages go through hubs. Below it, direct
-/// messages are sooner there and cost little.
-#define HUB_MIN_INSTANCES 40
 /// A fleet that has been smaller for this long sends directly again.
 #define HUB_SMALL_SPAN (5 * USEC_PER_SEC)
 /// Number of subscribers for each hub of a zone.
--- a/src/godwitvale/entry/entry_peers.c
+++ b/src/godwitvale/entry/entry_peers.c
@@ -228,6 +228,7 @@
 	    .control_port = settings->control.port,
 	    .seeds = settings->seeds,
 	    .link_mbps = (uint64_t)settings->link_mbps,
+	    .hub_min_instances = settings->hub_min_instances,
 	    .view = entry->view,
 	    .loads = entry->loads,
 	    .quarantine = segment_guard_quarantine(entry->guard),
--- a/src/godwitvale/entry/entry_settings.c
+++ b/src/godwitvale/entry/entry_settings.c
@@ -73,6 +73,10 @@
     NUMBER(JSON_DOUBLE, "limits.link_mbps", link_mbps, 0, 1000000, "0",
 	"rate of the machine's network link in Mbit/s; instances with a fast "
 	"one pass on messages for others first; 0: unknown"),
+    NUMBER(JSON_UINT32, "hubs.min_instances", hub_min_instances, 2, 1000000,
+	"40",
+	"size of the fleet from which on instances exchange messages through "
+	"a few of them, the hubs; in smaller ones all send to all"),
     NUMBER(JSON_DOUBLE, "retries.ratio", retry_ratio, 0, 10, "0.1",
 	"maximum ratio of retries to first requests of a service, over all "
 	"instances together"),
--- a/src/godwitvale/entry/entry_settings.h
+++ b/src/godwitvale/entry/entry_settings.h
@@ -32,6 +32,9 @@
 	/// "upstreams.source": IP that connections to upstreams come from; "":
 	/// the system chooses.
 	char *upstream_source;
+	/// "hubs.min_instances": size of the fleet from which on instances
+	/// exchange messages through hubs.
+	uint32_t hub_min_instances;
 	int log_level;        /// "log.level": error|warn|info|debug
 	uint32_t max_callers; /// "limits.max_callers": open connections
 	/// "limits.link_mbps": rate of the machine's link; 0: unknown
--- a/src/godwitvale/fleet/hub.c
+++ b/src/godwitvale/fleet/hub.c
@@ -147,7 +147,8 @@
 bool
 hub_is_active(const struct hub *hub)
 {
-	return membership_size(hub->options.membership) >= HUB_MIN_INSTANCES ||
+	return membership_size(hub->options.membership) >=
+	    hub->options.min_instances ||
 	    (!hub->is_dissolved && knows_hub(hub));
 }
 
@@ -664,7 +665,8 @@
 static void
 note_size(struct hub *hub, usec_t now)
 {
-	if (membership_size(hub->options.membership) >= HUB_MIN_INSTANCES)
+	if (membership_size(hub->options.membership) >=
+	    hub->options.min_instances)
 		hub->small_since = 0;
 	else if (hub->small_since == 0)
 		hub->small_since = now;
--- a/src/godwitvale/fleet/hub.h
+++ b/src/godwitvale/fleet/hub.h
@@ -1,7 +1,7 @@
 /*
- * Exchange of messages through hubs, in fleets of HUB_MIN_INSTANCES and more:
- * subscribes to the hub of this instance, publishes through it, and serves
- * other instances as their hub. It reads no clock and does no I/O itself.
+ * Exchange of messages through hubs, in large fleets: subscribes to the hub of
+ * this instance, publishes through it, and serves other instances as their hub.
+ * It reads no clock and does no I/O itself.
  */
 #ifndef GODWITVALE_FLEET_HUB_H
 #define GODWITVALE_FLEET_HUB_H
@@ -43,6 +43,8 @@
 	uint64_t zone;      /// hash of its availability zone
 	uint32_t ip;        /// of this instance, in host byte order
 	uint64_t link_mbps; /// of this instance's link; 0: unknown
+	/// size of the fleet from which on messages go through hubs
+	unsigned min_instances;
 	const struct membership *membership;
 };
 
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -199,6 +199,7 @@
 	    .zone = hash_name(peers->zone),
 	    .ip = peers_parse_ipv4(peers->ip),
 	    .link_mbps = peers->options.link_mbps,
+	    .min_instances = peers->options.hub_min_instances,
 	    .membership = peers->membership,
 	};
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -91,6 +91,8 @@
 	uint16_t control_port; /// HTTP port, the same at every instance
 	const char *seeds;     /// IP:PORT,... of instances; may be outdated
 	uint64_t link_mbps;    /// of this instance's link; 0: unknown
+	/// size of the fleet from which on messages go through hubs
+	unsigned hub_min_instances;
 	struct view *view;
 	struct loads *loads;
 	struct quarantine *quarantine;
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -65,7 +65,8 @@
 	g_free(port);
 }
 
-/// Writes an instance's settings.
+/// Writes an instance's settings. With even seeds, instances exchange messages
+/// through hubs.
 static void
 write_settings(struct soak *soak, struct soak_entry *entry, int i)
 {
@@ -75,11 +76,13 @@
 	    "\"peer_port\":%u,\"metrics_port\":%u},"
 	    "\"seeds\":\"%s:%u\",\"store\":{\"address\":\"127.0.0.1:%u\"},"
 	    "\"upstreams\":{\"source\":\"%s\"},"
+	    "\"hubs\":{\"min_instances\":%d},"
 	    "\"leaving\":{\"grace_ms\":%d}}\n",
 	    entry->name, i % 2 + 1, entry->ip, soak->ports[0], entry->ip,
 	    soak->ports[1], entry->ip, soak->ports[2], soak->ports[3],
 	    soak->ports[4], soak->entries[0].ip, soak->ports[2],
-	    soak->store_port + 1, entry->ip, GRACE_MS);
+	    soak->store_port + 1, entry->ip,
+	    soak->seed % 2 == 0 ? SOAK_ENTRIES : SOAK_ENTRIES + 1, GRACE_MS);
 
 	entry->settings = g_strdup_printf("%s/%s.json", soak->dir, entry->name);
 	g_file_set_contents(entry->settings, text, -1, NULL);
--- a/test/unit/hub_test.c
+++ b/test/unit/hub_test.c
@@ -281,6 +281,7 @@
 	    .name = node->name,
 	    .zone = (uint64_t)(i % ZONES) + 1,
 	    .ip = FIRST_IP + (uint32_t)i,
+	    .min_instances = 40,
 	};
 
 	node->fleet = fleet;
