--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -123,6 +123,9 @@
 		directory_size(view_directory(entry->view))},
 	    {"entry_peers", "Other instances alive.",
 		membership_size(peers_membership(entry->peers)) - 1},
+	    {"entry_hub_subscribers",
+		"Instances that get the fleet's messages from this one.",
+		hub_count_subscribers(peers_hub(entry->peers))},
 	    {"entry_limited_upstreams", "Upstreams with a limit in force.",
 		rate_limits_count(entry->rate_limits)},
 	    {"entry_paused_upstreams", "Upstreams that want a pause.",
@@ -209,6 +212,11 @@
 	json_object_object_add(root, "peers",
 	    json_object_new_int(
 		(int)membership_size(peers_membership(entry->peers)) - 1));
+	json_object_object_add(root, "hub",
+	    json_object_new_string(hub_own_hub_name(peers_hub(entry->peers))));
+	json_object_object_add(root, "hub_subscribers",
+	    json_object_new_int(
+		(int)hub_count_subscribers(peers_hub(entry->peers))));
 	json_object_object_add(root, "open_requests",
 	    json_object_new_int(
 		(int)http_server_count_open_calls(entry->caller_server)));
--- a/src/godwitvale/fleet/hub.c
+++ b/src/godwitvale/fleet/hub.c
@@ -503,6 +503,19 @@
 	    hub->options.membership, hub->choice.hub);
 }
 
+/// @param hub  exchange to query
+/// @return name of the hub that this instance uses, which may be its own; "" if
+///         messages don't go through hubs
+const char *
+hub_own_hub_name(const struct hub *hub)
+{
+	const struct member *member = find_own_hub(hub);
+
+	if (hub->choice.hub == 0 || !hub_is_active(hub))
+		return "";
+	return member == NULL ? hub->options.name : member->name;
+}
+
 /// Sends a message to all instances that know hubs.
 ///
 /// @param hub     active exchange
--- a/src/godwitvale/fleet/hub.h
+++ b/src/godwitvale/fleet/hub.h
@@ -59,6 +59,7 @@
 bool hub_is_active(const struct hub *hub);
 bool hub_is_hub(const struct hub *hub);
 unsigned hub_count_subscribers(const struct hub *hub);
+const char *hub_own_hub_name(const struct hub *hub);
 void hub_set_leaving(struct hub *hub);
 size_t hub_list_addresses(const struct hub *hub, u_int *addresses);
 void hub_publish(struct hub *hub, usec_t now, enum hub_copies copies,
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -401,3 +401,11 @@
 {
 	return peers->membership;
 }
+
+/// @param peers  peers to query
+/// @return exchange of messages through hubs, owned by the peers
+const struct hub *
+peers_hub(const struct peers *peers)
+{
+	return peers->hub;
+}
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -12,6 +12,7 @@
 #include "godwitvale/core/quarantine.h"
 #include "godwitvale/core/rate_limits.h"
 #include "godwitvale/core/upstream_notices.h"
+#include "godwitvale/fleet/hub.h"
 #include "godwitvale/fleet/stream_sync.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
@@ -118,6 +119,7 @@
 void peers_forget_all(struct peers *peers);
 struct stream_sync *peers_stream_sync(const struct peers *peers);
 struct membership *peers_membership(const struct peers *peers);
+const struct hub *peers_hub(const struct peers *peers);
 uint64_t peers_incarnation(const struct peers *peers);
 
 #endif
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -19,6 +19,10 @@
 #define HELD_EVENT_COUNT 3
 /// Size of one write in the modes without an end, in bytes.
 #define BURST_BYTES 16384
+/// Pause between two pieces of a slow answer, in milliseconds.
+#define PIECE_PAUSE_MS 400
+/// Size of a piece of a slow answer, in bytes.
+#define SLOW_PIECE_BYTES 24
 /// Remaining time that a draining engine reports, in milliseconds.
 #define DEPARTURE_DELAY_MS 800
 
@@ -48,6 +52,8 @@
 	gsize repeat_from;
 	bool resets; /// ends with a reset
 	bool holds;  /// stays open after its answer until it is stopped
+	/// size of one write, in bytes, with a pause before the next; 0: all
+	gsize piece;
 	guint64 written;
 };
 
@@ -137,6 +143,15 @@
 	} else if (strcmp(mode, "endless-event") == 0) {
 		append_head(conn, stream);
 		append_burst(conn, "data: 0123456789abcdef\n");
+	} else if (strcmp(mode, "drip") == 0) {
+		append_head(conn, stream);
+		append_events(conn, HELD_EVENT_COUNT);
+		append_burst(conn, ":");
+		conn->piece = conn->repeat_from;
+	} else if (strcmp(mode, "slow") == 0) {
+		append_head(conn, stream);
+		append_events(conn, EVENT_COUNT);
+		conn->piece = SLOW_PIECE_BYTES;
 	} else if (strcmp(mode, "cut-chunks") == 0) {
 		g_string_append(conn->answer,
 		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -222,6 +237,24 @@
 	write_more(conn);
 }
 
+/// Loop callback: the pause between two pieces is over.
+static gboolean
+on_pause_over(gpointer data)
+{
+	write_more(data);
+	return G_SOURCE_REMOVE;
+}
+
+/// Waits before the next piece. After the first one, an answer without an end
+/// goes on byte by byte.
+static void
+pause_writing(struct raw_conn *conn)
+{
+	if (conn->is_endless)
+		conn->piece = 1;
+	g_timeout_add(PIECE_PAUSE_MS, on_pause_over, conn);
+}
+
 static void
 on_written(GObject *object, GAsyncResult *result, gpointer data)
 {
@@ -237,7 +270,9 @@
 	conn->answer_sent += (gsize)n;
 	if (conn->is_endless && conn->answer_sent == conn->answer->len)
 		conn->answer_sent = conn->repeat_from;
-	if (conn->answer_sent < conn->answer->len)
+	if (conn->answer_sent < conn->answer->len && conn->piece > 0)
+		pause_writing(conn);
+	else if (conn->answer_sent < conn->answer->len)
 		write_more(conn);
 	else if (conn->holds)
 		g_ptr_array_add(conn->worker->held, conn);
@@ -248,11 +283,13 @@
 static void
 write_more(struct raw_conn *conn)
 {
+	gsize n_left = conn->answer->len - conn->answer_sent;
+
 	g_output_stream_write_async(
 	    g_io_stream_get_output_stream(G_IO_STREAM(conn->connection)),
 	    conn->answer->str + conn->answer_sent,
-	    conn->answer->len - conn->answer_sent, G_PRIORITY_DEFAULT, NULL,
-	    on_written, conn);
+	    conn->piece == 0 ? n_left : MIN(conn->piece, n_left),
+	    G_PRIORITY_DEFAULT, NULL, on_written, conn);
 }
 
 static void
