Peers: peers_send.c split into heartbeats, changes and topics

peers_send.c had grown to 754 lines with four jobs. It keeps the sending of datagrams; heartbeats and loads, changes read from the store, and topics have files of their own. Behaviour is unchanged but for one line: after a change of its hub an instance's next heartbeat is a whole one, as what the last hub did not pass on (loads of up to ten seconds) is in it.

--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -1,6 +1,7 @@
 /*
  * Start, periodic work and end of the exchange of messages with other
- * instances. peers_send.c sends the messages, peers_receive.c handles them.
+ * instances. peers_send.c sends the messages of peers_heartbeat.c,
+ * peers_changes.c and peers_topics.c; peers_receive.c handles them.
  */
 #include "godwitvale/fleet/peers.h"
 
@@ -174,8 +175,10 @@
 	    [HUB_SILENT] = "silent",
 	    [HUB_CUT_OFF] = "cut-off",
 	};
-	const struct peers *peers = owner;
+	struct peers *peers = owner;
 
+	/* What the last hub did not pass on is in a whole heartbeat. */
+	peers->told_state = 0;
 	log_event(LOG_LEVEL_INFO, "hub-changed", "hub=%s reason=%s members=%u",
 	    name, reasons[reason], membership_size(peers->membership));
 }
--- a/src/godwitvale/fleet/peers_state.h
+++ b/src/godwitvale/fleet/peers_state.h
@@ -1,5 +1,4 @@
-/* State of struct peers, shared by peers.c, peers_send.c and peers_receive.c.
- */
+/* State of struct peers, shared by the files named peers*.c. */
 #ifndef GODWITVALE_FLEET_PEERS_STATE_H
 #define GODWITVALE_FLEET_PEERS_STATE_H
 
@@ -17,6 +16,11 @@
 /// A process that handles nothing for longer than this has stood still. The
 /// ages in datagrams that have waited meanwhile are too low.
 #define PEERS_STALL_SPAN (600 * USEC_PER_MSEC)
+/// Number of random instances that get what this instance knows of prompt
+/// segments and upstreams with each heartbeat, and of random addresses that get
+/// a whole heartbeat directly. Each passes it on, so that it also reaches
+/// instances that were restarted or can't be reached from here.
+#define PEERS_GOSSIP_FANOUT 3
 /// Size of the buffers for encoded and received datagrams, in bytes.
 #define PEERS_BUFFER_BYTES 65536
 
@@ -56,9 +60,25 @@
 /* peers_send.c */
 void peers_send_datagram(
     struct peers *peers, uint32_t number, const char *bytes, size_t len);
+void peers_send_to_addresses(
+    struct peers *peers, GArray *addresses, const char *bytes, size_t len);
+void peers_send_to_known(struct peers *peers, const char *bytes, size_t len);
+void peers_send_to_hubless(
+    struct peers *peers, uint64_t feature, const char *bytes, size_t len);
+void peers_send_to_featured(
+    struct peers *peers, uint64_t feature, const char *bytes, size_t len);
+void peers_send_to_all(
+    struct peers *peers, enum hub_copies copies, const char *bytes, size_t len);
+GPtrArray *peers_list_members(const struct peers *peers, uint64_t feature);
+size_t peers_encode(struct peers *peers, const fleet_message *message,
+    uint64_t era, uint64_t sequence, char *bytes, size_t size);
+
+/* peers_heartbeat.c */
 void peers_send_heartbeat(struct peers *peers);
 void peers_announce(struct peers *peers);
 void peers_greet_hub(struct peers *peers, uint32_t address);
+
+/* peers_topics.c */
 void peers_gossip(struct peers *peers);
 
 /* peers_receive.c */
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -33,7 +33,8 @@
 	guint32 seed;
 	GRand *rand;
 	const char *bindir;
-	char *dir; /// settings and logs
+	const char *old_bindir; /// of another build beside it; NULL: none
+	char *dir;              /// settings and logs
 	GMainLoop *loop;
 	struct pool *pool;
 	GPid site;
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -179,9 +179,10 @@
 ///
 /// @return whether all checks passed
 static bool
-play(guint32 seed, const char *bindir, int span_s)
+play(guint32 seed, const char *bindir, const char *old_bindir, int span_s)
 {
-	struct soak soak = {.seed = seed, .bindir = bindir};
+	struct soak soak = {
+	    .seed = seed, .bindir = bindir, .old_bindir = old_bindir};
 	guint sources[3];
 	bool ok;
 
@@ -235,9 +236,12 @@
 	int from = 1;
 	int span = 10;
 	char *bindir = NULL;
+	char *old_bindir = NULL;
 	const GOptionEntry entries[] = {
 	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &bindir,
 		"Where the programs are", "DIR"},
+	    {"old-bindir", 0, 0, G_OPTION_ARG_FILENAME, &old_bindir,
+		"Where an earlier build is, which runs beside", "DIR"},
 	    {"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "How many", "N"},
 	    {"from", 0, 0, G_OPTION_ARG_INT, &from, "The first", "S"},
 	    {"ports", 0, 0, G_OPTION_ARG_INT, &first_port,
@@ -256,7 +260,7 @@
 	take_port_block();
 	for (int i = 0; i < seeds; i++)
 		failed += !play((guint32)(from + i),
-		    bindir == NULL ? "build" : bindir, span);
+		    bindir == NULL ? "build" : bindir, old_bindir, span);
 	g_print("%d passed, %d failed\n", seeds - failed, failed);
 	return failed == 0 ? 0 : 1;
 }
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -66,41 +66,53 @@
 }
 
 /// Writes an instance's settings. With even seeds, instances exchange messages
-/// through hubs.
+/// through hubs. An old build gets those settings only that all builds know.
 static void
-write_settings(struct soak *soak, struct soak_entry *entry, int i)
+write_settings(struct soak *soak, struct soak_entry *entry, bool is_old)
 {
+	int i = (int)(entry - soak->entries);
+	char *newer = g_strdup_printf("\"upstreams\":{\"source\":\"%s\"},"
+				      "\"hubs\":{\"min_instances\":%d},",
+	    entry->ip,
+	    soak->seed % 2 == 1            ? SOAK_ENTRIES + 1
+		: soak->old_bindir == NULL ? SOAK_ENTRIES
+					   : SOAK_ENTRIES - 1);
 	char *text = g_strdup_printf(
 	    "{\"instance\":\"%s\",\"zone\":\"z%d\",\"listen\":{"
 	    "\"caller\":\"%s:%u\",\"ready\":\"%s:%u\",\"control\":\"%s:%u\","
 	    "\"peer_port\":%u,\"metrics_port\":%u},"
 	    "\"seeds\":\"%s:%u\",\"store\":{\"address\":\"127.0.0.1:%u\"},"
-	    "\"upstreams\":{\"source\":\"%s\"},"
-	    "\"hubs\":{\"min_instances\":%d},"
-	    "\"leaving\":{\"grace_ms\":%d}}\n",
+	    "%s\"leaving\":{\"grace_ms\":%d}}\n",
 	    entry->name, i % 2 + 1, entry->ip, soak->ports[0], entry->ip,
 	    soak->ports[1], entry->ip, soak->ports[2], soak->ports[3],
 	    soak->ports[4], soak->entries[0].ip, soak->ports[2],
-	    soak->store_port + 1, entry->ip,
-	    soak->seed % 2 == 0 ? SOAK_ENTRIES : SOAK_ENTRIES + 1, GRACE_MS);
+	    soak->store_port + 1, is_old ? "" : newer, GRACE_MS);
 
+	g_free(entry->settings);
 	entry->settings = g_strdup_printf("%s/%s.json", soak->dir, entry->name);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
+	g_free(newer);
 }
 
-/// Starts an instance.
+/// Starts an instance, of one of the two builds if there are two.
 ///
 /// @param soak   the run
 /// @param entry  not running
 void
 soak_world_entry_start(struct soak *soak, struct soak_entry *entry)
 {
-	char *program = g_build_filename(soak->bindir, "godwitvale", NULL);
+	bool is_old = soak->old_bindir != NULL && g_rand_boolean(soak->rand);
+	char *program = g_build_filename(
+	    is_old ? soak->old_bindir : soak->bindir, "godwitvale", NULL);
 	char *log = g_strdup_printf("%s.log", entry->name);
-	const char *argv[] = {
-	    program, "entry", "--settings", entry->settings, NULL};
+	const char *argv[] = {program, "entry", "--settings", NULL, NULL};
 
+	write_settings(soak, entry, is_old);
+	argv[3] = entry->settings;
+	if (soak->old_bindir != NULL)
+		soak_note(soak, "%s starts, %s build", entry->name,
+		    is_old ? "old" : "new");
 	entry->paused = false;
 	entry->leaving = false;
 	entry->kill_at = 0;
@@ -221,7 +233,6 @@
 
 		g_snprintf(entry->name, sizeof(entry->name), "e%d", i + 1);
 		g_snprintf(entry->ip, sizeof(entry->ip), "127.0.2.%d", i + 1);
-		write_settings(soak, entry, i);
 		soak_world_entry_start(soak, entry);
 	}
 	return true;
@@ -275,10 +286,16 @@
 static void
 collect_deadly(struct soak *soak, const char *line, GHashTable *deadly)
 {
+	char *fingerprint;
+
 	(void)soak;
-	if (strstr(line, "\"request-placed\"") != NULL &&
-	    (strstr(line, "-dead") != NULL || strstr(line, ",dead") != NULL))
-		g_hash_table_add(deadly, copy_fingerprint(line));
+	if (strstr(line, "\"request-placed\"") == NULL ||
+	    (strstr(line, "-dead") == NULL && strstr(line, ",dead") == NULL))
+		return;
+	/* Builds that quarantine no requests name no fingerprint. */
+	fingerprint = copy_fingerprint(line);
+	if (fingerprint != NULL)
+		g_hash_table_add(deadly, fingerprint);
 }
 
 /// Checks that a line is of no quarantine of what never crashes a worker.
