Log: connections that end before their caller has all of a response

Neither logs nor metrics told how a caller's connection with a response due, in progress or unsent had ended: by the caller's end of sending, by a reset, by a timer or by the end of the process. caller-gone was written for several of them, and nothing once the response had been handed to the connection. response-lost names the cause and the unsent bytes, and request-ended the connection, so that the two can be joined.

--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -260,11 +260,13 @@
 	log_event(LOG_LEVEL_WARN, "admin-input-refused", "status=%u", status);
 }
 
-static const struct http_server_vtable ready_vtable = {on_ready, on_refused};
+static const struct http_server_vtable ready_vtable = {.request = on_ready,
+    .refused = on_refused};
 static const struct http_server_vtable control_vtable = {
-    on_member_request, on_refused};
-static const struct http_server_vtable metrics_vtable = {
-    on_metrics, on_refused};
+    .request = on_member_request,
+    .refused = on_refused};
+static const struct http_server_vtable metrics_vtable = {.request = on_metrics,
+    .refused = on_refused};
 
 /// Opens a server on one address.
 static struct http_server *
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -61,9 +61,23 @@
 	log_event(LOG_LEVEL_WARN, "caller-input-refused", "status=%u", status);
 }
 
+/// Server callback: a connection ended before its caller had all of a response.
+static void
+on_lost(void *owner, const struct http_loss *loss)
+{
+	const char *cause = http_loss_cause_name(loss->cause);
+
+	(void)owner;
+	series_add(&entry_metric_responses_lost, cause, NULL, 1);
+	log_event(LOG_LEVEL_WARN, "response-lost",
+	    "conn=%" G_GUINT64_FORMAT " cause=%s open=%d unsent=%zu",
+	    loss->connection, cause, loss->has_call, loss->unsent);
+}
+
 static const struct http_server_vtable callers_vtable = {
     .request = on_request,
     .refused = on_refused,
+    .lost = on_lost,
 };
 
 /// Loop callback: handles departing upstreams and places waiting requests.
--- a/src/godwitvale/entry/entry_metrics.c
+++ b/src/godwitvale/entry/entry_metrics.c
@@ -10,6 +10,10 @@
 const struct series_kind entry_metric_input_refused = {
     "entry_input_refused_total",
     "Connections refused for what they sent, by status.", "status", NULL};
+const struct series_kind entry_metric_responses_lost = {
+    "entry_responses_lost_total",
+    "Connections that ended before the caller had all of a response, by cause.",
+    "cause", NULL};
 const struct series_kind entry_metric_handovers = {"entry_handovers_total",
     "Steps in handing generations over, by step.", "step", NULL};
 const struct series_kind entry_metric_upstream_changes = {
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -22,6 +22,7 @@
 struct entry_request {
 	struct entry *entry;
 	struct http_call *call;
+	uint64_t connection; /// number of the caller's connection
 
 	/* Content of the request. */
 	struct site_request params;
--- a/src/godwitvale/entry/entry_request_log.c
+++ b/src/godwitvale/entry/entry_request_log.c
@@ -37,7 +37,8 @@
 	    "attempts=%u handovers=%u events=%u last_event=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
 	    " total_ms=%" G_GINT64_FORMAT " prompt=%d output=%d hint=%d "
-	    "limit=%.2f fingerprint=%016" G_GINT64_MODIFIER "x",
+	    "limit=%.2f fingerprint=%016" G_GINT64_MODIFIER
+	    "x conn=%" G_GUINT64_FORMAT,
 	    request->params.id == NULL ? "-" : request->params.id,
 	    request->route == NULL ? "-" : request->route->name,
 	    request->target.id == NULL ? "-" : request->target.id, status,
@@ -51,7 +52,7 @@
 	    (now - request->arrived_at) / USEC_PER_MSEC,
 	    request->params.prompt_tokens, request->params.max_output_tokens,
 	    request->params.output_hint, request->named_limit,
-	    request->fingerprint);
+	    request->fingerprint, request->connection);
 }
 
 /// Records the outcome and the times of a request that has ended, as metrics.
--- a/src/godwitvale/entry/entry_request_start.c
+++ b/src/godwitvale/entry/entry_request_start.c
@@ -117,6 +117,7 @@
 
 	request->entry = entry;
 	request->call = call;
+	request->connection = http_call_connection(call);
 	request->refs = 1;
 	request->arrived_at = http_call_received_at(call);
 	request->deadline = USEC_NEVER;
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -25,6 +25,39 @@
 /// the connection, in microseconds.
 #define SERVER_LINGER (1 * USEC_PER_SEC)
 
+/// @param cause  why a response was lost
+/// @return the cause as one word, for log lines
+const char *
+http_loss_cause_name(enum http_loss_cause cause)
+{
+	static const char *const names[] = {
+	    [HTTP_LOSS_CALLER_CLOSED] = "caller-closed",
+	    [HTTP_LOSS_CALLER_RESET] = "caller-reset",
+	    [HTTP_LOSS_TIMEOUT] = "timeout",
+	    [HTTP_LOSS_SERVER_FREED] = "server-freed",
+	};
+
+	return names[cause];
+}
+
+/// Reports the end of a connection if its caller doesn't have all of a
+/// response.
+static void
+report_loss(const struct caller *caller, enum http_loss_cause cause)
+{
+	const struct http_server_options *options = &caller->server->options;
+	const struct http_loss loss = {
+	    .cause = cause,
+	    .connection = caller->number,
+	    .has_call = caller->call != NULL,
+	    .unsent =
+		caller->conn == NULL ? 0 : conn_unsent_bytes(caller->conn),
+	};
+
+	if (options->vtable->lost != NULL && (loss.has_call || loss.unsent > 0))
+		options->vtable->lost(options->owner, &loss);
+}
+
 /// Frees a caller.
 ///
 /// @param caller  its call, if any, must no longer point to it
@@ -102,7 +135,9 @@
 static void
 on_ended(void *owner, enum conn_end end)
 {
-	(void)end;
+	report_loss(owner,
+	    end == CONN_END_ORDERLY ? HTTP_LOSS_CALLER_CLOSED
+				    : HTTP_LOSS_CALLER_RESET);
 	caller_disconnect(owner);
 }
 
@@ -266,6 +301,7 @@
 	};
 
 	caller->server = server;
+	caller->number = ++server->n_accepted;
 	caller->body = g_byte_array_new();
 	caller->pipelined = g_byte_array_new();
 	caller->deadline = g_get_monotonic_time() + server->limits.idle_timeout;
@@ -293,6 +329,14 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/// Ends the connection of a caller whose deadline has passed.
+static void
+end_overdue(struct caller *caller)
+{
+	report_loss(caller, HTTP_LOSS_TIMEOUT);
+	server_caller_free(caller);
+}
+
 /// Timer callback: ends the connections of callers whose deadline has passed.
 static gboolean
 on_timeout_check(gpointer data)
@@ -310,7 +354,7 @@
 		    !caller->lingering)
 			refuse_request(caller, 408);
 		else
-			server_caller_free(caller);
+			end_overdue(caller);
 	}
 	g_list_free(callers);
 	return G_SOURCE_CONTINUE;
@@ -377,8 +421,10 @@
 {
 	GList *callers = g_hash_table_get_keys(server->callers);
 
-	for (GList *l = callers; l != NULL; l = l->next)
+	for (GList *l = callers; l != NULL; l = l->next) {
+		report_loss(l->data, HTTP_LOSS_SERVER_FREED);
 		caller_disconnect(l->data);
+	}
 	g_list_free(callers);
 	g_source_remove(server->listen_source);
 	g_source_remove(server->timeout_timer);
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -16,6 +16,22 @@
 struct http_server;
 struct http_call;
 
+/// Why a caller's connection ended before the caller had all of a response.
+enum http_loss_cause {
+	HTTP_LOSS_CALLER_CLOSED = 1, /// the caller ended its sending side
+	HTTP_LOSS_CALLER_RESET,      /// reset by the caller, or it is silent
+	HTTP_LOSS_TIMEOUT,           /// the caller read too slowly
+	HTTP_LOSS_SERVER_FREED,      /// the process ends
+};
+
+/// A caller's connection that ended before the caller had all of a response.
+struct http_loss {
+	enum http_loss_cause cause;
+	uint64_t connection; /// its number, from 1
+	bool has_call;       /// a response was due or in progress
+	size_t unsent;       /// bytes that the kernel had not accepted
+};
+
 /// Callbacks of a server.
 struct http_server_vtable {
 	/// A whole request was read. The call stays valid until its response
@@ -24,6 +40,9 @@
 	/// An invalid, too large or too slow request was refused with this
 	/// status. For counters and logs.
 	void (*refused)(void *owner, unsigned status);
+	/// A connection ended before its caller had all of a response; may be
+	/// NULL. For counters and logs.
+	void (*lost)(void *owner, const struct http_loss *loss);
 };
 
 /// Called once if a caller disconnects before its response is complete.
@@ -51,6 +70,8 @@
 	struct http_limits limits;
 };
 
+const char *http_loss_cause_name(enum http_loss_cause cause);
+
 struct http_server *http_server_new(
     const struct http_server_options *options, GError **error);
 void http_server_free(struct http_server *server);
@@ -63,6 +84,7 @@
 const struct http_head *http_call_head(const struct http_call *call);
 const char *http_call_body(const struct http_call *call, size_t *len);
 usec_t http_call_received_at(const struct http_call *call);
+uint64_t http_call_connection(const struct http_call *call);
 void http_call_on_drain(
     struct http_call *call, http_drain_handler handler, void *owner);
 void http_call_on_disconnect(
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -29,6 +29,14 @@
 	return call->received_at;
 }
 
+/// @param call  a call
+/// @return the number of its connection; 0 if the caller has disconnected
+uint64_t
+http_call_connection(const struct http_call *call)
+{
+	return call->caller == NULL ? 0 : call->caller->number;
+}
+
 /// Sets the handler for a caller that disconnects before its response is
 /// complete.
 ///
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -16,6 +16,7 @@
 	guint timeout_timer;
 	GHashTable *callers; /// struct caller * as a set
 	unsigned open_calls;
+	uint64_t n_accepted; /// connections so far
 	bool keep_alive_disabled;
 };
 
@@ -23,6 +24,7 @@
 struct caller {
 	struct http_server *server;
 	struct conn *conn;
+	uint64_t number; /// of the connection, from 1
 	struct http_reader reader;
 	GByteArray *body;
 	GByteArray *pipelined;
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -583,7 +583,8 @@
 	g_printerr("worker: rejected invalid input with status %u\n", status);
 }
 
-static const struct http_server_vtable vtable = {on_request, on_refused};
+static const struct http_server_vtable vtable = {.request = on_request,
+    .refused = on_refused};
 
 /// Writes a worker's entry into the store.
 static void
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -23,6 +23,7 @@
 	uint16_t port;
 	GPtrArray *calls;
 	GString *refused;
+	GString *lost;
 	unsigned disconnects;
 };
 
@@ -50,7 +51,17 @@
 	fixture->disconnects++;
 }
 
-static const struct http_server_vtable vtable = {on_request, on_refused};
+static void
+on_lost(void *owner, const struct http_loss *loss)
+{
+	struct fixture *fixture = owner;
+
+	g_string_append_printf(fixture->lost, "%s open=%d; ",
+	    http_loss_cause_name(loss->cause), loss->has_call);
+}
+
+static const struct http_server_vtable vtable = {
+    on_request, on_refused, on_lost};
 
 /// Returns a TCP port that is free at the moment.
 static uint16_t
@@ -87,6 +98,7 @@
 	options.port = fixture->port;
 	fixture->calls = g_ptr_array_new();
 	fixture->refused = g_string_new(NULL);
+	fixture->lost = g_string_new(NULL);
 	fixture->server = http_server_new(&options, NULL);
 	assert_non_null(fixture->server);
 	*state = fixture;
@@ -101,6 +113,7 @@
 	http_server_free(fixture->server);
 	g_ptr_array_unref(fixture->calls);
 	g_string_free(fixture->refused, TRUE);
+	g_string_free(fixture->lost, TRUE);
 	g_free(fixture);
 	return 0;
 }
@@ -276,6 +289,24 @@
 	close(fd);
 }
 
+static void
+reset_during_a_call_is_reported_as_a_loss(void **state)
+{
+	struct fixture *fixture = *state;
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	int fd = connect_to(fixture);
+
+	send_text(fd, "GET / HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	assert_string_equal(fixture->lost->str, "");
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	for (int i = 0; i < 1000 && fixture->lost->len == 0; i++)
+		run_loop(fixture, 0, 10 * USEC_PER_MSEC);
+	assert_string_equal(fixture->lost->str, "caller-reset open=1; ");
+	respond_to_first_call(fixture, 200, "to nobody");
+}
+
 static void
 half_close_is_reported_as_disconnect(void **state)
 {
@@ -373,6 +404,8 @@
 		streams_end_with_last_chunk, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		aborted_streams_reset_the_connection, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		reset_during_a_call_is_reported_as_a_loss, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		half_close_is_reported_as_disconnect, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
