Handover: a target that accepts no connection for a moment is tried again

What callers saw: a begun stream was reset although an engine held the copy of its generation. Cause: one connection that the copy's target didn't accept (a sound engine that is silent for a second, or one that turns connections away while its queue is long) counted as its refusal. No byte had been sent, so the copy was still there, but the generation was started anew, which a route without repeats forbids, and the request failed.

The target is tried again for three seconds, within the time for which copies are kept.

--- a/src/godwitvale/core/handover.c
+++ b/src/godwitvale/core/handover.c
@@ -92,6 +92,10 @@
 		handover->wake_at = answer_deadline;
 		return HANDOVER_WAIT;
 	}
+	if (handover->has_copy && now < handover->resume_at) {
+		handover->wake_at = handover->resume_at;
+		return HANDOVER_WAIT;
+	}
 	return handover->has_copy ? HANDOVER_RESUME : HANDOVER_BREAK;
 }
 
@@ -243,6 +247,23 @@
 	return true;
 }
 
+/// Notes that the target accepted no connection, so that the copy is unused.
+/// The generation is to be resumed there again after `retry_delay`.
+///
+/// @param handover  handover of the generation
+/// @param now       current time
+/// @return false once `resume_span` has passed since this was first noted
+bool
+handover_target_unreachable(struct handover *handover, usec_t now)
+{
+	if (handover->resume_until == 0)
+		handover->resume_until = now + handover->options.resume_span;
+	if (now >= handover->resume_until)
+		return false;
+	handover->resume_at = now + handover->options.retry_delay;
+	return true;
+}
+
 /// @param handover  handover of the generation
 /// @return whether a target holds a complete copy
 bool
--- a/src/godwitvale/core/handover.h
+++ b/src/godwitvale/core/handover.h
@@ -75,6 +75,8 @@
 	/// how long the outcome of a copy request is awaited after the stream
 	/// was cut
 	usec_t answer_timeout;
+	/// how long a target that accepts no connection is tried again
+	usec_t resume_span;
 	/// failures with HANDOVER_NO_ROOM after which no copy is tried any more
 	unsigned max_no_room_failures;
 };
@@ -88,8 +90,10 @@
 	/// when the stop is due; USEC_NEVER once it was requested, or while it
 	/// is unknown when the upstream will be gone
 	usec_t stop_at;
-	usec_t wake_at; /// when to ask for the next step; may be USEC_NEVER
-	usec_t cut_at;  /// when the stream was cut; 0 while it is open
+	usec_t wake_at;   /// when to ask for the next step; may be USEC_NEVER
+	usec_t cut_at;    /// when the stream was cut; 0 while it is open
+	usec_t resume_at; /// not to be resumed before; 0: at once
+	usec_t resume_until; /// when to give the target up; 0: not tried yet
 	unsigned n_no_room_failures; /// copies failed with HANDOVER_NO_ROOM
 	bool has_copy;               /// a target holds a complete copy
 	/// the stream ended where a complete one may end, so that the outcome
@@ -115,6 +119,7 @@
     struct handover *handover, usec_t now, enum handover_copy_failure failure);
 void handover_stream_cut(struct handover *handover, usec_t now);
 bool handover_stream_ended(struct handover *handover, usec_t now);
+bool handover_target_unreachable(struct handover *handover, usec_t now);
 bool handover_has_copy(const struct handover *handover);
 const char *handover_step_name(enum handover_step step);
 
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -475,7 +475,7 @@
 		crash_probes_note_cut(request, was_down);
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming && failure == EXCHANGE_UNREACHABLE)
-		continuation_handle_refusal(request, "resume-refused");
+		continuation_handle_unreachable(request);
 	else if (request->route->kind == ROUTE_STREAM &&
 	    (request->is_stream || continuation_is_in_progress(request)) &&
 	    failure != EXCHANGE_UNREACHABLE)
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -32,6 +32,9 @@
 #define CONTINUATION_RETRY_DELAY (80 * USEC_PER_MSEC)
 /// Timeout for the answer to a copy request after the stream was cut.
 #define CONTINUATION_ANSWER_TIMEOUT (300 * USEC_PER_MSEC)
+/// How long a target that accepts no connection is tried again. An upstream in
+/// order may be silent for a second; its copy expires after a few.
+#define CONTINUATION_RESUME_SPAN (3 * USEC_PER_SEC)
 /// Copies of one generation that may fail for lack of capacity at the target.
 #define CONTINUATION_MAX_TRIES 6
 /// Timeout of a copy request.
@@ -46,6 +49,7 @@
     .stop_margin = CONTINUATION_STOP_MARGIN,
     .retry_delay = CONTINUATION_RETRY_DELAY,
     .answer_timeout = CONTINUATION_ANSWER_TIMEOUT,
+    .resume_span = CONTINUATION_RESUME_SPAN,
     .max_no_room_failures = CONTINUATION_MAX_TRIES,
 };
 
@@ -500,6 +504,29 @@
 	restart_or_fail(request, reason);
 }
 
+/// Handles a target that accepted no connection to resume a stream: it is tried
+/// again for a while, as it still holds the copy.
+///
+/// @param request  request without an exchange
+void
+continuation_handle_unreachable(struct entry_request *request)
+{
+	usec_t now = g_get_monotonic_time();
+
+	if (!handover_target_unreachable(&request->handover, now)) {
+		continuation_handle_refusal(request, "resume-refused");
+		return;
+	}
+	request->is_resuming = false;
+	log_event(LOG_LEVEL_WARN, "handover-unreachable",
+	    "id=%s target=%s gives_up_ms=%" G_GINT64_FORMAT
+	    " outcome=tried-again",
+	    request->params.id, request->target.id,
+	    (request->handover.resume_until - now) / USEC_PER_MSEC);
+	continuation_advance(request);
+	entry_request_set_timer(request);
+}
+
 /// Checks whether the handover of a request is in progress.
 ///
 /// @param request  request in any state
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -160,6 +160,7 @@
 void continuation_handle_cut(struct entry_request *request, const char *reason);
 bool continuation_handle_end(struct entry_request *request);
 void continuation_handle_resumed(struct entry_request *request);
+void continuation_handle_unreachable(struct entry_request *request);
 void continuation_handle_refusal(
     struct entry_request *request, const char *reason);
 bool continuation_is_supported(const struct entry_request *request);
--- a/test/unit/handover_test.c
+++ b/test/unit/handover_test.c
@@ -19,6 +19,7 @@
     .spread_span = 100 * MS,
     .retry_delay = 80 * MS,
     .answer_timeout = 300 * MS,
+    .resume_span = 1000 * MS,
     .max_no_room_failures = 3,
 };
 
@@ -228,6 +229,27 @@
 	}
 }
 
+/// The generation is lost only after the target was tried for a while.
+static void
+target_that_accepts_no_connection_is_tried_again(void **state)
+{
+	struct handover handover;
+
+	(void)state;
+	handover_init(&handover, &options);
+	handover_note_leaving(&handover, 0, 0, 0);
+	complete_first_copy(&handover, 0, 300);
+	handover_stream_cut(&handover, 1000 * MS);
+	assert_step(&handover, 1000, "resume");
+	assert_true(handover_target_unreachable(&handover, 1600 * MS));
+	assert_step(&handover, 1600, "wait 1680");
+	assert_step(&handover, 1680, "resume");
+	assert_true(handover_target_unreachable(&handover, 2280 * MS));
+	assert_step(&handover, 2280, "wait 2360");
+	assert_step(&handover, 2360, "resume");
+	assert_false(handover_target_unreachable(&handover, 2960 * MS));
+}
+
 int
 main(void)
 {
@@ -243,6 +265,7 @@
 	    cmocka_unit_test(
 		first_copy_is_abandoned_after_too_many_full_targets),
 	    cmocka_unit_test(failed_stop_keeps_the_copy),
+	    cmocka_unit_test(target_that_accepts_no_connection_is_tried_again),
 	    cmocka_unit_test(resumed_generation_can_be_handed_over_again),
 	};
 
