Reach: a begun answer isn't given up for a second's silence or without a permit

What callers saw: begun streams were reset though their engines were sound and only silent for a second. Cause: an instance that takes itself for cut off from a service (nothing heard for 0.4 s, then all probes unanswered for 0.8 s) cancelled requests in flight before it was certain that another instance could serve them. If no retry was permitted, or the other instance took itself for cut off as well, the request failed, and what the caller had of it was reset.

Evidence: functional/entry_silent_streams, 12 streams at two engines that do nothing for 1.2 s and go on. Now a begun answer is given up only after 1.5 s of silence, and any request only if a permit for its retry is there. functional/entry_cut_off and entry_silent_worker are unchanged.

--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -532,6 +532,16 @@
 		dispatch->options.settings->retry_ratio);
 }
 
+/// @param dispatch  holds the retry permits
+/// @param service   name of the service
+/// @return whether dispatch_take_retry_permit() would take a permit now
+bool
+dispatch_has_retry_permit(struct dispatch *dispatch, const char *service)
+{
+	return fleet_share_has_permit(
+	    get_retry_share(dispatch, service), g_get_monotonic_time());
+}
+
 /// Takes a permit to send a request to a service again.
 ///
 /// @param dispatch  holds the retry permits
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -80,6 +80,7 @@
 void dispatch_target_clear(struct dispatch_target *target);
 void dispatch_record_first_request(
     struct dispatch *dispatch, const char *service);
+bool dispatch_has_retry_permit(struct dispatch *dispatch, const char *service);
 bool dispatch_take_retry_permit(struct dispatch *dispatch, const char *service);
 void dispatch_record_result(struct dispatch *dispatch,
     const struct dispatch_target *target, enum outlier_result sign);
--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -13,6 +13,9 @@
 #define REACH_SILENT_SPAN (400 * USEC_PER_MSEC)
 /// The same while an engine reads the prompt.
 #define REACH_SILENT_PROMPT_SPAN (1200 * USEC_PER_MSEC)
+/// An answer that the caller has a part of isn't given up before nothing has
+/// come for this long. An upstream in order may be silent for a second.
+#define REACH_BEGUN_ANSWER_SPAN (1500 * USEC_PER_MSEC)
 /// Time that an upstream has to answer a probe.
 #define REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
 /// Interval of the search for silent requests.
@@ -233,19 +236,31 @@
 	    now >= MAX(request->sent_at, request->heard_at) + span;
 }
 
+/// Checks whether a request may be sent to another instance although it may
+/// have run. Without a permit for that retry it would fail.
+static bool
+can_be_retried(const struct entry_request *request)
+{
+	return entry_request_is_repeatable(request) &&
+	    request->attempts < request->route->max_attempts &&
+	    forwarding_is_possible(request) &&
+	    dispatch_has_retry_permit(
+		request->entry->dispatch, request->service);
+}
+
 /// Checks whether a request's upstream doesn't matter any more: it is out of
 /// reach, and another instance may be asked to serve the request.
 static bool
-is_to_be_given_up(
-    const struct reach_monitor *monitor, const struct entry_request *request)
+is_to_be_given_up(const struct reach_monitor *monitor,
+    const struct entry_request *request, usec_t now)
 {
+	if (request->response_started &&
+	    now < request->heard_at + REACH_BEGUN_ANSWER_SPAN)
+		return false;
 	return reachability_is_cut_off(
 		   monitor->reachability, request->service) &&
 	    exchange_may_have_sent(request->exchange) &&
-	    entry_request_is_repeatable(request) &&
-	    request->attempts < request->route->max_attempts &&
-	    forwarding_is_possible(request) &&
-	    !continuation_is_in_progress(request);
+	    can_be_retried(request) && !continuation_is_in_progress(request);
 }
 
 /// Handles a request whose upstream is silent.
@@ -253,7 +268,7 @@
 handle_silent(
     struct reach_monitor *monitor, struct entry_request *request, usec_t now)
 {
-	if (!is_to_be_given_up(monitor, request)) {
+	if (!is_to_be_given_up(monitor, request, now)) {
 		reachability_suspect(
 		    monitor->reachability, now, request->service);
 		return;
