Placement: a request that waits is refused at once when its service goes

What callers saw: when a configuration took a service away, requests that waited for a place there were refused only at the end of their wait, as if there were no room. Cause: the queue took 'no upstream' for 'full'. functional/entry_config_inside: the waiting request ended with no-room before, with no-upstream at once now.

--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -203,6 +203,16 @@
 	return true;
 }
 
+/// Refuses a request for which there is no usable upstream.
+static void
+refuse_without_upstream(struct entry_request *request)
+{
+	entry_request_ref(request);
+	entry_request_refuse(request, RETRY_AFTER_NO_UPSTREAM,
+	    request->has_version ? "no-upstream-of-version" : "no-upstream");
+	entry_request_unref(request);
+}
+
 /// Places a request: sends it, queues it if no upstream has capacity now, or
 /// refuses it if no upstream is usable.
 ///
@@ -224,15 +234,13 @@
 	default:
 		if (request->n_unreachable > 0 && forwarding_start(request))
 			break;
-		entry_request_refuse(request, RETRY_AFTER_NO_UPSTREAM,
-		    request->has_version ? "no-upstream-of-version"
-					 : "no-upstream");
+		refuse_without_upstream(request);
 		break;
 	}
 }
 
 /// Queue callback: tries to place a waiting request, or ends it because of a
-/// quarantine.
+/// quarantine, or because its service has no upstream any more.
 ///
 /// @return false if no upstream has capacity
 static bool
@@ -245,7 +253,15 @@
 		return true;
 	if (forwarding_is_needed(request) && place_elsewhere(request))
 		return true;
-	return try_place(request) == PLACE_FOUND;
+	switch (try_place(request)) {
+	case PLACE_FOUND:
+		return true;
+	case PLACE_FULL:
+		return false;
+	default:
+		refuse_without_upstream(request);
+		return true;
+	}
 }
 
 /// Places the waiting requests for which there is capacity now.
--- a/test/functional/entry_config_inside.sh
+++ b/test/functional/entry_config_inside.sh
@@ -88,9 +88,21 @@
 	fill "$2"
 	put "${@:3}"
 	outcomes
+	echo "those that waited: $(waited_outcomes "$2")"
 	put_usual
 }
 
+# waited_outcomes TAG: what came of the requests that waited for a place.
+waited_outcomes()
+{
+	local id
+	for id in $(grep -o "request-waits\",\"id\":\"$1-[a-z0-9]*" \
+	    "$workdir/e1.log" | sed 's/.*"//' | sort -u); do
+		grep "request-ended.*\"id\":\"$id\"" "$workdir/e1.log" |
+		    grep -o '"outcome":"[a-z-]*"' | sed 's/.*://'
+	done | sort -u | paste -sd ' '
+}
+
 put_usual
 change "all routes go" a '' "$all_services" '"k1","k2"' 15000
 change "the routes move to another service" b \
