--- a/src/godwitvale/core/model_plan.c
+++ b/src/godwitvale/core/model_plan.c
@@ -3,74 +3,10 @@
  * next. For each engine, the plan keeps the weights that the bundle specifies,
  * the weights that the engine reports as loaded, and the open order. An order
  * is open until the engine reports the ordered weights, a later order or a
- * restart, until the
- * order is refused or could not be sent, or until load_timeout has passed.
+ * restart, until the order is refused or could not be sent, or until
+ * load_timeout has passed.
  */
-#include "godwitvale/core/model_plan.h"
-
-#include <string.h>
-
-#include <glib.h>
-
-/// One engine of the current bundle.
-struct engine {
-	uint32_t id;
-	char *model;
-	char *version;
-	char *target; /// "NAME/VERSION" that the bundle specifies
-	bool checks_fence;
-	bool in_service;
-	char *loaded;         /// "NAME/VERSION" in the last report, or NULL
-	uint64_t fence;       /// fencing number in the last report
-	uint64_t start_epoch; /// start epoch in the last report
-	bool has_report;
-	/// local time at which the last report was requested
-	usec_t report_requested_at;
-	char *order_target; /// "NAME/VERSION" of the open order, or NULL
-	/// fencing number of the open order; 0: another instance sent it
-	uint64_t order_fence;
-	usec_t order_decided_at;
-	usec_t order_expires_at; /// time at which the open order is given up
-	usec_t retry_at;         /// earliest time of the next order
-};
-
-/// Numbers of engines of one model.
-struct model_counts {
-	unsigned loading; /// engines with an open order
-	unsigned serving; /// engines that serve the model
-};
-
-/// The lease on model orders.
-struct lease {
-	/// fencing number; 0 if this instance doesn't hold the lease
-	uint64_t fence;
-	usec_t granted_at;
-	usec_t deadline;
-	/// time by which all orders of the former lease holder have arrived; an
-	/// engine that doesn't check fencing numbers gets no order before
-	usec_t handover_wait_until;
-};
-
-/// State of the weight store.
-struct weight_store {
-	usec_t blocked_until; /// earliest time of the next probe or order
-	/// time after which the plan no longer waits for the outcome of the
-	/// probe in flight
-	usec_t probe_until;
-	char *probed_target; /// "NAME/VERSION" of the last probe
-	/// time until which the last probe permits an order
-	usec_t permit_until;
-};
-
-struct model_plan {
-	struct model_plan_options options;
-	uint64_t bundle_version;
-	GPtrArray *engines;       /// struct engine
-	GHashTable *engine_by_id; /// id -> struct engine, owned by `engines`
-	struct lease lease;
-	struct weight_store weight_store;
-	usec_t next_order_at; /// earliest time of the next order to any engine
-};
+#include "godwitvale/core/model_plan_state.h"
 
 /// Frees an engine.
 ///
@@ -109,170 +45,6 @@
 	engine->order_expires_at = 0;
 }
 
-/// Checks whether an engine has an open order, so that it may be loading
-/// weights.
-///
-/// @param engine  engine to check
-/// @param now     current time
-/// @return true if the engine has an open order
-static bool
-is_loading(const struct engine *engine, usec_t now)
-{
-	return engine->order_target != NULL && now < engine->order_expires_at;
-}
-
-/// Checks whether an engine has loaded any version of the model that it is to
-/// serve.
-///
-/// @param engine  engine to check
-/// @return true if the engine can serve the model unless it is loading weights
-static bool
-has_model(const struct engine *engine)
-{
-	size_t len = strlen(engine->model);
-
-	return engine->loaded != NULL &&
-	    strncmp(engine->loaded, engine->model, len) == 0 &&
-	    engine->loaded[len] == '/';
-}
-
-/// Checks whether the last report of an engine is recent enough for an order.
-///
-/// @param plan    gives the maximum age of the report
-/// @param engine  engine to check
-/// @param now     current time
-/// @return true if the report is recent; false if the engine never reported
-static bool
-has_recent_report(
-    const struct model_plan *plan, const struct engine *engine, usec_t now)
-{
-	return engine->has_report &&
-	    now - engine->report_requested_at <= plan->options.report_age_max;
-}
-
-/// Checks whether an engine is in service without the weights that the bundle
-/// specifies for it.
-///
-/// @param engine  engine to check
-/// @return true if the engine needs an order
-static bool
-is_outdated(const struct engine *engine)
-{
-	return engine->in_service &&
-	    g_strcmp0(engine->loaded, engine->target) != 0;
-}
-
-/// Checks whether no order of a former lease holder can still reach an engine
-/// without showing in the engine's last report. An engine that checks fencing
-/// numbers must have reported after this instance was granted the lease. Any
-/// other engine must have reported after the time by which the former lease has
-/// expired and the last order sent under it has arrived.
-///
-/// @param plan    gives the lease
-/// @param engine  engine to check
-/// @param now     current time
-/// @return whether the new holder may send an order to the engine
-static bool
-is_handover_safe(
-    const struct model_plan *plan, const struct engine *engine, usec_t now)
-{
-	if (plan->options.naive & MODEL_PLAN_NAIVE_NO_HANDOVER_WAIT)
-		return true;
-	if (engine->checks_fence)
-		return engine->report_requested_at >= plan->lease.granted_at;
-	return now >= plan->lease.handover_wait_until &&
-	    engine->report_requested_at >= plan->lease.handover_wait_until;
-}
-
-/// Counts the engines of each model that are loading and that are serving.
-///
-/// @param plan    gives the engines
-/// @param now     current time
-/// @param models  filled in: model name -> struct model_counts
-/// @return number of engines of all models that are loading
-static unsigned
-count_model_engines(
-    const struct model_plan *plan, usec_t now, GHashTable *counts_by_model)
-{
-	unsigned n_loading = 0;
-
-	for (guint i = 0; i < plan->engines->len; i++) {
-		const struct engine *engine =
-		    g_ptr_array_index(plan->engines, i);
-		struct model_counts *counts =
-		    g_hash_table_lookup(counts_by_model, engine->model);
-
-		if (counts == NULL) {
-			counts = g_new0(struct model_counts, 1);
-			g_hash_table_insert(
-			    counts_by_model, engine->model, counts);
-		}
-		if (is_loading(engine, now)) {
-			n_loading++;
-			counts->loading++;
-		} else if (engine->in_service && has_model(engine) &&
-		    has_recent_report(plan, engine, now)) {
-			counts->serving++;
-		}
-	}
-	return n_loading;
-}
-
-/// Checks whether enough engines of a model keep serving when one more engine
-/// loads weights. At most 1/loading_divisor of the model's engines, but at
-/// least one engine, may load at a time. An engine that doesn't have the model
-/// can't serve anyway and may always load.
-///
-/// @param plan    gives the divisor
-/// @param engine  engine that is to load
-/// @param counts  numbers of engines of the engine's model
-/// @return true if the engine may load
-static bool
-keeps_serving_floor(const struct model_plan *plan, const struct engine *engine,
-    const struct model_counts *counts)
-{
-	unsigned n_engines = counts->serving + counts->loading;
-
-	if (!has_model(engine) ||
-	    (plan->options.naive & MODEL_PLAN_NAIVE_NO_SERVING_FLOOR))
-		return true;
-	return counts->loading <
-	    MAX(1, n_engines / plan->options.loading_divisor);
-}
-
-/// Chooses the engine that gets the next order. Engines that don't have the
-/// model that they are to serve come first.
-///
-/// @param plan  gives the engines and the limits
-/// @param now   current time
-/// @return the engine, or NULL if no engine may get an order now
-static struct engine *
-choose_next_engine(const struct model_plan *plan, usec_t now)
-{
-	GHashTable *counts_by_model =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	unsigned n_loading = count_model_engines(plan, now, counts_by_model);
-	struct engine *picked = NULL;
-
-	for (guint i = 0;
-	     i < plan->engines->len && n_loading < plan->options.max_loading;
-	     i++) {
-		struct engine *engine = g_ptr_array_index(plan->engines, i);
-
-		if (!is_outdated(engine) || is_loading(engine, now) ||
-		    now < engine->retry_at ||
-		    !has_recent_report(plan, engine, now) ||
-		    !is_handover_safe(plan, engine, now) ||
-		    !keeps_serving_floor(plan, engine,
-			g_hash_table_lookup(counts_by_model, engine->model)))
-			continue;
-		if (picked == NULL || (has_model(picked) && !has_model(engine)))
-			picked = engine;
-	}
-	g_hash_table_unref(counts_by_model);
-	return picked;
-}
-
 /// Updates an engine with what the bundle specifies for it.
 ///
 /// @param engine   updated
@@ -530,7 +302,7 @@
 	    now < plan->next_order_at || now < store->blocked_until ||
 	    now < store->probe_until)
 		return MODEL_PLAN_NONE;
-	engine = choose_next_engine(plan, now);
+	engine = model_plan_choose_engine(plan, now);
 	if (engine == NULL)
 		return MODEL_PLAN_NONE;
 	*order = (struct model_order){
@@ -650,7 +422,8 @@
 
 	if (engine == NULL || !engine->has_report)
 		return true;
-	return has_model(engine) && !is_loading(engine, now);
+	return model_plan_has_model(engine) &&
+	    !model_plan_is_loading(engine, now);
 }
 
 /// Returns the open order of an engine.
@@ -667,7 +440,7 @@
 {
 	const struct engine *engine = find_engine(plan, id);
 
-	if (engine == NULL || !is_loading(engine, now))
+	if (engine == NULL || !model_plan_is_loading(engine, now))
 		return NULL;
 	*until = engine->order_expires_at;
 	return engine->order_target;
@@ -686,7 +459,8 @@
 		const struct engine *engine =
 		    g_ptr_array_index(plan->engines, i);
 
-		if (is_outdated(engine) || is_loading(engine, now))
+		if (model_plan_is_outdated(engine) ||
+		    model_plan_is_loading(engine, now))
 			return false;
 	}
 	return true;
