--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -17,6 +17,8 @@
 /// Share of the connections of callers that may be in use at an instance that
 /// takes requests of others.
 #define FORWARDING_MAX_CALLERS_SHARE 0.8
+/// Longest pause that is taken from a refusal of another instance, in seconds.
+#define FORWARDING_RETRY_MAX_SECONDS 86400.0
 
 /// Checks whether a request must not be sent to upstreams by this instance.
 ///
@@ -115,6 +117,7 @@
 {
 	const char *text = http_head_get(head, "Retry-After");
 	double seconds = text == NULL ? 0 : g_ascii_strtod(text, NULL);
+	double pause = MIN(seconds, FORWARDING_RETRY_MAX_SECONDS);
 
 	request->is_own_answer = true;
 	request->own_verdict = answer->verdict;
@@ -125,7 +128,7 @@
 	request->own_reason = answer->reason;
 	request->own_status = head->status;
 	request->own_retry_at = seconds > 0
-	    ? g_get_monotonic_time() + (usec_t)(seconds * (double)USEC_PER_SEC)
+	    ? g_get_monotonic_time() + (usec_t)(pause * (double)USEC_PER_SEC)
 	    : USEC_NEVER;
 }
 
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -142,6 +142,114 @@
 	}
 }
 
+/// Parses the entry of a sound upstream in which one text is replaced.
+static struct upstream_entry *
+read_changed_entry(const char *sound, const char *replacement)
+{
+	static const char text[] =
+	    "{\"service\":\"lm\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":24,\"state\":\"ready\","
+	    "\"cold_left_ms\":250,\"sequence\":4,\"born\":1765000000000}";
+	GString *changed = g_string_new(text);
+	struct upstream_entry *entry;
+
+	assert_int_equal(g_string_replace(changed, sound, replacement, 1), 1);
+	entry = platform_read_upstream("i-1", changed->str, changed->len, NULL);
+	g_string_free(changed, true);
+	return entry;
+}
+
+/// Such numbers can't be converted: the conversion differs between machines.
+static void
+entries_with_numbers_out_of_range_name_no_upstream(void **state)
+{
+	static const char *const rows[][2] = {
+	    {":24", ":1e30"},
+	    {":24", ":4294967296"},
+	    {":24", ":-1"},
+	    {":24", ":1.5"},
+	    {":4,", ":1e30,"},
+	    {":4,", ":18446744073709551615,"},
+	    {":4,", ":99999999999999999999,"},
+	    {":250", ":1e30"},
+	    {":250", ":9223372036854775807"},
+	    {":250", ":1e400"},
+	    {":250", ":NaN"},
+	    {":1765000000000", ":-5"},
+	    {":1765000000000", ":1e30"},
+	    {":1765000000000", ":\"1765000000000\""},
+	    {":8080", ":0"},
+	    {":8080", ":70000"},
+	    {":8080", ":-1"},
+	};
+	struct upstream_entry *entry = read_changed_entry(":4,", ":4.0,");
+
+	(void)state;
+	assert_int_equal(entry->slots, 24);
+	assert_int_equal(entry->sequence, 4);
+	site_entry_free(entry);
+	entry = read_changed_entry(":4,", ":9007199254740992,");
+	assert_int_equal(entry->sequence, 9007199254740992);
+	site_entry_free(entry);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		assert_null(read_changed_entry(rows[i][0], rows[i][1]));
+}
+
+/// Parses the configuration in which one text is replaced.
+static struct deployment *
+read_changed_config(const char *known, const char *replacement)
+{
+	GString *changed = g_string_new(config);
+	struct deployment *deployment;
+
+	assert_int_equal(g_string_replace(changed, known, replacement, 1), 1);
+	deployment = platform_read_config(changed->str, changed->len, 99, NULL);
+	g_string_free(changed, true);
+	return deployment;
+}
+
+/// The rest of a configuration is in force; but one with a version that no
+/// other follows would be the last.
+static void
+numbers_out_of_range_are_clamped_in_configurations(void **state)
+{
+	static const char *const fields[] = {"\"timeout_ms\":39000",
+	    "\"target_latency_ms\":1800", "\"target_gap_ms\":180",
+	    "\"priority\":1", "\"weight\":90", "\"max_attempts\":1",
+	    "\"max_conns\":282", "\"cold_per_s\":26.0", "\"slots\":24",
+	    "\"kv_capacity\":34424", "\"kv_bytes\":18432",
+	    "\"link_mbps\":2700.0", "\"stride\":4", "\"handle_s\":5.0",
+	    "\"max_header_bytes\":16384", "\"max_body_bytes\":4194304",
+	    "\"header_timeout_ms\":3000", "\"idle_timeout_ms\":15000"};
+	struct deployment *deployment;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		int len = (int)(strchr(fields[i], ':') - fields[i]);
+		char *changed = g_strdup_printf("%.*s:1e30", len, fields[i]);
+
+		deployment = read_changed_config(fields[i], changed);
+		assert_non_null(deployment);
+		deployment_unref(deployment);
+		g_free(changed);
+	}
+	deployment = read_changed_config(
+	    "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":1e30");
+	assert_int_equal(
+	    deployment->limits.idle_timeout, 24 * 3600 * USEC_PER_SEC);
+	deployment_unref(deployment);
+	deployment = read_changed_config(
+	    "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":-1e30");
+	assert_int_equal(deployment->limits.idle_timeout, 0);
+	deployment_unref(deployment);
+	deployment =
+	    read_changed_config("\"priority\":1}]", "\"priority\":-1e30}]");
+	assert_int_equal(
+	    deployment_find_organisation(deployment, "k1")->priority, -1);
+	deployment_unref(deployment);
+	assert_null(read_changed_config("\"version\":7", "\"version\":1e30"));
+}
+
 static void
 store_replies_are_read(void **state)
 {
@@ -153,6 +261,10 @@
 	    "\"as_of\":415}";
 	static const char page[] =
 	    "{\"entries\":[],\"truncated\":true,\"as_of\":9}";
+	static const char no_revision[] = "{\"entries\":[],\"as_of\":1e30}";
+	static const char bad_revision[] =
+	    "{\"entries\":[{\"key\":\"servers/i-1\",\"value\":\"e30=\","
+	    "\"revision\":1e30}],\"as_of\":9}";
 	struct site_reply *reply =
 	    platform_read_store_reply(watch, strlen(watch), NULL);
 	const struct site_item *item;
@@ -176,6 +288,12 @@
 	assert_true(reply->has_more);
 	site_reply_free(reply);
 	assert_null(platform_read_store_reply("{}", 2, NULL));
+	assert_null(
+	    platform_read_store_reply(no_revision, strlen(no_revision), NULL));
+	reply =
+	    platform_read_store_reply(bad_revision, strlen(bad_revision), NULL);
+	assert_int_equal(reply->items->len, 0);
+	site_reply_free(reply);
 	target = platform_build_watch_target(
 	    SITE_SCOPE_OPERATOR, 411, 4 * USEC_PER_SEC);
 	assert_string_equal(
@@ -469,6 +587,8 @@
 	    {"{\"handle\":\"h1\"}", "h1", SITE_NO_EVENT, 503,
 		SITE_COPY_NO_ROOM},
 	    {"", "", SITE_NO_EVENT, 0, SITE_COPY_UNKNOWN},
+	    {"{\"handle\":\"h1\",\"created\":1e30}", "h1", SITE_NO_EVENT, 200,
+		SITE_COPY_MADE},
 	};
 	char *target;
 	char *body;
@@ -499,9 +619,14 @@
 	static const char staying[] = "{\"state\":\"ready\"}";
 	static const char reborn[] =
 	    "{\"state\":\"ready\",\"born\":1767786121000}";
+	static const char absurd[] = "{\"leaves_ms\":1e30,\"born\":-5}";
 	struct site_report report;
 
 	(void)state;
+	assert_true(
+	    platform_read_shutdown_report(absurd, strlen(absurd), &report));
+	assert_true(report.leaves_in < 0);
+	assert_int_equal(report.incarnation, 0);
 	assert_true(
 	    platform_read_shutdown_report(leaving, strlen(leaving), &report));
 	assert_true(report.leaving);
@@ -524,6 +649,10 @@
 	    cmocka_unit_test(configurations_are_read),
 	    cmocka_unit_test(invalid_configurations_are_rejected),
 	    cmocka_unit_test(invalid_upstream_entries_are_rejected),
+	    cmocka_unit_test(
+		entries_with_numbers_out_of_range_name_no_upstream),
+	    cmocka_unit_test(
+		numbers_out_of_range_are_clamped_in_configurations),
 	    cmocka_unit_test(store_replies_are_read),
 	    cmocka_unit_test(era_of_the_store_is_read),
 	    cmocka_unit_test(reserved_request_fields_are_replaced),
