Platform: names that can't be carried, and long entries, name no upstream

What was seen: a service name of 200,000 bytes was accepted, as were names with line feeds, and "l\0m" was read as "l".

Entries that couldn't be read were kept and passed on whole, up to 1 MB each, and ten of them did the same. A key with a NUL byte was taken for the item of another upstream.

What hub packs do: a message that can't be encoded has a length of 0 and isn't sent, so no pack is spoilt; the message is missing at all instances.

--- a/src/godwitvale/fleet/fleet_codec.c
+++ b/src/godwitvale/fleet/fleet_codec.c
@@ -16,6 +16,9 @@
 /// Maximum size of a snapshot, in bytes.
 #define SNAPSHOT_BYTES_MAX (8u * 1024 * 1024)
 
+G_STATIC_ASSERT(SITE_NAME_BYTES_MAX <= FLEET_NAME_BYTES);
+G_STATIC_ASSERT(SITE_ENTRY_BYTES_MAX <= FLEET_VALUE_BYTES);
+
 /// Encodes or decodes the fields of a trailer that all builds with one know.
 static bool
 convert_base(XDR *xdr, struct fleet_trailer *trailer)
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -14,6 +14,12 @@
 
 /// Size of a buffer for the id of an upstream or a copy.
 #define SITE_ID_BYTES 80
+/// Maximum length of the name of an item and of the names in an upstream's
+/// entry, in bytes. Messages between instances hold no longer ones.
+#define SITE_NAME_BYTES_MAX (SITE_ID_BYTES - 1)
+/// Maximum length of an upstream's entry, in bytes. It fits into a message
+/// between instances.
+#define SITE_ENTRY_BYTES_MAX (32 * 1024)
 /// Maximum number of shared prompt segments that are read from a request.
 #define SITE_SEGMENTS_MAX 16
 /// Event number used when no event has been delivered yet.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -195,6 +195,35 @@
 		assert_null(read_changed_entry(rows[i][0], rows[i][1]));
 }
 
+/// A name with a NUL byte would be read as another one; the others don't fit
+/// into messages, header fields or log lines.
+static void
+entries_with_names_that_cant_be_carried_name_no_upstream(void **state)
+{
+	static const char *const names[] = {"l\\nm", "l\\u0000m", "l\\rm",
+	    "l m", "l\\u007fm", "l\\\"m", "l\\\\m", "l\xff\xfem"};
+	char *longest = g_strnfill(SITE_NAME_BYTES_MAX, 'x');
+	char *longer = g_strnfill(SITE_NAME_BYTES_MAX + 1, 'x');
+	char *huge = g_strnfill(200000, 'x');
+	char *address = g_strdup_printf(":%0200d8080", 0);
+	struct upstream_entry *entry = read_changed_entry("lm", longest);
+
+	(void)state;
+	assert_string_equal(entry->service, longest);
+	site_entry_free(entry);
+	assert_null(read_changed_entry("lm", longer));
+	assert_null(read_changed_entry("lm", huge));
+	assert_null(read_changed_entry("\"z\"", "\"a\\nb\""));
+	assert_null(read_changed_entry("v1", longer));
+	assert_null(read_changed_entry(":8080", address));
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		assert_null(read_changed_entry("lm", names[i]));
+	g_free(longest);
+	g_free(longer);
+	g_free(huge);
+	g_free(address);
+}
+
 /// Parses the configuration in which one text is replaced.
 static struct deployment *
 read_changed_config(const char *known, const char *replacement)
@@ -587,6 +616,8 @@
 	    {"{\"handle\":\"h1\"}", "h1", SITE_NO_EVENT, 503,
 		SITE_COPY_NO_ROOM},
 	    {"", "", SITE_NO_EVENT, 0, SITE_COPY_UNKNOWN},
+	    {"{\"handle\":\"h\\r\\n1\"}", "", SITE_NO_EVENT, 200,
+		SITE_COPY_UNKNOWN},
 	    {"{\"handle\":\"h1\",\"created\":1e30}", "h1", SITE_NO_EVENT, 200,
 		SITE_COPY_MADE},
 	};
@@ -651,6 +682,8 @@
 	    cmocka_unit_test(invalid_upstream_entries_are_rejected),
 	    cmocka_unit_test(
 		entries_with_numbers_out_of_range_name_no_upstream),
+	    cmocka_unit_test(
+		entries_with_names_that_cant_be_carried_name_no_upstream),
 	    cmocka_unit_test(
 		numbers_out_of_range_are_clamped_in_configurations),
 	    cmocka_unit_test(store_replies_are_read),
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -235,6 +235,90 @@
 	assert_events("5:u1 ");
 }
 
+/// Appends an item to the text of a store's list.
+static void
+append_listed(GString *list, const char *name, uint64_t revision,
+    const char *value, gsize len)
+{
+	char *encoded = g_base64_encode((const guchar *)value, len);
+
+	g_string_append_printf(list,
+	    "%s{\"key\":\"servers/%s\",\"revision\":%" G_GUINT64_FORMAT
+	    ",\"value\":\"%s\"}",
+	    revision == 1 ? "" : ",", name, revision, encoded);
+	g_free(encoded);
+}
+
+/// Encodes the significant ones of some items as a message of changes.
+///
+/// @return length of the message; 0: it couldn't be encoded
+static size_t
+encode_changes(const GPtrArray *items)
+{
+	static char bytes[65536];
+	fleet_message message = {.kind = FLEET_NEWS};
+	fleet_news *changes = &message.fleet_message_u.news;
+	GArray *wire = g_array_new(false, false, sizeof(fleet_item));
+	size_t len;
+
+	for (guint i = 0; i < items->len; i++) {
+		fleet_item item = fleet_item_from_store_item(items->pdata[i]);
+
+		if (view_is_significant_change(view, items->pdata[i]))
+			g_array_append_val(wire, item);
+	}
+	changes->name = (char *)"e1";
+	changes->items.items_len = wire->len;
+	changes->items.items_val = (fleet_item *)(void *)wire->data;
+	len = fleet_message_encode(&message, bytes, sizeof(bytes));
+	g_array_unref(wire);
+	return len;
+}
+
+/// An item with a long name, or a long entry, made the whole snapshot and the
+/// whole message of changes impossible to encode.
+static void
+items_that_dont_fit_dont_keep_others_from_instances(void **state)
+{
+	GString *list = g_string_new("{\"entries\":[");
+	GString *other = g_string_new(entry);
+	char *long_name = g_strnfill(150, 'n');
+	char *long_value = g_strnfill(1000000, 'v');
+	struct site_reply *reply;
+	GBytes *bytes;
+
+	(void)state;
+	apply_change(SEC, SITE_ITEM_UPSTREAM, "u1", 1, entry);
+	append_listed(list, "u2", 1, entry, strlen(entry));
+	g_string_replace(other, "10.1.0.9", "10.1.0.7", 1);
+	append_listed(list, long_name, 2, other->str, other->len);
+	for (uint64_t revision = 3; revision < 13; revision++) {
+		char *name =
+		    g_strdup_printf("u%" G_GUINT64_FORMAT, revision - 2);
+
+		if (revision != 4)
+			append_listed(
+			    list, name, revision, long_value, 1000000);
+		g_free(name);
+	}
+	g_string_append(list, "],\"as_of\":20}");
+	reply = platform_read_store_reply(list->str, list->len, NULL);
+	assert_non_null(reply);
+	assert_true(encode_changes(reply->items) > 0);
+	view_apply_list(
+	    view, SEC, SITE_SCOPE_UPSTREAMS, reply->items, reply->as_of);
+	assert_non_null(directory_find(view_directory(view), "u2"));
+	assert_null(directory_find(view_directory(view), "u1"));
+	bytes = snapshot_sync_encode(view);
+	assert_non_null(bytes);
+	g_bytes_unref(bytes);
+	site_reply_free(reply);
+	g_string_free(list, true);
+	g_string_free(other, true);
+	g_free(long_name);
+	g_free(long_value);
+}
+
 static void
 encodes_all_items_in_a_snapshot(void **state)
 {
@@ -592,6 +676,9 @@
 		sequence_numbers_are_not_significant, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		holds_deleted_entries_after_an_outage, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		items_that_dont_fit_dont_keep_others_from_instances, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		encodes_all_items_in_a_snapshot, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
