Store: a watch whose reply can't be read is followed by a list

What was seen: after changes of 14 MB between two of its calls, an instance never followed the list of upstreams again. A worker that left was still used and one that came wasn't, as long as the store had the changes. The same with each watch that is answered with something that can't be read.

Cause: a reply longer than 16 MB, or one that can't be parsed, counted as a failed call, and the next call was the same watch, with the same reply.

Change: after such a reply of a watch the reader lists the items anew. Pages of a list are bounded by the store, so that a list can be read where the changes can't. A list that can't be read is repeated as before.

Test: entry_odd_entries writes 27 odd entries one after the other while an instance runs, and then plays replies that can't be read. After each the instance lives, serves, sees that a worker has left and that it is back. The stand-in's store pages its lists for it, as the platform's does.

--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -372,6 +372,18 @@
 		schedule_call(other, 0);
 }
 
+/// Handles an answer that was received, but can't be read. If it was a watch's,
+/// the same call might get the same answer for as long as the store has these
+/// changes, so that the items are listed anew.
+static void
+handle_unreadable(
+    struct scope_reader *reader, const char *reason, unsigned status)
+{
+	if (!reader->is_list_call)
+		discard_list(reader);
+	handle_failure(reader, reason, status);
+}
+
 /// Fetch callback: a call was answered or has failed.
 static void
 on_answer(void *owner, const struct fetch_response *answer)
@@ -395,6 +407,10 @@
 		start_call(reader);
 		return;
 	}
+	if (answer->is_too_long) {
+		handle_unreadable(reader, answer->failure, answer->status);
+		return;
+	}
 	if (answer->status != 200) {
 		handle_failure(reader,
 		    answer->failure == NULL ? "status" : answer->failure,
@@ -404,7 +420,7 @@
 	reply =
 	    store->options.site->read_reply(answer->body, answer->len, &error);
 	if (reply == NULL) {
-		handle_failure(reader, error->message, answer->status);
+		handle_unreadable(reader, error->message, answer->status);
 		g_error_free(error);
 		return;
 	}
--- a/src/godwitvale/http/fetch.c
+++ b/src/godwitvale/http/fetch.c
@@ -12,6 +12,7 @@
 	struct http_head head; /// of the response
 	GString *body;
 	size_t max_body;
+	bool is_too_long;
 	guint timer;
 };
 
@@ -38,6 +39,7 @@
 	    .body = fetch->body->str,
 	    .len = fetch->body->len,
 	    .failure = failure,
+	    .is_too_long = fetch->is_too_long,
 	};
 
 	fetch->handler(fetch->owner, &response);
@@ -63,6 +65,7 @@
 	if (fetch->body->len + len > fetch->max_body) {
 		exchange_cancel(fetch->exchange);
 		fetch->exchange = NULL;
+		fetch->is_too_long = true;
 		complete_fetch(fetch, "too-long");
 		return;
 	}
--- a/src/godwitvale/http/fetch.h
+++ b/src/godwitvale/http/fetch.h
@@ -22,6 +22,7 @@
 	const char *body;
 	size_t len;          /// length of the body in bytes
 	const char *failure; /// reason as one word; NULL: success
+	bool is_too_long;    /// the failure is a body longer than `max_body`
 };
 
 /// Receives the outcome of a request. The response is valid during the call.
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -12,6 +12,11 @@
 #define HISTORY_MAX 1000
 /// From a restore until what it lacks is written again, in milliseconds.
 #define REWRITE_DELAY_MS 1000
+/// Maximum total size of the values on one page of a list, in bytes, unless it
+/// is a single one.
+#define PAGE_BYTES_MAX (1024 * 1024)
+/// Levels of nesting in a response that can't be read.
+#define DEEP_LEVELS 100000
 
 /// Current value of an item.
 struct item {
@@ -46,6 +51,8 @@
 	unsigned call_count;
 	bool busy;
 	bool silent;
+	char *garbled; /// response to each call; NULL: as usual
+	bool garbles_watches_only;
 	uint64_t era;      /// rises with each restore
 	GHashTable *saved; /// copy to restore: key -> struct item *
 	uint64_t saved_revision;
@@ -214,30 +221,44 @@
 	g_free(wait);
 }
 
+/// Responds with one page of a list.
 static void
 handle_range(
     struct site_store *store, struct http_call *call, const char *target)
 {
 	char *prefix = site_get_query_field(target, "prefix");
+	char *after = site_get_query_field(target, "after");
 	json_object *root = json_object_new_object();
 	json_object *entries = json_object_new_array();
-	GHashTableIter iter;
-	void *key;
-	void *value;
+	GList *keys = g_list_sort(
+	    g_hash_table_get_keys(store->items), (GCompareFunc)strcmp);
+	size_t n_bytes = 0;
+	bool is_full = false;
 
-	g_hash_table_iter_init(&iter, store->items);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct item *item = value;
-
-		if (g_str_has_prefix(key, prefix))
+	for (GList *l = keys; l != NULL && !is_full; l = l->next) {
+		const struct item *item =
+		    g_hash_table_lookup(store->items, l->data);
+
+		if (!g_str_has_prefix(l->data, prefix) ||
+		    strcmp(l->data, after) <= 0)
+			continue;
+		is_full = n_bytes > 0 &&
+		    n_bytes + strlen(item->value) > PAGE_BYTES_MAX;
+		n_bytes += strlen(item->value);
+		if (!is_full)
 			json_object_array_add(entries,
-			    create_item_json(key, item->value, item->revision));
+			    create_item_json(
+				l->data, item->value, item->revision));
 	}
+	g_list_free(keys);
 	json_object_object_add(root, "entries", entries);
+	json_object_object_add(
+	    root, "truncated", json_object_new_boolean(is_full));
 	json_object_object_add(
 	    root, "as_of", json_object_new_uint64(store->revision));
 	send_json(store, call, root);
 	g_free(prefix);
+	g_free(after);
 }
 
 /// Copies the items of a table.
@@ -420,6 +441,10 @@
 		http_call_on_disconnect(call, on_unanswered_disconnected, call);
 	else if (store->busy)
 		send_response(store, call, 503, "{}");
+	else if (store->garbled != NULL &&
+	    (!store->garbles_watches_only ||
+		g_str_has_prefix(target, "/v1/kv-watch")))
+		send_response(store, call, 200, store->garbled);
 	else if (g_str_has_prefix(target, "/v1/kv-watch"))
 		handle_watch(store, call, target);
 	else if (g_str_has_prefix(target, "/v1/kv-range"))
@@ -525,7 +550,9 @@
 ///
 /// @param store  the store
 /// @param mode   "up": responds as usual; "busy": responds with 503; "silent":
-///     accepts calls but doesn't respond; "forget": discards its history.
+///     accepts calls but doesn't respond; "forget": discards its history;
+///     "garbled", "garbled-watches", "deep": responds to all calls, or to
+///     watches, with what can't be read, or is nested too deeply.
 ///     Pending watch calls are aborted, but stay open without a response in
 ///     mode "silent", and aren't affected by "up"
 void
@@ -535,6 +562,12 @@
 
 	store->busy = strcmp(mode, "busy") == 0;
 	store->silent = strcmp(mode, "silent") == 0;
+	g_clear_pointer(&store->garbled, g_free);
+	if (strcmp(mode, "deep") == 0)
+		store->garbled = g_strnfill(DEEP_LEVELS, '[');
+	else if (g_str_has_prefix(mode, "garbled"))
+		store->garbled = g_strdup("\xff{\"entries\":[],");
+	store->garbles_watches_only = strcmp(mode, "garbled-watches") == 0;
 	if (strcmp(mode, "forget") == 0)
 		store->compacted_revision = ++store->revision;
 	if (strcmp(mode, "up") == 0)
