Fuzz: the readers of the platform's JSON

A second target of "make fuzz" feeds the readers of upstreams' entries, configurations, replies of the store, reports and outcomes of copies, with the address and undefined sanitizers including float-cast-overflow, and checks that what is accepted is within bounds. It starts from one sound text for each reader and a dictionary of numbers at the limits. json-c itself isn't instrumented.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,21 @@
 	    -o $(BUILD)/http_reader_fuzz $$(pkg-config --libs glib-2.0) \
 	    -lhttp_parser
 	$(BUILD)/http_reader_fuzz -max_total_time=$(SECONDS) -max_len=2048
+	@mkdir -p $(BUILD)/platform_corpus
+	clang -g -O1 -D_GNU_SOURCE \
+	    -fsanitize=fuzzer,address,undefined,float-cast-overflow \
+	    -fno-sanitize-recover=all -Isrc -I. \
+	    $$(pkg-config --cflags glib-2.0 json-c libxxhash) \
+	    test/fuzz/platform_fuzz.c platform/*.c \
+	    src/godwitvale/core/deployment.c src/godwitvale/core/hash.c \
+	    src/godwitvale/http/head.c src/godwitvale/http/address.c \
+	    src/godwitvale/site/*.c \
+	    -o $(BUILD)/platform_fuzz \
+	    $$(pkg-config --libs glib-2.0 json-c libxxhash) \
+	    -lhttp_parser
+	$(BUILD)/platform_fuzz -max_total_time=$(SECONDS) -max_len=4096 \
+	    -dict=test/fuzz/json.dict \
+	    $(BUILD)/platform_corpus test/fuzz/platform
 
 fault-soak: build
 	$(BUILD)/soak --bindir $(BUILD) --seeds $(SEEDS) --from $(FROM)
