Platform: a nested member that isn't read is no reason to reject an entry

A sound entry with one more member of 33 levels named no upstream, since the parser's limit was 32 levels. Members that aren't known are ignored, so how they are nested tells nothing of the worker, and the text can be read.

--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -159,6 +159,42 @@
 	return entry;
 }
 
+/// Parses the entry of a sound upstream with one more member, which is nested.
+static struct upstream_entry *
+read_nested_entry(size_t levels)
+{
+	char *opening = g_strnfill(levels, '[');
+	char *closing = g_strnfill(levels, ']');
+	char *member = g_strdup_printf(
+	    "\"service\":\"lm\",\"models\":%s%s", opening, closing);
+	struct upstream_entry *entry =
+	    read_changed_entry("\"service\":\"lm\"", member);
+
+	g_free(opening);
+	g_free(closing);
+	g_free(member);
+	return entry;
+}
+
+/// What is known of an upstream doesn't depend on members that aren't read, as
+/// long as the text can be.
+static void
+a_nested_member_is_no_reason_to_reject_an_entry(void **state)
+{
+	static const size_t accepted[] = {1, 31, 33, 200};
+	static const size_t rejected[] = {300, 10000};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(accepted); i++) {
+		struct upstream_entry *entry = read_nested_entry(accepted[i]);
+
+		assert_non_null(entry);
+		site_entry_free(entry);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(rejected); i++)
+		assert_null(read_nested_entry(rejected[i]));
+}
+
 /// Such numbers can't be converted: the conversion differs between machines.
 static void
 entries_with_numbers_out_of_range_name_no_upstream(void **state)
@@ -680,6 +716,7 @@
 	    cmocka_unit_test(configurations_are_read),
 	    cmocka_unit_test(invalid_configurations_are_rejected),
 	    cmocka_unit_test(invalid_upstream_entries_are_rejected),
+	    cmocka_unit_test(a_nested_member_is_no_reason_to_reject_an_entry),
 	    cmocka_unit_test(
 		entries_with_numbers_out_of_range_name_no_upstream),
 	    cmocka_unit_test(
