Exchange: a response without an id on a kept connection is nobody's

What callers saw: 503 with "not run" for orders, checks and streams that their upstream had run. An upstream had written an earlier refusal once more, without an id, before the answer to the next request on the connection.

Cause: an exchange took each response without the repeated field for its own, also on a connection that had carried other requests. Refused requests reset their connection, but refusals of probes and reports, which have no id, are on connections that are kept for callers' requests.

Now a response without the field is only its own where nothing else was on the connection: it is new and nothing was skipped. Elsewhere the response is skipped like one with another id, the request's answer is awaited, and the connection isn't used again. If the connection ends, the request may have run. A request without an id is sent on a new connection.

The stand-in repeats the id in its 421 and in the 500 for resumed streams, as the platform's upstreams do in all answers. Its raw engine can keep connections and repeat a refusal, and waits for a request's body.

--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -335,8 +335,6 @@
 	    .echo_value = request->params.id,
 	};
 
-	if (request->params.id == NULL)
-		options.echo_field = NULL;
 	options.body = http_call_body(request->call, &options.body_len);
 	send.timeout = entry_request_time_left(request);
 	send.upstream_id = request->target.id;
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -268,8 +268,6 @@
 	    .echo_value = request->params.id,
 	};
 
-	if (request->params.id == NULL)
-		options.echo_field = NULL;
 	dispatch_target_clear(&request->target);
 	request->target.id = g_strdup(member->name);
 	request->target.address =
--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -125,12 +125,27 @@
 	    EXCHANGE_IDLE_MARGIN_MS * USEC_PER_MSEC;
 }
 
+/// Checks whether a response answers this exchange's request. Where responses
+/// repeat a field of their requests, one without it is only known to do so if
+/// no other request or response was on the connection before.
+static bool
+is_own_response(const struct exchange *exchange, const struct http_head *head)
+{
+	const char *field = exchange->options.echo_field;
+	const char *echo = field == NULL ? NULL : http_head_get(head, field);
+
+	if (field == NULL || exchange->echo_value == NULL)
+		return true;
+	if (echo != NULL)
+		return strcmp(echo, exchange->echo_value) == 0;
+	return !exchange->reused && exchange->skipped_count == 0;
+}
+
 /// Reader callback: a response's head is complete.
 static void
 on_head(void *owner, struct http_reader *reader)
 {
 	struct exchange *exchange = owner;
-	const char *echo;
 
 	exchange->skipping = false;
 	if (reader->head.status < 200) {
@@ -138,15 +153,11 @@
 		exchange->interim_count++;
 		return;
 	}
-	if (exchange->options.echo_field != NULL) {
-		echo =
-		    http_head_get(&reader->head, exchange->options.echo_field);
-		if (echo != NULL && strcmp(echo, exchange->echo_value) != 0) {
-			exchange->skipping = true;
-			exchange->not_reusable = true;
-			exchange->skipped_count++;
-			return;
-		}
+	if (!is_own_response(exchange, &reader->head)) {
+		exchange->skipping = true;
+		exchange->not_reusable = true;
+		exchange->skipped_count++;
+		return;
 	}
 	exchange->has_head = true;
 	exchange->idle_timeout = parse_idle_timeout(&reader->head);
@@ -346,6 +357,8 @@
 	    .max_head = EXCHANGE_HEAD_BYTES_MAX,
 	    .max_body = EXCHANGE_BODY_BYTES_MAX,
 	};
+	bool needs_new_connection = options->needs_new_connection ||
+	    (options->echo_field != NULL && options->echo_value == NULL);
 	struct pool_lease lease;
 	GString *bytes = g_string_new(NULL);
 
@@ -355,7 +368,7 @@
 	http_reader_init(&exchange->reader, &reader_options);
 	exchange->is_head_request = strcmp(options->head->method, "HEAD") == 0;
 	exchange->reader.no_body = exchange->is_head_request;
-	lease = (options->needs_new_connection ? pool_open : pool_acquire)(
+	lease = (needs_new_connection ? pool_open : pool_acquire)(
 	    options->pool, options->address, &conn_vtable, exchange);
 	exchange->conn = lease.conn;
 	exchange->reused = lease.reused;
--- a/src/godwitvale/http/exchange.h
+++ b/src/godwitvale/http/exchange.h
@@ -42,10 +42,13 @@
 	const char *body;
 	size_t body_len;
 	bool needs_new_connection; /// never uses an idle connection
-	/// Name of a request field that responses repeat, and its value. A
-	/// response with another value belongs to an earlier request and is
-	/// skipped. NULL: not checked.
+	/// Name of a request field that responses repeat. NULL: not checked. A
+	/// response with another value, and on a connection that has carried
+	/// requests before also one without the field, may belong to an
+	/// earlier request: it is skipped.
 	const char *echo_field;
+	/// Value of that field. NULL: the request doesn't have it, and is sent
+	/// on a new connection, whose first response is its own.
 	const char *echo_value;
 };
 
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -1,8 +1,9 @@
 /*
  * Engine of the simulated platform that writes its answers byte by byte, for
  * answers that an HTTP server would not send: without a length, broken off
- * within an event, or without an end. It closes each connection after one
- * answer; a stream that it holds, when it is stopped.
+ * within an event, without an end, or after a refusal that comes once more. It
+ * closes each connection after one answer, unless it repeats refusals; a stream
+ * that it holds, when it is stopped.
  */
 #include "test/site/site.h"
 
@@ -35,6 +36,7 @@
 	char *address;
 	char mode[24];
 	bool draining;
+	bool resets_next;     /// resets the next request's connection
 	unsigned start_count; /// also its incarnation
 	unsigned write_count; /// of its entry
 	GPtrArray *held;      /// struct raw_conn * of held streams
@@ -52,6 +54,8 @@
 	gsize repeat_from;
 	bool resets; /// ends with a reset
 	bool holds;  /// stays open after its answer until it is stopped
+	bool keeps;  /// takes the next request after its answer
+	unsigned n_answers;
 	/// size of one write, in bytes, with a pause before the next; 0: all
 	gsize piece;
 	guint64 written;
@@ -170,6 +174,18 @@
 	}
 }
 
+/// Returns the value of a field in the request's head, or "".
+static char *
+get_field(const struct raw_conn *conn, const char *name)
+{
+	char *opening = g_strdup_printf("\r\n%s: ", name);
+	const char *value = strstr(conn->request->str, opening);
+
+	value = value == NULL ? "" : value + strlen(opening);
+	g_free(opening);
+	return g_strndup(value, strcspn(value, "\r\n"));
+}
+
 /// Returns the value of a text field in the body of a copy call.
 static char *
 get_copy_field(const struct raw_conn *conn, const char *name)
@@ -219,11 +235,86 @@
 	g_free(to);
 }
 
+/// @return the refusal that the engine repeats before its answers on a kept
+///         connection; NULL: it doesn't
+static const char *
+find_repeated_refusal(const struct raw_conn *conn)
+{
+	static const struct {
+		const char *mode;
+		const char *refusal;
+	} rows[] = {
+	    {"repeat-id",
+		"HTTP/1.1 503 Full\r\nAttempt-Id: earlier\r\n"
+		"Not-Executed: 1\r\nKeep-Alive: timeout=5\r\n"
+		"Content-Length: 0\r\n\r\n"},
+	    {"repeat-bare",
+		"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+		"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"},
+	    {"repeat-call",
+		"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+		"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"},
+	    {"repeat-421",
+		"HTTP/1.1 421 Other\r\nKeep-Alive: timeout=5\r\n"
+		"Content-Length: 2\r\n\r\nno"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		if (strcmp(rows[i].mode, conn->worker->mode) == 0)
+			return rows[i].refusal;
+	return NULL;
+}
+
+/// Counts a run, and appends its complete answer.
+static void
+append_run(struct raw_conn *conn)
+{
+	GHashTable *runs = conn->worker->site->runs;
+	bool is_engine = strcmp(conn->worker->service, "lm") == 0;
+	char *id = get_field(conn, "Attempt-Id");
+	guint n_runs = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
+	const char *body = is_engine ? "id: 1\ndata: raw 1\n\n" : "ran\n";
+
+	g_string_append_printf(conn->answer,
+	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: %s\r\n"
+	    "Keep-Alive: timeout=5\r\n%sContent-Length: %zu\r\n\r\n%s",
+	    id, conn->worker->id,
+	    is_engine ? "Content-Type: text/event-stream\r\n" : "",
+	    strlen(body), body);
+	g_hash_table_replace(runs, id, GUINT_TO_POINTER(n_runs + 1));
+}
+
+/// Builds an answer on a connection that is kept. A call is refused; the
+/// refusal is repeated before each later answer.
+static void
+build_kept_answer(struct raw_conn *conn, const char *refusal)
+{
+	struct raw_worker *worker = conn->worker;
+	bool is_call = strstr(conn->request->str, " /v1/") != NULL;
+
+	if (conn->n_answers++ > 0)
+		g_string_append(conn->answer, refusal);
+	if (is_call) {
+		g_string_append(conn->answer, refusal);
+	} else if (worker->resets_next) {
+		worker->resets_next = false;
+		conn->resets = true;
+		return;
+	} else {
+		append_run(conn);
+	}
+	conn->keeps = true;
+}
+
 /// Builds the answer to a request: a report, a copy or a generation.
 static void
 answer_request(struct raw_conn *conn)
 {
-	if (g_str_has_prefix(conn->request->str, "GET /v1/report")) {
+	const char *refusal = find_repeated_refusal(conn);
+
+	if (refusal != NULL) {
+		build_kept_answer(conn, refusal);
+	} else if (g_str_has_prefix(conn->request->str, "GET /v1/report")) {
 		append_head(conn, "");
 		g_string_append_printf(conn->answer,
 		    "{\"state\":\"%s\",\"leaves_ms\":%d}",
@@ -255,6 +346,17 @@
 	g_timeout_add(PIECE_PAUSE_MS, on_pause_over, conn);
 }
 
+/// Waits for the next request on a kept connection.
+static void
+await_next_request(struct raw_conn *conn)
+{
+	conn->keeps = false;
+	conn->answer_sent = 0;
+	g_string_truncate(conn->answer, 0);
+	g_string_truncate(conn->request, 0);
+	read_more(conn);
+}
+
 static void
 on_written(GObject *object, GAsyncResult *result, gpointer data)
 {
@@ -276,6 +378,8 @@
 		write_more(conn);
 	else if (conn->holds)
 		g_ptr_array_add(conn->worker->held, conn);
+	else if (conn->keeps)
+		await_next_request(conn);
 	else
 		raw_conn_free(conn);
 }
@@ -292,6 +396,20 @@
 	    G_PRIORITY_DEFAULT, NULL, on_written, conn);
 }
 
+/// Checks whether a request's head and body were received.
+static bool
+is_request_complete(const struct raw_conn *conn)
+{
+	const char *end = strstr(conn->request->str, "\r\n\r\n");
+	char *len = get_field(conn, "Content-Length");
+	gsize body_len = (gsize)strtoul(len, NULL, 10);
+
+	g_free(len);
+	return end != NULL &&
+	    conn->request->len >=
+	    (gsize)(end - conn->request->str) + strlen("\r\n\r\n") + body_len;
+}
+
 static void
 on_read(GObject *object, GAsyncResult *result, gpointer data)
 {
@@ -304,10 +422,10 @@
 		return;
 	}
 	g_string_append_len(conn->request, conn->buffer, n);
-	if (strstr(conn->request->str, "\r\n\r\n") == NULL)
-		read_more(conn);
-	else
+	if (is_request_complete(conn))
 		answer_request(conn);
+	else
+		read_more(conn);
 }
 
 static void
@@ -393,7 +511,11 @@
 ///     open until a copy call stops it ("held"), or that ends by itself when
 ///     such a call comes ("ends-at-stop", after "held"); bytes without an end
 ///     ("endless-head", "endless-field", "endless-garbage",
-///     "endless-interim", "endless-other", "endless-event"); "finish" ends the
+///     "endless-interim", "endless-other", "endless-event"); complete answers
+///     on kept connections, all but the first after a refusal that belongs to
+///     an earlier request ("repeat-id": with an id; "repeat-bare": without;
+///     "repeat-421": without, and not marked as not executed; "repeat-call":
+///     the connection of the next request is reset); "finish" ends the
 ///     held streams; "draining" writes its entry with this state, "back" that
 ///     of another incarnation
 void
@@ -410,4 +532,5 @@
 		return;
 	}
 	g_strlcpy(worker->mode, mode, sizeof(worker->mode));
+	worker->resets_next = strcmp(mode, "repeat-call") == 0;
 }
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -356,6 +356,21 @@
 		g_idle_add(on_fall, worker);
 }
 
+/// Answers a request with a failure.
+static void
+send_failure(
+    struct http_call *call, const char *id, unsigned status, const char *body)
+{
+	struct http_head head;
+
+	http_head_init(&head);
+	head.status = status;
+	if (id != NULL)
+		http_head_add(&head, "Attempt-Id", id);
+	http_call_respond(call, &head, body, strlen(body));
+	http_head_clear(&head);
+}
+
 /// Starts a run for a request, or rejects it.
 static void
 execute_request(struct worker *worker, struct http_call *call)
@@ -369,7 +384,7 @@
 	struct run *run;
 
 	if (expected != NULL && strcmp(expected, worker->id) != 0) {
-		site_send_response(call, 421, "");
+		send_failure(call, id, 421, "");
 		return;
 	}
 	if (id == NULL || strcmp(worker->mode, "shed") == 0 ||
@@ -383,7 +398,7 @@
 	}
 	count_run(worker, id, copy == NULL ? "begun" : "resumed");
 	if (last != NULL && strcmp(worker->mode, "wrongresume") == 0) {
-		site_send_response(call, 500, "error");
+		send_failure(call, id, 500, "error");
 		return;
 	}
 	run = g_new0(struct run, 1);
--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -180,7 +180,8 @@
 /// Sends one request, runs the loop until its exchange ends and returns the
 /// transcript.
 ///
-/// @param id      value of the request's Id field, which responses must repeat
+/// @param id      value of the request's Id field, which responses must repeat;
+///                NULL: it has none
 /// @param cancel  whether the head callback cancels the exchange
 static char *
 send_request(
@@ -203,7 +204,8 @@
 	http_head_init(&head);
 	head.method = g_strdup("GET");
 	head.target = g_strdup("/");
-	http_head_add(&head, "Id", id);
+	if (id != NULL)
+		http_head_add(&head, "Id", id);
 	transcript.exchange = exchange_start(&options);
 	http_head_clear(&head);
 	g_main_loop_run(transcript.loop);
@@ -474,6 +476,103 @@
 	upstream_close(&upstream);
 }
 
+/// An upstream sends an earlier refusal once more, without an id, before the
+/// response to the next request on the same connection. It must not be taken
+/// for the next request's response.
+static void
+repeated_refusal_without_an_id_is_skipped(void **state)
+{
+	static const char *const refusals[] = {
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	    "HTTP/1.1 421 Other\r\nContent-Length: 2\r\n\r\nno",
+	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 Many\r\n"
+	    "Content-Length: 0\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		char *second = g_strconcat(refusals[i],
+		    "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n"
+		    "Keep-Alive: timeout=5\r\n\r\n2",
+		    NULL);
+		const char *const responses[] = {
+		    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n"
+		    "Keep-Alive: timeout=5\r\n\r\n1",
+		    second, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n3",
+		    NULL};
+		static const char *const expected[] = {
+		    "200 1 complete", "200 2 complete", "200 3 complete"};
+		static const char *const ids[] = {"a", "b", "c"};
+		struct pool *pool = pool_new();
+		struct upstream upstream;
+
+		upstream_open(&upstream, responses, KEEP);
+		for (size_t j = 0; j < G_N_ELEMENTS(ids); j++) {
+			char *transcript =
+			    send_request(pool, upstream.address, ids[j], false);
+
+			assert_string_equal(transcript, expected[j]);
+			g_free(transcript);
+		}
+		/* The connection with the repetition wasn't used again. */
+		assert_int_equal(upstream.accepted, 2);
+		pool_free(pool);
+		upstream_close(&upstream);
+		g_free(second);
+	}
+}
+
+/// Nothing follows the response without an id: the request may have run.
+static void
+lone_response_without_an_id_is_no_answer(void **state)
+{
+	const char *const responses[] = {
+	    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n"
+	    "Keep-Alive: timeout=5\r\n\r\n1",
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+	    "Connection: close\r\n\r\n",
+	    NULL};
+	struct pool *pool = pool_new();
+	struct upstream upstream;
+	char *transcript;
+
+	(void)state;
+	upstream_open(&upstream, responses, KEEP);
+	g_free(send_request(pool, upstream.address, "a", false));
+	transcript = send_request(pool, upstream.address, "b", false);
+	assert_string_equal(transcript, " failed:no-answer");
+	g_free(transcript);
+	assert_int_equal(upstream.accepted, 1);
+	assert_int_equal(pool_count_connections(pool, upstream.address), 0);
+	pool_free(pool);
+	upstream_close(&upstream);
+}
+
+/// The responses to a request without an id can't be told from earlier ones:
+/// it is sent on a new connection.
+static void
+request_without_an_id_uses_a_new_connection(void **state)
+{
+	const char *const responses[] = {
+	    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n"
+	    "Keep-Alive: timeout=5\r\n\r\n1",
+	    "HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	    NULL};
+	struct pool *pool = pool_new();
+	struct upstream upstream;
+	char *transcript;
+
+	(void)state;
+	upstream_open(&upstream, responses, KEEP);
+	g_free(send_request(pool, upstream.address, "a", false));
+	transcript = send_request(pool, upstream.address, NULL, false);
+	assert_string_equal(transcript, "400 complete");
+	g_free(transcript);
+	assert_int_equal(upstream.accepted, 2);
+	pool_free(pool);
+	upstream_close(&upstream);
+}
+
 /// Runs the loop for 50 ms, long enough to handle what is already under way.
 static void
 run_loop_briefly(void)
@@ -610,6 +709,49 @@
 	}
 }
 
+/// A call without an id is refused, and its connection kept. The refusal comes
+/// once more before the response to the next request.
+static void
+refusal_of_a_fetch_is_not_for_the_next_request(void **state)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+	    "Keep-Alive: timeout=5\r\n\r\n";
+	char *second = g_strconcat(refusal,
+	    "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\n2", NULL);
+	const char *const responses[] = {refusal, second, NULL};
+	struct transcript transcript = {
+	    g_string_new(NULL), g_main_loop_new(NULL, FALSE), NULL, false};
+	struct pool *pool = pool_new();
+	struct upstream upstream;
+	struct fetch_options options = {
+	    .pool = pool,
+	    .method = "GET",
+	    .target = "/",
+	    .deadline = g_get_monotonic_time() + 60 * USEC_PER_SEC,
+	    .max_body = 100,
+	    .handler = on_fetched,
+	    .owner = &transcript,
+	};
+	char *answer;
+
+	(void)state;
+	upstream_open(&upstream, responses, KEEP);
+	options.address = upstream.address;
+	fetch_start(&options);
+	g_main_loop_run(transcript.loop);
+	assert_string_equal(transcript.text->str, "503 ");
+	answer = send_request(pool, upstream.address, "b", false);
+	assert_string_equal(answer, "200 2 complete");
+	assert_int_equal(upstream.accepted, 1);
+	g_free(answer);
+	g_main_loop_unref(transcript.loop);
+	g_string_free(transcript.text, TRUE);
+	pool_free(pool);
+	upstream_close(&upstream);
+	g_free(second);
+}
+
 int
 main(void)
 {
@@ -620,10 +762,14 @@
 	    cmocka_unit_test(addresses_are_parsed),
 	    cmocka_unit_test(closed_port_is_reported_unreachable),
 	    cmocka_unit_test(late_responses_are_skipped),
+	    cmocka_unit_test(repeated_refusal_without_an_id_is_skipped),
+	    cmocka_unit_test(lone_response_without_an_id_is_no_answer),
+	    cmocka_unit_test(request_without_an_id_uses_a_new_connection),
 	    cmocka_unit_test(extra_response_closes_idle_connection),
 	    cmocka_unit_test(idle_connections_have_a_deadline),
 	    cmocka_unit_test(cancel_inside_callback_is_safe),
 	    cmocka_unit_test(body_of_a_fetch_exceeds_its_limit),
+	    cmocka_unit_test(refusal_of_a_fetch_is_not_for_the_next_request),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
