Log: answers that aren't known to be those of the request in flight

An exchange tells its owner of each response that it skips. The new line answer-of-other-request names the upstream, the status and whether the answer had an id; entry_repeated_refusal expects it for each kind of repetition.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -552,6 +552,20 @@
 	entry_request_unref(request);
 }
 
+/// Exchange callback: a response on the request's connection isn't its own.
+static void
+on_skipped(void *owner, const struct http_head *head)
+{
+	const struct entry_request *request = owner;
+	const char *id = http_head_get(head, request->entry->site->id_field);
+
+	log_event(LOG_LEVEL_WARN, "answer-of-other-request",
+	    "id=%s upstream=%s status=%u named=%d age_ms=%" G_GINT64_FORMAT
+	    " outcome=skipped",
+	    request->params.id, request->target.id, head->status, id != NULL,
+	    (g_get_monotonic_time() - request->sent_at) / USEC_PER_MSEC);
+}
+
 /// @return the callbacks for an exchange that sends a request to an upstream;
 ///         the exchange's owner must be the struct entry_request
 const struct exchange_vtable *
@@ -562,6 +576,7 @@
 	    .body = on_body,
 	    .complete = on_complete,
 	    .failed = on_failed,
+	    .skipped = on_skipped,
 	};
 
 	return &vtable;
--- a/src/godwitvale/http/exchange.c
+++ b/src/godwitvale/http/exchange.c
@@ -141,6 +141,19 @@
 	return !exchange->reused && exchange->skipped_count == 0;
 }
 
+/// Skips a response that isn't known to be this request's.
+static void
+skip_response(struct exchange *exchange, const struct http_head *head)
+{
+	const struct exchange_vtable *vtable = exchange->options.vtable;
+
+	exchange->skipping = true;
+	exchange->not_reusable = true;
+	exchange->skipped_count++;
+	if (vtable->skipped != NULL)
+		vtable->skipped(exchange->options.owner, head);
+}
+
 /// Reader callback: a response's head is complete.
 static void
 on_head(void *owner, struct http_reader *reader)
@@ -154,9 +167,7 @@
 		return;
 	}
 	if (!is_own_response(exchange, &reader->head)) {
-		exchange->skipping = true;
-		exchange->not_reusable = true;
-		exchange->skipped_count++;
+		skip_response(exchange, &reader->head);
 		return;
 	}
 	exchange->has_head = true;
--- a/src/godwitvale/http/exchange.h
+++ b/src/godwitvale/http/exchange.h
@@ -30,6 +30,9 @@
 	/// be within exchange_start(); may be NULL. Returns whether it may
 	/// still be sent; if not, the exchange fails with EXCHANGE_UNREACHABLE.
 	bool (*starting)(void *owner);
+	/// Called with the head of a response that is skipped, because it isn't
+	/// known to be this request's; may be NULL.
+	void (*skipped)(void *owner, const struct http_head *head);
 };
 
 /// Request, upstream and callbacks of an exchange.
--- a/test/functional/entry_repeated_refusal.sh
+++ b/test/functional/entry_repeated_refusal.sh
@@ -53,6 +53,8 @@
 		ctl "worker/raw1/$mode"
 		ctl "worker/raw2/$mode"
 		twice "$kind" "$mode"
+		logged e1 "\"answer-of-other-request\",\"id\":\"$kind-$mode-[12]\"" &&
+		    echo "logged"
 		sleep 0.3 # longer than an upstream counts as full
 	done
 done
