Handover: copy calls are sent on connections of their own

A stream could go on from the memory of another request: the answer to a copy call names a copy but not the call, and an upstream that wrote it once more on a kept connection had it taken for the answer to the next call there.

Copy calls now always use a new connection, whose first answer is their own.

functional/entry_repeated_copy: before, the stream was to go on from "h-other", a copy of another request (the upstream refused that, as it held no such copy); now only from its own.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -252,6 +252,8 @@
 	    .pool = request->entry->pool,
 	    .address = request->copy_source.address,
 	    .method = "POST",
+	    /* An answer doesn't say which call it belongs to. */
+	    .needs_new_connection = true,
 	    .deadline = g_get_monotonic_time() + CONTINUATION_COPY_TIMEOUT,
 	    .handler = on_copy_response,
 	    .owner = request,
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -206,6 +206,34 @@
 		raw_conn_free(g_ptr_array_steal_index(worker->held, 0));
 }
 
+/// Appends an answer to a call whose connection is kept.
+static void
+append_kept(struct raw_conn *conn, const char *body)
+{
+	g_string_append_printf(conn->answer,
+	    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(body), body);
+}
+
+/// Appends a report.
+static void
+append_report(struct raw_conn *conn)
+{
+	char *body = g_strdup_printf("{\"state\":\"%s\",\"leaves_ms\":%d}",
+	    conn->worker->draining ? "draining" : "ready", DEPARTURE_DELAY_MS);
+
+	conn->keeps = strcmp(conn->worker->mode, "repeat-copy") == 0;
+	if (conn->keeps) {
+		append_kept(conn, body);
+		conn->n_answers++;
+	} else {
+		append_head(conn, "");
+		g_string_append(conn->answer, body);
+	}
+	g_free(body);
+}
+
 /// Copies a held stream's run to another worker; the last copy stops it first.
 static void
 answer_copy(struct raw_conn *conn)
@@ -223,6 +251,9 @@
 		g_string_append(conn->answer,
 		    "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}");
 	} else {
+		if (conn->n_answers > 0)
+			append_kept(
+			    conn, "{\"handle\":\"h-other\",\"created\":1}");
 		append_head(conn, "");
 		g_string_append_printf(conn->answer,
 		    "{\"handle\":\"h-%s\",\"created\":%d}", id,
@@ -315,11 +346,7 @@
 	if (refusal != NULL) {
 		build_kept_answer(conn, refusal);
 	} else if (g_str_has_prefix(conn->request->str, "GET /v1/report")) {
-		append_head(conn, "");
-		g_string_append_printf(conn->answer,
-		    "{\"state\":\"%s\",\"leaves_ms\":%d}",
-		    conn->worker->draining ? "draining" : "ready",
-		    DEPARTURE_DELAY_MS);
+		append_report(conn);
 	} else if (g_str_has_prefix(conn->request->str, "POST /v1/kv-move")) {
 		answer_copy(conn);
 	} else {
@@ -515,7 +542,9 @@
 ///     on kept connections, all but the first after a refusal that belongs to
 ///     an earlier request ("repeat-id": with an id; "repeat-bare": without;
 ///     "repeat-421": without, and not marked as not executed; "repeat-call":
-///     the connection of the next request is reset); "finish" ends the
+///     the connection of the next request is reset); "repeat-copy": kept
+///     connections after reports, on which the answer to a copy call comes
+///     after that to another request's; "finish" ends the
 ///     held streams; "draining" writes its entry with this state, "back" that
 ///     of another incarnation
 void
