Reader: a head with a second status line is no response

Callers could get 503 with "not run" for a request that its upstream had run: a repeated refusal that breaks off within a line of its head, or within its reason, was read as one head together with that of the next response, whose id it so had.

A response's head that contains "HTTP/1.x NNN" after its start is now invalid, and the request may have run.

heads_that_run_together_are_no_response failed before: "503 2 complete".

--- a/src/godwitvale/http/reader.c
+++ b/src/godwitvale/http/reader.c
@@ -278,6 +278,24 @@
 	return true;
 }
 
+/// Checks whether a response's head contains another status line: it was
+/// broken off, and the head of the next response follows.
+static bool
+has_second_status_line(const GString *bytes)
+{
+	static const char start[] = "HTTP/1.";
+	const char *at = bytes->str;
+
+	while ((at = strstr(at + 1, start)) != NULL) {
+		const char *rest = at + strlen(start);
+
+		if (g_ascii_isdigit(rest[0]) && rest[1] == ' ' &&
+		    strspn(rest + 2, "0123456789") == 3)
+			return true;
+	}
+	return false;
+}
+
 /// Buffers bytes of a head and parses the head once it is complete.
 ///
 /// @return bytes consumed
@@ -302,7 +320,9 @@
 		return len;
 	}
 	g_string_truncate(bytes, (gsize)(end - bytes->str) + HEAD_END_LEN);
-	if (!head_is_well_formed(bytes)) {
+	if (!head_is_well_formed(bytes) ||
+	    (reader->options.parse_responses &&
+		has_second_status_line(bytes))) {
 		fail_reader(reader, HTTP_FAULT_SYNTAX);
 		return len;
 	}
--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -573,6 +573,44 @@
 	upstream_close(&upstream);
 }
 
+/// The repetition of a refusal breaks off within its head. Together with the
+/// head of the next response it must not be read as one refusal.
+static void
+heads_that_run_together_are_no_response(void **state)
+{
+	static const char *const beginnings[] = {
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1",
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n",
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: ",
+	    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry",
+	    "HTTP/1.1 503 Fu",
+	    "HTTP/1.1 503 ",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(beginnings); i++) {
+		char *second = g_strconcat(beginnings[i],
+		    "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\n2",
+		    NULL);
+		const char *const responses[] = {
+		    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n"
+		    "Keep-Alive: timeout=5\r\n\r\n1",
+		    second, NULL};
+		struct pool *pool = pool_new();
+		struct upstream upstream;
+		char *transcript;
+
+		upstream_open(&upstream, responses, KEEP);
+		g_free(send_request(pool, upstream.address, "a", false));
+		transcript = send_request(pool, upstream.address, "b", false);
+		assert_string_equal(transcript, " failed:garbled");
+		g_free(transcript);
+		pool_free(pool);
+		upstream_close(&upstream);
+		g_free(second);
+	}
+}
+
 /// Runs the loop for 50 ms, long enough to handle what is already under way.
 static void
 run_loop_briefly(void)
@@ -765,6 +803,7 @@
 	    cmocka_unit_test(repeated_refusal_without_an_id_is_skipped),
 	    cmocka_unit_test(lone_response_without_an_id_is_no_answer),
 	    cmocka_unit_test(request_without_an_id_uses_a_new_connection),
+	    cmocka_unit_test(heads_that_run_together_are_no_response),
 	    cmocka_unit_test(extra_response_closes_idle_connection),
 	    cmocka_unit_test(idle_connections_have_a_deadline),
 	    cmocka_unit_test(cancel_inside_callback_is_safe),
