Entry: an upstream's answer never carries an instance's own fields

A caller could get "not run" for a request that its upstream had run: the field with which an instance marks its own refusals of forwarded requests was passed on when an upstream's answer had it, and the instance that had forwarded the request took the answer for such a refusal. Callers could also see these fields.

They are now removed from each answer before the instance adds its own.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -263,6 +263,7 @@
 		http_head_init(&request->answer_head);
 		request->answer_head.status = head->status;
 		http_head_copy_end_to_end(&request->answer_head, head);
+		forward_fields_remove(&request->answer_head);
 		if (request->is_forwarded)
 			forward_fields_write_version(
 			    &request->answer_head, request->target.version_key);
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -161,6 +161,10 @@
 	fill_response_head(run, &head);
 	if (strcmp(run->worker->mode, "errors") == 0)
 		head.status = 500;
+	if (strcmp(run->worker->mode, "verdict") == 0) {
+		head.status = 503;
+		http_head_add(&head, "Godwitvale-Verdict", "not-run");
+	}
 	if (strcmp(run->worker->mode, "big") == 0) {
 		g_free(body);
 		body = g_strnfill(LARGE_BODY_BYTES, 'x');
@@ -707,7 +711,8 @@
 ///     "cutstart" (closes a stream's connection before its first event),
 ///     "reset" (closes the connection), "wrongresume" (status 500 for resumed
 ///     streams); for plain services also "cut" (closes the connection within
-///     the body), "errors" (status 500), "big" (large body)
+///     the body), "errors" (status 500), "big" (large body),
+///     "verdict" (status 503 with a field that instances mark refusals with)
 /// @return false when there is no such mode
 bool
 worker_set_mode(struct worker *worker, const char *mode)
@@ -742,7 +747,7 @@
 		if (worker->server == NULL && worker_start(worker))
 			publish_entry(worker);
 	} else if (strstr(" well shed mute mutecopy reset cut cutstart errors "
-			  "big wrongresume ",
+			  "big wrongresume verdict ",
 		       mode) != NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
