--- a/test/functional/entry_repeated_refusal.sh
+++ b/test/functional/entry_repeated_refusal.sh
@@ -58,3 +58,7 @@
 		sleep 0.3 # longer than an upstream counts as full
 	done
 done
+
+echo "== the request runs, and only the refusal comes"
+ctl worker/raw1/repeat-only
+twice order repeat-only
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -285,6 +285,9 @@
 	    {"repeat-call",
 		"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
 		"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"},
+	    {"repeat-only",
+		"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+		"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"},
 	    {"repeat-421",
 		"HTTP/1.1 421 Other\r\nKeep-Alive: timeout=5\r\n"
 		"Content-Length: 2\r\n\r\nno"},
@@ -334,6 +337,8 @@
 	} else {
 		append_run(conn);
 	}
+	if (conn->n_answers > 1 && strcmp(worker->mode, "repeat-only") == 0)
+		g_string_assign(conn->answer, refusal);
 	conn->keeps = true;
 }
 
@@ -541,12 +546,13 @@
 ///     "endless-interim", "endless-other", "endless-event"); complete answers
 ///     on kept connections, all but the first after a refusal that belongs to
 ///     an earlier request ("repeat-id": with an id; "repeat-bare": without;
-///     "repeat-421": without, and not marked as not executed; "repeat-call":
-///     the connection of the next request is reset); "repeat-copy": kept
-///     connections after reports, on which the answer to a copy call comes
-///     after that to another request's; "finish" ends the
-///     held streams; "draining" writes its entry with this state, "back" that
-///     of another incarnation
+///     "repeat-421": without, and not marked as not executed;
+///     "repeat-only": without, and the answer that is due never comes;
+///     "repeat-call": the connection of the next request is reset);
+///     "repeat-copy": kept connections after reports, on which the answer to a
+///     copy call comes after that to another request's; "finish" ends the held
+///     streams; "draining" writes its entry with this state, "back" that of
+///     another incarnation
 void
 raw_worker_set_mode(struct raw_worker *worker, const char *mode)
 {
