--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -161,6 +161,10 @@
 	fill_response_head(run, &head);
 	if (strcmp(run->worker->mode, "errors") == 0)
 		head.status = 500;
+	if (strcmp(run->worker->mode, "verdict") == 0) {
+		head.status = 503;
+		http_head_add(&head, "Godwitvale-Verdict", "not-run");
+	}
 	if (strcmp(run->worker->mode, "big") == 0) {
 		g_free(body);
 		body = g_strnfill(LARGE_BODY_BYTES, 'x');
@@ -356,6 +360,21 @@
 		g_idle_add(on_fall, worker);
 }
 
+/// Answers a request with a failure.
+static void
+send_failure(
+    struct http_call *call, const char *id, unsigned status, const char *body)
+{
+	struct http_head head;
+
+	http_head_init(&head);
+	head.status = status;
+	if (id != NULL)
+		http_head_add(&head, "Attempt-Id", id);
+	http_call_respond(call, &head, body, strlen(body));
+	http_head_clear(&head);
+}
+
 /// Starts a run for a request, or rejects it.
 static void
 execute_request(struct worker *worker, struct http_call *call)
@@ -369,7 +388,7 @@
 	struct run *run;
 
 	if (expected != NULL && strcmp(expected, worker->id) != 0) {
-		site_send_response(call, 421, "");
+		send_failure(call, id, 421, "");
 		return;
 	}
 	if (id == NULL || strcmp(worker->mode, "shed") == 0 ||
@@ -383,7 +402,7 @@
 	}
 	count_run(worker, id, copy == NULL ? "begun" : "resumed");
 	if (last != NULL && strcmp(worker->mode, "wrongresume") == 0) {
-		site_send_response(call, 500, "error");
+		send_failure(call, id, 500, "error");
 		return;
 	}
 	run = g_new0(struct run, 1);
@@ -692,7 +711,8 @@
 ///     "cutstart" (closes a stream's connection before its first event),
 ///     "reset" (closes the connection), "wrongresume" (status 500 for resumed
 ///     streams); for plain services also "cut" (closes the connection within
-///     the body), "errors" (status 500), "big" (large body)
+///     the body), "errors" (status 500), "big" (large body),
+///     "verdict" (status 503 with a field that instances mark refusals with)
 /// @return false when there is no such mode
 bool
 worker_set_mode(struct worker *worker, const char *mode)
@@ -727,7 +747,7 @@
 		if (worker->server == NULL && worker_start(worker))
 			publish_entry(worker);
 	} else if (strstr(" well shed mute mutecopy reset cut cutstart errors "
-			  "big wrongresume ",
+			  "big wrongresume verdict ",
 		       mode) != NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
