Streams: one whose last event bears no id is never restarted after it

A caller of a resumable stream whose events bear no ids got the events of two runs, one after the other, in a stream that ended as complete: three events of the run that broke off, then all of the next one.

Cause: a retry of a begun stream asks for the events after the last id that the caller has. Without one it asks for the whole stream, and events without ids were forwarded wherever they came. The same held for a stream of which only the last events lack ids, for one that was forwarded to another instance, and for one that resumes from a copy.

An answer of which the caller has a part can go on only if it is a stream of events and the last event that the caller has bears an id. Everything else is not repeatable: it ends with a reset. Comments have no position and don't count. An id beyond 2^63-1 is none, as it can't be named in a request for the rest. The decision about ids is moved from the answer to core/stream_order.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/core/stream_order.h"
 #include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
@@ -28,6 +29,8 @@
 /// events.
 #define ANSWER_LOAD_UPDATE_EVENTS 32
 
+G_STATIC_ASSERT(SITE_NO_EVENT == STREAM_ORDER_NO_EVENT);
+
 /// Writes the answer's head to the caller, unless that was done before.
 static void
 start_response(struct entry_request *request)
@@ -308,6 +311,28 @@
 	request->last_event_at = now;
 }
 
+/// Logs an event that can't follow those that the caller has.
+static void
+log_unfit_event(const struct entry_request *request, const struct event *event)
+{
+	log_event(LOG_LEVEL_WARN, "event-missing",
+	    "id=%s upstream=%s last=%" G_GINT64_FORMAT
+	    " next=%" G_GUINT64_FORMAT,
+	    request->params.id, request->target.id, request->last_event_id,
+	    event->id);
+}
+
+/// Notes how far the caller has the stream, after an event was forwarded.
+static void
+note_position(struct entry_request *request, const struct event *event)
+{
+	if (stream_order_is_comment(event))
+		return;
+	request->has_unnumbered_tail = !stream_order_has_position(event);
+	if (!request->has_unnumbered_tail)
+		request->last_event_id = (int64_t)event->id;
+}
+
 /// Splitter callback: forwards one complete event.
 ///
 /// @return false if the stream can't continue
@@ -315,20 +340,20 @@
 on_event(void *owner, const struct event *event)
 {
 	struct entry_request *request = owner;
+	const struct stream_order_inputs inputs = {
+	    .event = event,
+	    .last_event = request->last_event_id,
+	};
+	enum stream_order_step step;
 
 	if (request->is_done)
 		return false;
-	if (event->has_id && request->last_event_id != SITE_NO_EVENT) {
-		if ((int64_t)event->id <= request->last_event_id)
-			return true; /* the caller already has it */
-		if ((int64_t)event->id > request->last_event_id + 1) {
-			log_event(LOG_LEVEL_WARN, "event-missing",
-			    "id=%s upstream=%s last=%" G_GINT64_FORMAT
-			    " next=%" G_GUINT64_FORMAT,
-			    request->params.id, request->target.id,
-			    request->last_event_id, event->id);
-			return false;
-		}
+	step = stream_order_decide(&inputs);
+	if (step == STREAM_ORDER_SKIP)
+		return true;
+	if (step != STREAM_ORDER_FORWARD) {
+		log_unfit_event(request, event);
+		return false;
 	}
 	if (request->events_of_attempt == 0) {
 		segment_guard_note_answered(request);
@@ -339,8 +364,7 @@
 	finish_prompt_phase(request);
 	start_response(request);
 	http_call_write_body(request->call, event->bytes, event->len);
-	if (event->has_id)
-		request->last_event_id = (int64_t)event->id;
+	note_position(request, event);
 	request->events_sent++;
 	record_event_interval(request);
 	if (request->events_sent % ANSWER_LOAD_UPDATE_EVENTS == 0)
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -153,8 +153,8 @@
 	    : deployment_find_service(request->deployment, request->service);
 
 	return service != NULL && service->engine.supports_moves &&
-	    !request->is_forwarding && request->route->is_generation &&
-	    request->params.id != NULL;
+	    entry_request_can_go_on(request) && !request->is_forwarding &&
+	    request->route->is_generation && request->params.id != NULL;
 }
 
 /// Notes that the upstream of a request is leaving. May be called again when
@@ -401,7 +401,10 @@
 		send_copy_request(request, step);
 		break;
 	case HANDOVER_RESUME:
-		resume_at_copy_target(request);
+		if (entry_request_can_go_on(request))
+			resume_at_copy_target(request);
+		else
+			restart_or_fail(request, "stream-unnumbered");
 		break;
 	case HANDOVER_BREAK:
 		restart_or_fail(request, "stream-cut");
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -365,13 +365,28 @@
 	entry_request_set_timer(request);
 }
 
+/// Checks whether another attempt may go on with what the caller has: nothing
+/// yet, or a stream of events up to a known one.
+///
+/// @param request  request in any state
+/// @return false if any further part could belong to another answer
+bool
+entry_request_can_go_on(const struct entry_request *request)
+{
+	return !request->response_started ||
+	    (request->is_stream && !request->has_unnumbered_tail);
+}
+
 /// Checks whether a request may be sent again although it may have run.
 ///
 /// @param request  request whose route is known
-/// @return false if it must run at most once
+/// @return false if it must run at most once, or if the caller has a part of
+///         the answer that no other attempt can continue
 bool
 entry_request_is_repeatable(const struct entry_request *request)
 {
+	if (!entry_request_can_go_on(request))
+		return false;
 	return request->route->kind == ROUTE_IDEMPOTENT ||
 	    (request->route->kind == ROUTE_STREAM && request->route->resumable);
 }
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -101,6 +101,9 @@
 	bool is_waiting;
 	bool is_stream;        /// events are forwarded one by one
 	bool response_started; /// the head was written to the caller
+	/// the last event that the caller has bears no id, so no other attempt
+	/// can go on after it
+	bool has_unnumbered_tail;
 	bool is_resuming;      /// sent to resume from a copy; no event yet
 	bool is_forwarding;    /// its exchange is with another instance
 	bool is_own_answer;    /// that instance answers by itself
@@ -150,6 +153,7 @@
 void entry_request_set_timer(struct entry_request *request);
 void entry_request_cancel_exchange(struct entry_request *request);
 void entry_request_add_tried(struct entry_request *request, uint64_t key);
+bool entry_request_can_go_on(const struct entry_request *request);
 bool entry_request_is_repeatable(const struct entry_request *request);
 
 /* continuation.c */
--- /dev/null
+++ b/test/functional/entry_broken_streams.sh
@@ -0,0 +1,77 @@
+#!/bin/bash
+# Answers that break off after their first part: what the caller gets of the
+# next run is only ever the rest of the same answer. Everything else must not
+# reach it, and the end must not look complete.
+# shellcheck source=test/functional/lib.sh
+. "$(dirname "$0")/lib.sh"
+# shellcheck source=scripts/site.sh
+. "$(dirname "$0")/../../scripts/site.sh"
+
+start_site raw:raw1,lm,z1 raw:raw2,lm,z1
+usual_routes
+configure
+retry_slack=1000 # so that retries don't depend on earlier requests
+settings_entry e1
+start_instance e1
+
+# both MODE: sets the mode of both engines.
+both()
+{
+	ctl "worker/raw1/$1"
+	ctl "worker/raw2/$1"
+}
+
+# renew: both engines are started again, without a record of failures.
+renew()
+{
+	n_restarts=$((n_restarts + 1))
+	both back
+	for engine in raw1 raw2; do
+		wait_for "$engine again" restarted "$engine"
+	done
+}
+n_restarts=0
+restarted()
+{
+	[ "$(grep -c "\"upstream-reborn\".*\"$1\"" "$workdir/e1.log")" = \
+	    "$n_restarts" ]
+}
+
+# show NAME STATUS: what a caller got, whose client ended with that status.
+show()
+{
+	local file=$workdir/$1 ended=cut
+	[ "$2" = 0 ] && ended=whole
+	echo "$1: $ended, $(grep -c '^data: raw' "$file") events, $(event_ids \
+	    "$file"), $(runs "$1") runs, text of an error: $(grep -cE \
+	    'error|HTTP/1|X-Cause|Seal' "$file")"
+}
+
+# stream ROUTE MODE
+stream()
+{
+	local id=$1-$2 result
+	both "$2"
+	call e1 "/$1/x" "$id" -X POST -d "$id" -H 'Token-Usage: 100,20' \
+	    >"$workdir/$id"
+	result=$?
+	show "$id" "$result"
+	renew
+}
+
+echo "== a stream that may be resumed"
+for later in rest error error-stream text nothing gap; do
+	stream hint "cut-then-$later"
+done
+
+echo "== a stream whose events have no ids"
+stream hint bare-then-rest
+stream hint bare-then-bare
+stream hint bare-then-error
+
+echo "== a stream that can't be resumed"
+stream draft cut-then-rest
+stream draft bare-then-bare
+
+echo "== fields after the last chunk"
+stream hint trailer-then-rest
--- a/test/site/main.c
+++ b/test/site/main.c
@@ -81,7 +81,7 @@
 
 /// Creates a worker with a proxy in front of it.
 ///
-/// @param spec  ID,SERVICE,ZONE,PORT,ANNOUNCED_PORT
+/// @param spec  [raw:]ID,SERVICE,ZONE,PORT,ANNOUNCED_PORT
 /// @return false when a port can't be listened on
 static bool
 start_linked_worker(struct site_state *site, const char *spec)
@@ -95,6 +95,8 @@
 	if (link == NULL)
 		return false;
 	g_ptr_array_add(site->links, link);
+	if (g_str_has_prefix(spec, "raw:"))
+		return raw_worker_new(site, spec + strlen("raw:")) != NULL;
 	return worker_new(site, spec) != NULL;
 }
 
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -25,6 +25,12 @@
 #define SLOW_PIECE_BYTES 24
 /// Remaining time that a draining engine reports, in milliseconds.
 #define DEPARTURE_DELAY_MS 800
+/// Stands between the answers to the first run of a request and to later ones.
+#define MODE_SEPARATOR "-then-"
+/// Number of events that come before a stream breaks off.
+#define BROKEN_EVENT_COUNT 3
+/// Size of a plain body that instances don't buffer whole, in bytes.
+#define LARGE_BODY_BYTES (300 * 1024)
 
 /// An engine that writes raw answers.
 struct raw_worker {
@@ -33,7 +39,7 @@
 	char *service;
 	char *zone;
 	char *address;
-	char mode[24];
+	char mode[40];
 	bool draining;
 	unsigned start_count; /// also its incarnation
 	unsigned write_count; /// of its entry
@@ -118,14 +124,189 @@
 		g_string_append(conn->answer, bytes);
 }
 
+/// Returns the id of a request; "-" if it has none.
+static char *
+get_request_id(const struct raw_conn *conn)
+{
+	const char *id = strstr(conn->request->str, "Attempt-Id: ");
+
+	if (id == NULL)
+		return g_strdup("-");
+	id += strlen("Attempt-Id: ");
+	return g_strndup(id, strcspn(id, "\r\n"));
+}
+
+/// Counts a run of a request at any worker.
+///
+/// @return whether it is the first one
+static bool
+count_run(const struct raw_conn *conn)
+{
+	GHashTable *runs = conn->worker->site->runs;
+	char *id = get_request_id(conn);
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
+
+	g_hash_table_replace(runs, id, GUINT_TO_POINTER(n + 1));
+	return n == 0;
+}
+
+/// Appends a message of one line, with its length.
+static void
+append_message(struct raw_conn *conn, const char *status, const char *type)
+{
+	static const char text[] = "error: out of memory\n";
+	char *id = get_request_id(conn);
+
+	g_string_append_printf(conn->answer,
+	    "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: %s\r\n"
+	    "Content-Type: %s\r\nContent-Length: %zu\r\n\r\n%s",
+	    status, id, conn->worker->id, type, strlen(text), text);
+	g_free(id);
+}
+
+/// Appends the head of an answer in chunks.
+static void
+append_chunked_head(struct raw_conn *conn, const char *type)
+{
+	char *fields = g_strdup_printf(
+	    "Transfer-Encoding: chunked\r\nContent-Type: %s\r\n", type);
+
+	append_head(conn, fields);
+	g_free(fields);
+}
+
+/// Appends one chunk.
+static void
+append_chunk(struct raw_conn *conn, const char *bytes)
+{
+	g_string_append_printf(
+	    conn->answer, "%zx\r\n%s\r\n", strlen(bytes), bytes);
+}
+
+/// Appends some events of a stream, each as a chunk.
+///
+/// @param has_ids  whether they have ids
+static void
+append_event_chunks(struct raw_conn *conn, int first, int last, bool has_ids)
+{
+	for (int i = first; i <= last; i++) {
+		char *event = has_ids
+		    ? g_strdup_printf("id: %d\ndata: raw %d\n\n", i, i)
+		    : g_strdup_printf("data: raw %d\n\n", i);
+
+		append_chunk(conn, event);
+		g_free(event);
+	}
+}
+
+/// Appends a plain body that ends before its last chunk.
+static void
+append_broken_body(struct raw_conn *conn, size_t len)
+{
+	char *body = g_strnfill(len, 'x');
+
+	append_chunked_head(conn, "text/plain");
+	append_chunk(conn, body);
+	g_free(body);
+}
+
+/// Builds an answer that breaks off, each in its way. The kinds "held" and
+/// "held-bare" stay open until the engine is stopped; "trailer" is complete.
+static void
+build_broken_answer(struct raw_conn *conn, const char *kind)
+{
+	static const char stream[] = "text/event-stream";
+
+	if (strcmp(kind, "large") == 0) {
+		append_broken_body(conn, LARGE_BODY_BYTES);
+		return;
+	}
+	if (strcmp(kind, "small") == 0) {
+		append_broken_body(conn, 8);
+		return;
+	}
+	if (g_str_has_prefix(kind, "head")) {
+		append_head(conn, "Content-Type: text/event-stream\r\n");
+		append_events(conn, BROKEN_EVENT_COUNT);
+		if (strcmp(kind, "head-in-event") == 0)
+			g_string_append(conn->answer, "id: 4\ndata: ra");
+		append_message(conn, "500 Internal Server Error", "text/plain");
+		/* Ends the event that the message's body might be. */
+		g_string_append(conn->answer, "\n");
+		return;
+	}
+	append_chunked_head(conn, stream);
+	append_event_chunks(
+	    conn, 1, BROKEN_EVENT_COUNT, strstr(kind, "bare") == NULL);
+	conn->holds = g_str_has_prefix(kind, "held");
+	if (strcmp(kind, "trailer") == 0)
+		g_string_append(conn->answer,
+		    "0\r\nX-Error: error\r\nX-Cause: memory\r\n\r\n");
+}
+
+/// Builds the answer to a later run of a request.
+static void
+build_later_answer(struct raw_conn *conn, const char *kind)
+{
+	static const char stream[] = "text/event-stream";
+	int first = BROKEN_EVENT_COUNT + 1;
+
+	if (strcmp(kind, "error") == 0) {
+		append_message(conn, "500 Internal Server Error", "text/plain");
+		return;
+	}
+	if (strcmp(kind, "error-stream") == 0) {
+		append_message(conn, "503 Service Unavailable", stream);
+		return;
+	}
+	if (strcmp(kind, "text") == 0) {
+		append_message(conn, "200 OK", "text/plain");
+		return;
+	}
+	if (strcmp(kind, "nothing") == 0) {
+		g_string_append(
+		    conn->answer, "HTTP/1.1 204 No Content\r\n\r\n");
+		return;
+	}
+	if (strcmp(kind, "empty") == 0) {
+		append_head(conn, "Content-Type: text/event-stream\r\n");
+		return;
+	}
+	if (strcmp(kind, "anew") == 0)
+		first = 1;
+	else if (strcmp(kind, "gap") == 0 || strcmp(kind, "finished") == 0)
+		first = strcmp(kind, "gap") == 0 ? first + 1 : EVENT_COUNT + 1;
+	append_chunked_head(conn, stream);
+	append_event_chunks(
+	    conn, first, EVENT_COUNT, strcmp(kind, "bare") != 0);
+	g_string_append(conn->answer, "0\r\n\r\n");
+}
+
+/// Builds the answer to a run in a mode that names two kinds of answers.
+static void
+build_answer_of_run(struct raw_conn *conn, const char *separator)
+{
+	const char *mode = conn->worker->mode;
+	char *kind = g_strndup(mode, (gsize)(separator - mode));
+
+	if (count_run(conn))
+		build_broken_answer(conn, kind);
+	else
+		build_later_answer(conn, separator + strlen(MODE_SEPARATOR));
+	g_free(kind);
+}
+
 /// Builds the answer to a generation.
 static void
 build_answer(struct raw_conn *conn)
 {
 	static const char stream[] = "Content-Type: text/event-stream\r\n";
 	const char *mode = conn->worker->mode;
+	const char *separator = strstr(mode, MODE_SEPARATOR);
 
-	if (strcmp(mode, "endless-head") == 0) {
+	if (separator != NULL)
+		build_answer_of_run(conn, separator);
+	else if (strcmp(mode, "endless-head") == 0) {
 		g_string_append(conn->answer, "HTTP/1.1 200 OK\r\n");
 		append_burst(conn, "X-Pad: 0123456789abcdef\r\n");
 	} else if (strcmp(mode, "endless-field") == 0) {
@@ -356,12 +537,12 @@
 /// Creates an engine that writes raw answers, and writes its entry.
 ///
 /// @param site  the simulated platform
-/// @param spec  ID,SERVICE,ZONE,PORT
+/// @param spec  ID,SERVICE,ZONE,PORT[,ANNOUNCED_PORT]
 /// @return the engine, or NULL when its port can't be listened on
 struct raw_worker *
 raw_worker_new(struct site_state *site, const char *spec)
 {
-	char **parts = g_strsplit(spec, ",", 4);
+	char **parts = g_strsplit(spec, ",", 5);
 	struct raw_worker *worker = g_new0(struct raw_worker, 1);
 	GSocketService *service = g_socket_service_new();
 
@@ -369,7 +550,8 @@
 	worker->id = g_strdup(parts[0]);
 	worker->service = g_strdup(parts[1]);
 	worker->zone = g_strdup(parts[2]);
-	worker->address = g_strdup_printf("127.0.0.1:%s", parts[3]);
+	worker->address = g_strdup_printf(
+	    "127.0.0.1:%s", parts[4] == NULL ? parts[3] : parts[4]);
 	worker->held = g_ptr_array_new();
 	worker->start_count = 1;
 	g_signal_connect(service, "incoming", G_CALLBACK(on_incoming), worker);
@@ -393,9 +575,11 @@
 ///     open until a copy call stops it ("held"), or that ends by itself when
 ///     such a call comes ("ends-at-stop", after "held"); bytes without an end
 ///     ("endless-head", "endless-field", "endless-garbage",
-///     "endless-interim", "endless-other", "endless-event"); "finish" ends the
-///     held streams; "draining" writes its entry with this state, "back" that
-///     of another incarnation
+///     "endless-interim", "endless-other", "endless-event");
+///     "FIRST-then-LATER": the first run of a request breaks off, a later one
+///     gets another answer, see build_broken_answer() and
+///     build_later_answer(); "finish" ends the held streams; "draining" writes
+///     its entry with this state, "back" that of another incarnation
 void
 raw_worker_set_mode(struct raw_worker *worker, const char *mode)
 {
--- /dev/null
+++ b/test/unit/stream_order_test.c
@@ -0,0 +1,110 @@
+/* Unit tests of which events may follow those that a caller has. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "godwitvale/core/stream_order.h"
+
+/// An event without an id.
+#define UNNUMBERED UINT64_MAX
+
+/// Returns an event with an id, or without one.
+static struct event
+make_event(uint64_t id)
+{
+	static const char text[] = "data: x\n\n";
+
+	return (struct event){
+	    text, strlen(text), id != UNNUMBERED, id == UNNUMBERED ? 0 : id};
+}
+
+static void
+events_of_an_answer_are_forwarded_once_and_in_order(void **state)
+{
+	static const struct {
+		int64_t last_event;
+		uint64_t id;
+		enum stream_order_step expected;
+	} rows[] = {
+	    {STREAM_ORDER_NO_EVENT, 0, STREAM_ORDER_FORWARD},
+	    {STREAM_ORDER_NO_EVENT, 7, STREAM_ORDER_FORWARD},
+	    {STREAM_ORDER_NO_EVENT, UNNUMBERED, STREAM_ORDER_FORWARD},
+	    {0, 1, STREAM_ORDER_FORWARD},
+	    {3, 4, STREAM_ORDER_FORWARD},
+	    {3, 3, STREAM_ORDER_SKIP},
+	    {3, 1, STREAM_ORDER_SKIP},
+	    {3, 5, STREAM_ORDER_MISSING},
+	    {3, UNNUMBERED, STREAM_ORDER_FORWARD},
+	    {INT64_MAX - 1, INT64_MAX, STREAM_ORDER_FORWARD},
+	    {INT64_MAX, INT64_MAX, STREAM_ORDER_SKIP},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct event event = make_event(rows[i].id);
+		const struct stream_order_inputs inputs = {
+		    .event = &event,
+		    .last_event = rows[i].last_event,
+		};
+
+		assert_int_equal(
+		    stream_order_decide(&inputs), rows[i].expected);
+	}
+}
+
+/// An id that can't be named in a request for the rest is none.
+static void
+an_id_beyond_the_range_is_no_position(void **state)
+{
+	struct event event = make_event((uint64_t)INT64_MAX + 1);
+
+	(void)state;
+	assert_false(stream_order_has_position(&event));
+	event.id = INT64_MAX;
+	assert_true(stream_order_has_position(&event));
+	event.has_id = false;
+	assert_false(stream_order_has_position(&event));
+}
+
+static void
+comments_are_told_from_events(void **state)
+{
+	static const struct {
+		const char *text;
+		bool is_comment;
+	} rows[] = {
+	    {": still there\n\n", true},
+	    {":\r\n\r\n", true},
+	    {"\n: a\n: b\n\n", true},
+	    {": a\ndata: x\n\n", false},
+	    {"data: x\n\n", false},
+	    {"id: 4\n\n", false},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct event event = {
+		    rows[i].text, strlen(rows[i].text), false, 0};
+
+		assert_int_equal(
+		    stream_order_is_comment(&event), rows[i].is_comment);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		events_of_an_answer_are_forwarded_once_and_in_order),
+	    cmocka_unit_test(an_id_beyond_the_range_is_no_position),
+	    cmocka_unit_test(comments_are_told_from_events),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
