Streams: an answer that doesn't go on at the next event isn't the rest

A caller of a resumable stream that broke off got pieces of two runs joined: the upstream that was asked for the events after the third one began at the first, events 1 to 3 were dropped as known, and 4 and 5 of that other run were added. An upstream whose events bear no ids had all of them added, wherever they belong.

Cause: an event with a known id was taken for one that the caller has, and one without an id for the next one, also at the start of an answer.

The first event of an answer to a request for the rest is now the next one, or the answer isn't the rest and ends as broken. It says so in the log, answer-not-the-rest. A comment before it is dropped. Within one answer nothing changes.

--- a/src/godwitvale/core/stream_order.h
+++ b/src/godwitvale/core/stream_order.h
@@ -23,6 +23,8 @@
 	STREAM_ORDER_FORWARD = 1,
 	STREAM_ORDER_SKIP,    /// the caller has it, or doesn't need it
 	STREAM_ORDER_MISSING, /// events before it are missing; the answer ends
+	/// the answer isn't the rest of the stream, and ends
+	STREAM_ORDER_NOT_THE_REST,
 };
 
 /// An event, and where in its stream it was received.
@@ -31,6 +33,7 @@
 	/// id of the last event with an id that the caller has; or
 	/// STREAM_ORDER_NO_EVENT
 	int64_t last_event;
+	bool is_first; /// the answer has brought no event before
 };
 
 bool stream_order_is_comment(const struct event *event);
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -313,13 +313,16 @@
 
 /// Logs an event that can't follow those that the caller has.
 static void
-log_unfit_event(const struct entry_request *request, const struct event *event)
+log_unfit_event(const struct entry_request *request, const struct event *event,
+    enum stream_order_step step)
 {
-	log_event(LOG_LEVEL_WARN, "event-missing",
+	log_event(LOG_LEVEL_WARN,
+	    step == STREAM_ORDER_MISSING ? "event-missing"
+					 : "answer-not-the-rest",
 	    "id=%s upstream=%s last=%" G_GINT64_FORMAT
-	    " next=%" G_GUINT64_FORMAT,
+	    " has_id=%d next=%" G_GUINT64_FORMAT,
 	    request->params.id, request->target.id, request->last_event_id,
-	    event->id);
+	    event->has_id, event->id);
 }
 
 /// Notes how far the caller has the stream, after an event was forwarded.
@@ -343,6 +346,7 @@
 	const struct stream_order_inputs inputs = {
 	    .event = event,
 	    .last_event = request->last_event_id,
+	    .is_first = request->events_of_attempt == 0,
 	};
 	enum stream_order_step step;
 
@@ -352,7 +356,7 @@
 	if (step == STREAM_ORDER_SKIP)
 		return true;
 	if (step != STREAM_ORDER_FORWARD) {
-		log_unfit_event(request, event);
+		log_unfit_event(request, event, step);
 		return false;
 	}
 	if (request->events_of_attempt == 0) {
--- a/test/unit/stream_order_test.c
+++ b/test/unit/stream_order_test.c
@@ -57,6 +57,55 @@
 	}
 }
 
+/// An answer that begins elsewhere is of another run than the stream.
+static void
+an_answer_goes_on_with_the_next_event_or_not_at_all(void **state)
+{
+	static const struct {
+		int64_t last_event;
+		uint64_t id;
+		enum stream_order_step expected;
+	} rows[] = {
+	    {STREAM_ORDER_NO_EVENT, 1, STREAM_ORDER_FORWARD},
+	    {STREAM_ORDER_NO_EVENT, UNNUMBERED, STREAM_ORDER_FORWARD},
+	    {0, 1, STREAM_ORDER_FORWARD},
+	    {3, 4, STREAM_ORDER_FORWARD},
+	    {3, 3, STREAM_ORDER_NOT_THE_REST},
+	    {3, 1, STREAM_ORDER_NOT_THE_REST},
+	    {3, UNNUMBERED, STREAM_ORDER_NOT_THE_REST},
+	    {3, (uint64_t)INT64_MAX + 1, STREAM_ORDER_NOT_THE_REST},
+	    {3, 5, STREAM_ORDER_MISSING},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct event event = make_event(rows[i].id);
+		const struct stream_order_inputs inputs = {
+		    .event = &event,
+		    .last_event = rows[i].last_event,
+		    .is_first = true,
+		};
+
+		assert_int_equal(
+		    stream_order_decide(&inputs), rows[i].expected);
+	}
+}
+
+static void
+a_comment_before_the_rest_is_skipped(void **state)
+{
+	static const char text[] = ": still there\n\n";
+	const struct event event = {text, strlen(text), false, 0};
+	const struct stream_order_inputs inputs = {
+	    .event = &event,
+	    .last_event = 3,
+	    .is_first = true,
+	};
+
+	(void)state;
+	assert_int_equal(stream_order_decide(&inputs), STREAM_ORDER_SKIP);
+}
+
 /// An id that can't be named in a request for the rest is none.
 static void
 an_id_beyond_the_range_is_no_position(void **state)
@@ -102,6 +151,9 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		events_of_an_answer_are_forwarded_once_and_in_order),
+	    cmocka_unit_test(
+		an_answer_goes_on_with_the_next_event_or_not_at_all),
+	    cmocka_unit_test(a_comment_before_the_rest_is_skipped),
 	    cmocka_unit_test(an_id_beyond_the_range_is_no_position),
 	    cmocka_unit_test(comments_are_told_from_events),
 	};
