Streams: a rest without events that ends with its connection isn't complete

A stream broke off after three of five events; the upstream that was asked for the rest sent the head of an answer and ended the connection. The caller's stream ended as complete.

Cause: an answer without a length that ends before its first event counts as broken off, but the events of earlier attempts were counted too.

The events of the attempt alone are counted now. An answer that ends without events, but with its last chunk or its length, still ends the stream: it states that there are no more, as after a handover once the last event was made.

entry_broken_streams, before: "hint-cut-then-empty: whole, 3 events"; after: cut. "hint-cut-then-finished" is whole before and after. entry_open_ended and entry_stopped_open_ended pass as before.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -515,15 +515,16 @@
 }
 
 /// Checks whether a stream whose message is complete was broken off: it ends
-/// within an event, or it has no event and nothing but the end of the
-/// connection marks its end.
+/// within an event, or this answer has no event and nothing but the end of the
+/// connection marks its end. With a length or a last chunk, the upstream states
+/// that there are no more events.
 static bool
 is_stream_broken_off(const struct entry_request *request)
 {
 	if (!request->is_stream)
 		return false;
 	return event_splitter_is_within_event(&request->splitter) ||
-	    (request->events_sent == 0 &&
+	    (request->events_of_attempt == 0 &&
 		exchange_ends_with_connection(request->exchange));
 }
 
--- a/test/functional/entry_broken_streams.sh
+++ b/test/functional/entry_broken_streams.sh
@@ -60,7 +60,7 @@
 }
 
 echo "== a stream that may be resumed"
-for later in rest error error-stream text nothing anew gap bare; do
+for later in rest error error-stream text nothing empty finished anew gap bare; do
 	stream hint "cut-then-$later"
 done
 
