Streams: the head of another answer within a stream breaks it off

Callers got the head and the text of an error in the middle of a stream that ended as complete. An upstream had begun a stream that ends with its connection, broke it off, also within an event, and wrote an error on the same connection.

Cause: all bytes up to the end of the connection are the body of such an answer. A head is lines up to an empty one, which is the form of an event, and events without ids are passed on; within an event it becomes the rest of that event.

An event that holds an HTTP status line at the start of a line, or elsewhere with a next line that no event has, breaks the stream off (event-holds-answer in the log). A resumable stream goes on at the next upstream. Text that names a status is left alone. In bodies that aren't events this can't be told.

--- a/src/godwitvale/core/stream_order.h
+++ b/src/godwitvale/core/stream_order.h
@@ -25,6 +25,8 @@
 	STREAM_ORDER_MISSING, /// events before it are missing; the answer ends
 	/// the answer isn't the rest of the stream, and ends
 	STREAM_ORDER_NOT_THE_REST,
+	/// it holds the head of another answer: the stream was broken off
+	STREAM_ORDER_OTHER_ANSWER,
 };
 
 /// An event, and where in its stream it was received.
@@ -37,6 +39,7 @@
 };
 
 bool stream_order_is_comment(const struct event *event);
+bool stream_order_holds_answer_head(const struct event *event);
 bool stream_order_has_position(const struct event *event);
 enum stream_order_step stream_order_decide(
     const struct stream_order_inputs *inputs);
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -316,9 +316,13 @@
 log_unfit_event(const struct entry_request *request, const struct event *event,
     enum stream_order_step step)
 {
-	log_event(LOG_LEVEL_WARN,
-	    step == STREAM_ORDER_MISSING ? "event-missing"
-					 : "answer-not-the-rest",
+	static const char *const names[] = {
+	    [STREAM_ORDER_MISSING] = "event-missing",
+	    [STREAM_ORDER_NOT_THE_REST] = "answer-not-the-rest",
+	    [STREAM_ORDER_OTHER_ANSWER] = "event-holds-answer",
+	};
+
+	log_event(LOG_LEVEL_WARN, names[step],
 	    "id=%s upstream=%s last=%" G_GINT64_FORMAT
 	    " has_id=%d next=%" G_GUINT64_FORMAT,
 	    request->params.id, request->target.id, request->last_event_id,
--- a/test/functional/entry_broken_streams.sh
+++ b/test/functional/entry_broken_streams.sh
@@ -73,5 +73,12 @@
 stream draft cut-then-rest
 stream draft bare-then-bare
 
+echo "== the head of an error follows on the same connection"
+stream draft head-then-rest
+stream draft head-in-event-then-rest
+stream hint head-then-rest
+stream hint head-in-event-then-rest
+stream hint head-in-event-then-error
+
 echo "== fields after the last chunk"
 stream hint trailer-then-rest
--- a/test/unit/stream_order_test.c
+++ b/test/unit/stream_order_test.c
@@ -145,6 +145,44 @@
 	}
 }
 
+static void
+the_head_of_another_answer_is_no_event(void **state)
+{
+	static const struct {
+		const char *text;
+		bool holds_head;
+	} rows[] = {
+	    {"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 5\r\n\r\n", true},
+	    {"HTTP/1.0 200\r\n\r\n", true},
+	    {"id: 4\ndata: raHTTP/1.1 500 Error\r\nServer: x\r\n\r\n", true},
+	    {"id: 4\nHTTP/1.1 500 Error\r\n\r\n", true},
+	    {"data: HTTP/1. HTTP/1.1 500 X\nServer: x\n\n", true},
+	    {"id: 4\ndata: HTTP/1.1 500 Error\n\n", false},
+	    {"data: HTTP/1.1 200 OK\ndata: Server: x\n\n", false},
+	    {"data: HTTP/1.1 200 OK\nid: 4\n\n", false},
+	    {"data: HTTP/1.1 200 OK\n: why\nretry: 3\n\n", false},
+	    {"data: HTTP/1.1\nServer: x\n\n", false},
+	    {"HTTP/1.1 20", false},
+	    {"weight-versions: 3\nid: 4\ndata: x\n\n", false},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct event event = {
+		    rows[i].text, strlen(rows[i].text), false, 0};
+		const struct stream_order_inputs inputs = {
+		    .event = &event,
+		    .last_event = STREAM_ORDER_NO_EVENT,
+		};
+
+		assert_int_equal(
+		    stream_order_holds_answer_head(&event), rows[i].holds_head);
+		assert_int_equal(stream_order_decide(&inputs),
+		    rows[i].holds_head ? STREAM_ORDER_OTHER_ANSWER
+				       : STREAM_ORDER_FORWARD);
+	}
+}
+
 int
 main(void)
 {
@@ -155,6 +193,7 @@
 		an_answer_goes_on_with_the_next_event_or_not_at_all),
 	    cmocka_unit_test(a_comment_before_the_rest_is_skipped),
 	    cmocka_unit_test(an_id_beyond_the_range_is_no_position),
+	    cmocka_unit_test(the_head_of_another_answer_is_no_event),
 	    cmocka_unit_test(comments_are_told_from_events),
 	};
 
