Answers: what is buffered of a run is dropped before the next run answers

The caller of a plain answer on a streaming route got the first bytes of one run followed by the whole answer of another, with a success: 8 bytes, then the other text. The engine of the first run was leaving and was stopped while its answer was still buffered, and the request went on from a copy.

Cause: the buffer was emptied on the paths of ordinary retries, but not on that of a handover. It is emptied now whenever the request is sent, to an upstream or to another instance.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -190,3 +190,47 @@
 {
 	grep -qE "$2" "$workdir/$1.log"
 }
+
+# both MODE: sets the mode of the two engines that write raw answers.
+both()
+{
+	ctl "worker/raw1/$1"
+	ctl "worker/raw2/$1"
+}
+
+# wait_for_change NAME EVENT ENGINE: until an instance has logged it once more
+# than at the last call.
+declare -A n_changes
+wait_for_change()
+{
+	local key="$1 $2 $3"
+	n_changes[$key]=$((${n_changes[$key]:-0} + 1))
+	wait_for "$key" has_changes "$1" "$2" "$3" "${n_changes[$key]}"
+}
+has_changes()
+{
+	[ "$(grep -c "\"event\":\"$2\",\"upstream\":\"$3\"" \
+	    "$workdir/$1.log")" -ge "$4" ]
+}
+
+# show_stream NAME STATUS: what a caller got, whose client ended with that
+# status.
+show_stream()
+{
+	local file=$workdir/$1 ended=cut
+	[ "$2" = 0 ] && ended=whole
+	echo "$1: $ended, $(grep -c '^data: raw' "$file") events, $(event_ids \
+	    "$file"), $(runs "$1") runs, text of an error: $(grep -cE \
+	    'error|HTTP/1|X-Cause|Seal' "$file")"
+}
+
+# show_body NAME STATUS: the same for a plain answer. The first run's begins
+# with a row of "x", of which a caller that is cut off gets any part.
+show_body()
+{
+	local file=$workdir/$1 ended=cut
+	[ "$2" = 0 ] && ended="whole, $(head -c 307200 "$file" | tr -dc x |
+	    wc -c) bytes of the first run"
+	echo "$1: $ended, $(runs "$1") runs, text of an error:" \
+	    "$(grep -c error "$file")"
+}
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -356,6 +356,7 @@
 	if (request->route->is_generation)
 		peers_schedule_load_update(entry->peers);
 	event_splitter_reset(&request->splitter);
+	g_string_truncate(request->answer_body, 0);
 	request->events_of_attempt = 0;
 	request->answer_began = false;
 	request->is_forwarding = false;
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -283,6 +283,7 @@
 	request->sent_at = g_get_monotonic_time();
 	request->heard_at = request->sent_at;
 	event_splitter_reset(&request->splitter);
+	g_string_truncate(request->answer_body, 0);
 	request->events_of_attempt = 0;
 	request->answer_began = false;
 	request->is_own_answer = false;
--- a/test/functional/entry_broken_streams.sh
+++ b/test/functional/entry_broken_streams.sh
@@ -14,37 +14,12 @@
 settings_entry e1
 start_instance e1
 
-# both MODE: sets the mode of both engines.
-both()
-{
-	ctl "worker/raw1/$1"
-	ctl "worker/raw2/$1"
-}
-
 # renew: both engines are started again, without a record of failures.
 renew()
 {
-	n_restarts=$((n_restarts + 1))
 	both back
-	for engine in raw1 raw2; do
-		wait_for "$engine again" restarted "$engine"
-	done
-}
-n_restarts=0
-restarted()
-{
-	[ "$(grep -c "\"upstream-reborn\".*\"$1\"" "$workdir/e1.log")" = \
-	    "$n_restarts" ]
-}
-
-# show NAME STATUS: what a caller got, whose client ended with that status.
-show()
-{
-	local file=$workdir/$1 ended=cut
-	[ "$2" = 0 ] && ended=whole
-	echo "$1: $ended, $(grep -c '^data: raw' "$file") events, $(event_ids \
-	    "$file"), $(runs "$1") runs, text of an error: $(grep -cE \
-	    'error|HTTP/1|X-Cause|Seal' "$file")"
+	wait_for_change e1 upstream-reborn raw1
+	wait_for_change e1 upstream-reborn raw2
 }
 
 # stream ROUTE MODE
@@ -55,7 +30,17 @@
 	call e1 "/$1/x" "$id" -X POST -d "$id" -H 'Token-Usage: 100,20' \
 	    >"$workdir/$id"
 	result=$?
-	show "$id" "$result"
+	show_stream "$id" "$result"
+	renew
+}
+
+# body ROUTE MODE: a plain answer
+body()
+{
+	local id=$1-$2
+	both "$2"
+	call e1 "/$1/x" "$id" -X POST -d "$id" >"$workdir/$id"
+	show_body "$id" "$?"
 	renew
 }
 
@@ -82,3 +67,8 @@
 
 echo "== fields after the last chunk"
 stream hint trailer-then-rest
+
+echo "== a plain answer"
+body hint large-then-text
+# Nothing of the first run was passed on: the second run is the whole answer.
+body hint small-then-text
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -31,6 +31,8 @@
 #define BROKEN_EVENT_COUNT 3
 /// Size of a plain body that instances don't buffer whole, in bytes.
 #define LARGE_BODY_BYTES (300 * 1024)
+/// Size of one that they do, in bytes.
+#define SMALL_BODY_BYTES 8
 
 /// An engine that writes raw answers.
 struct raw_worker {
@@ -210,19 +212,20 @@
 	g_free(body);
 }
 
-/// Builds an answer that breaks off, each in its way. The kinds "held" and
-/// "held-bare" stay open until the engine is stopped; "trailer" is complete.
+/// Builds an answer that breaks off, each in its way. The kinds that begin with
+/// "held" stay open until the engine is stopped; "trailer" is complete.
 static void
 build_broken_answer(struct raw_conn *conn, const char *kind)
 {
 	static const char stream[] = "text/event-stream";
 
-	if (strcmp(kind, "large") == 0) {
+	conn->holds = g_str_has_prefix(kind, "held");
+	if (g_str_has_suffix(kind, "large")) {
 		append_broken_body(conn, LARGE_BODY_BYTES);
 		return;
 	}
-	if (strcmp(kind, "small") == 0) {
-		append_broken_body(conn, 8);
+	if (g_str_has_suffix(kind, "small")) {
+		append_broken_body(conn, SMALL_BODY_BYTES);
 		return;
 	}
 	if (g_str_has_prefix(kind, "head")) {
@@ -238,7 +241,6 @@
 	append_chunked_head(conn, stream);
 	append_event_chunks(
 	    conn, 1, BROKEN_EVENT_COUNT, strstr(kind, "bare") == NULL);
-	conn->holds = g_str_has_prefix(kind, "held");
 	if (strcmp(kind, "trailer") == 0)
 		g_string_append(conn->answer,
 		    "0\r\nX-Error: error\r\nX-Cause: memory\r\n\r\n");
