Forwarding: an answer of an idempotent route is repeated whole or not at all

The caller of an idempotent route whose upstream answers with events, served through another instance, got events of two runs in one answer that ended as complete: the first run broke off, and the request was sent to a second instance for the rest. Only streams of routes that allow it may go on in another run.

Cause: the instance that forwards looked only at whether the request may be repeated and whether events had come. Sent directly, such an answer was cut.

A request is repeatable now only while the caller has nothing of the answer, or if its route says that its stream may be resumed and the stream can go on. By reading only: the scan for silent upstreams asks the same question, so it no longer gives up a begun answer that can't be repeated.

--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -386,10 +386,15 @@
 bool
 entry_request_is_repeatable(const struct entry_request *request)
 {
-	if (!entry_request_can_go_on(request))
+	switch (request->route->kind) {
+	case ROUTE_IDEMPOTENT:
+		return !request->response_started;
+	case ROUTE_STREAM:
+		return request->route->resumable &&
+		    entry_request_can_go_on(request);
+	default:
 		return false;
-	return request->route->kind == ROUTE_IDEMPOTENT ||
-	    (request->route->kind == ROUTE_STREAM && request->route->resumable);
+	}
 }
 
 /// Starts the handover of the generations that run at a leaving upstream.
