Tests: a caller that takes a stream up gets its rest or a failure

entry_broken_streams asks for the events after the third one, of upstreams that begin at the first or whose events bear no ids.

--- a/test/functional/entry_broken_streams.sh
+++ b/test/functional/entry_broken_streams.sh
@@ -68,6 +68,24 @@
 echo "== fields after the last chunk"
 stream hint trailer-then-rest
 
+# take_up MODE: a caller asks for the events after the third one.
+take_up()
+{
+	local id=taken-$1 result
+	both "$1"
+	call e1 /hint/x "$id" -X POST -d "$id" -H 'Token-Usage: 100,20' \
+	    -H 'Last-Event-Id: 3' >"$workdir/$id"
+	result=$?
+	show_stream "$id" "$result"
+	echo "  status $(tail -1 "$workdir/$id")"
+	renew
+}
+
+echo "== a caller takes a stream up"
+take_up cut-then-rest
+take_up cut-then-anew
+take_up bare-then-bare
+
 echo "== a plain answer"
 body hint large-then-text
 # Nothing of the first run was passed on: the second run is the whole answer.
