--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -104,12 +104,12 @@
 	/// the last event that the caller has bears no id, so no other attempt
 	/// can go on after it
 	bool has_unnumbered_tail;
-	bool is_resuming;      /// sent to resume from a copy; no event yet
-	bool is_forwarding;    /// its exchange is with another instance
-	bool is_own_answer;    /// that instance answers by itself
-	bool is_forwarded;     /// another instance has forwarded it to this one
-	bool is_trial;         /// sent although a quarantine covers it
-	bool has_version;      /// the caller has events of the stream
+	bool is_resuming;   /// sent to resume from a copy; no event yet
+	bool is_forwarding; /// its exchange is with another instance
+	bool is_own_answer; /// that instance answers by itself
+	bool is_forwarded;  /// another instance has forwarded it to this one
+	bool is_trial;      /// sent although a quarantine covers it
+	bool has_version;   /// the caller has events of the stream
 };
 
 /* entry_request_log.c */
