Streams: a comment is no event, also when the connection ends after it

An upstream sent the head of a stream and a comment, as those do that keep a connection alive, and ended the connection: the caller's stream was complete without an event. Comments were counted as events, so the stream didn't count as broken off before its first one.

Comments are forwarded without being counted, and have no part in the time to the first event, the intervals or the position.

entry_broken_streams, before: "draft-comment-then-anew: whole, 0 events" and "hint-comment-then-anew: whole, 0 events, 1 runs"; after: the draft is cut, and the resumable stream is whole with events 1 to 5 of a second run.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -333,13 +333,19 @@
 static void
 note_position(struct entry_request *request, const struct event *event)
 {
-	if (stream_order_is_comment(event))
-		return;
 	request->has_unnumbered_tail = !stream_order_has_position(event);
 	if (!request->has_unnumbered_tail)
 		request->last_event_id = (int64_t)event->id;
 }
 
+/// Forwards comments, which are no event and have no place in the stream.
+static void
+forward_comment(struct entry_request *request, const struct event *event)
+{
+	start_response(request);
+	http_call_write_body(request->call, event->bytes, event->len);
+}
+
 /// Splitter callback: forwards one complete event.
 ///
 /// @return false if the stream can't continue
@@ -363,6 +369,10 @@
 		log_unfit_event(request, event, step);
 		return false;
 	}
+	if (stream_order_is_comment(event)) {
+		forward_comment(request, event);
+		return true;
+	}
 	if (request->events_of_attempt == 0) {
 		segment_guard_note_answered(request);
 		request_guard_note_answered(request);
--- a/test/functional/entry_broken_streams.sh
+++ b/test/functional/entry_broken_streams.sh
@@ -65,6 +65,10 @@
 stream hint head-in-event-then-rest
 stream hint head-in-event-then-error
 
+echo "== the connection ends after a comment, before the first event"
+stream draft comment-then-anew
+stream hint comment-then-anew
+
 echo "== fields after the last chunk"
 stream hint trailer-then-rest
 
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -228,6 +228,11 @@
 		append_broken_body(conn, SMALL_BODY_BYTES);
 		return;
 	}
+	if (strcmp(kind, "comment") == 0) {
+		append_head(conn, "Content-Type: text/event-stream\r\n");
+		g_string_append(conn->answer, ": still there\n\n");
+		return;
+	}
 	if (g_str_has_prefix(kind, "head")) {
 		append_head(conn, "Content-Type: text/event-stream\r\n");
 		append_events(conn, BROKEN_EVENT_COUNT);
