--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "godwitvale/core/hash.h"
+#include "godwitvale/core/stream_order.h"
 #include "godwitvale/entry/departures.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
@@ -28,6 +29,8 @@
 /// events.
 #define ANSWER_LOAD_UPDATE_EVENTS 32
 
+G_STATIC_ASSERT(SITE_NO_EVENT == STREAM_ORDER_NO_EVENT);
+
 /// Writes the answer's head to the caller, unless that was done before.
 static void
 start_response(struct entry_request *request)
@@ -309,6 +312,41 @@
 	request->last_event_at = now;
 }
 
+/// Logs an event that can't follow those that the caller has.
+static void
+log_unfit_event(const struct entry_request *request, const struct event *event,
+    enum stream_order_step step)
+{
+	static const char *const names[] = {
+	    [STREAM_ORDER_MISSING] = "event-missing",
+	    [STREAM_ORDER_NOT_THE_REST] = "answer-not-the-rest",
+	    [STREAM_ORDER_OTHER_ANSWER] = "event-holds-answer",
+	};
+
+	log_event(LOG_LEVEL_WARN, names[step],
+	    "id=%s upstream=%s last=%" G_GINT64_FORMAT
+	    " has_id=%d next=%" G_GUINT64_FORMAT,
+	    request->params.id, request->target.id, request->last_event_id,
+	    event->has_id, event->id);
+}
+
+/// Notes how far the caller has the stream, after an event was forwarded.
+static void
+note_position(struct entry_request *request, const struct event *event)
+{
+	request->has_unnumbered_tail = !stream_order_has_position(event);
+	if (!request->has_unnumbered_tail)
+		request->last_event_id = (int64_t)event->id;
+}
+
+/// Forwards comments, which are no event and have no place in the stream.
+static void
+forward_comment(struct entry_request *request, const struct event *event)
+{
+	start_response(request);
+	http_call_write_body(request->call, event->bytes, event->len);
+}
+
 /// Splitter callback: forwards one complete event.
 ///
 /// @return false if the stream can't continue
@@ -316,20 +354,25 @@
 on_event(void *owner, const struct event *event)
 {
 	struct entry_request *request = owner;
+	const struct stream_order_inputs inputs = {
+	    .event = event,
+	    .last_event = request->last_event_id,
+	    .is_first = request->events_of_attempt == 0,
+	};
+	enum stream_order_step step;
 
 	if (request->is_done)
 		return false;
-	if (event->has_id && request->last_event_id != SITE_NO_EVENT) {
-		if ((int64_t)event->id <= request->last_event_id)
-			return true; /* the caller already has it */
-		if ((int64_t)event->id > request->last_event_id + 1) {
-			log_event(LOG_LEVEL_WARN, "event-missing",
-			    "id=%s upstream=%s last=%" G_GINT64_FORMAT
-			    " next=%" G_GUINT64_FORMAT,
-			    request->params.id, request->target.id,
-			    request->last_event_id, event->id);
-			return false;
-		}
+	step = stream_order_decide(&inputs);
+	if (step == STREAM_ORDER_SKIP)
+		return true;
+	if (step != STREAM_ORDER_FORWARD) {
+		log_unfit_event(request, event, step);
+		return false;
+	}
+	if (stream_order_is_comment(event)) {
+		forward_comment(request, event);
+		return true;
 	}
 	if (request->events_of_attempt == 0) {
 		segment_guard_note_answered(request);
@@ -340,8 +383,7 @@
 	finish_prompt_phase(request);
 	start_response(request);
 	http_call_write_body(request->call, event->bytes, event->len);
-	if (event->has_id)
-		request->last_event_id = (int64_t)event->id;
+	note_position(request, event);
 	request->events_sent++;
 	record_event_interval(request);
 	if (request->events_sent % ANSWER_LOAD_UPDATE_EVENTS == 0)
@@ -488,15 +530,16 @@
 }
 
 /// Checks whether a stream whose message is complete was broken off: it ends
-/// within an event, or it has no event and nothing but the end of the
-/// connection marks its end.
+/// within an event, or this answer has no event and nothing but the end of the
+/// connection marks its end. With a length or a last chunk, the upstream states
+/// that there are no more events.
 static bool
 is_stream_broken_off(const struct entry_request *request)
 {
 	if (!request->is_stream)
 		return false;
 	return event_splitter_is_within_event(&request->splitter) ||
-	    (request->events_sent == 0 &&
+	    (request->events_of_attempt == 0 &&
 		exchange_ends_with_connection(request->exchange));
 }
 
