HTTP server: a finished response isn't cut while its bytes are unsent

Callers that read slowly, or paused, lost the rest of a response that was finished: a kept connection ended at the idle timeout of the configuration in force (so a configuration with a shorter one cut more of them), a closing one after one second, also while bytes of the response were unsent.

While the caller's kernel hasn't acknowledged all bytes, these times no longer run. A caller that takes no byte for 30 seconds is ended. So that such callers don't fill the memory, a pipelined request waits while more than 256 KiB of earlier responses are unsent; reading from an upstream was already paused at that number.

Before: slow_readers_get_all_of_a_finished_response failed with "timeout open=0" (16 MiB response, 1.6 s without reading, idle timeout of 0.1 s), and pipelined_requests_wait_for_unsent_responses failed, as the second request was passed on. After: both pass. callers_that_take_no_byte_are_ended passed before as well, by the idle timeout; it keeps the bound.

--- a/src/godwitvale/entry/admin.c
+++ b/src/godwitvale/entry/admin.c
@@ -282,6 +282,7 @@
 		.max_body = max_body,
 		.head_timeout = ADMIN_TIMEOUT,
 		.idle_timeout = ADMIN_IDLE_TIMEOUT,
+		.stall_timeout = HTTP_STALL_TIMEOUT,
 		.max_callers = ADMIN_CALLERS},
 	};
 
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -124,6 +124,7 @@
 	    .max_body = deployment->limits.max_body_bytes,
 	    .head_timeout = deployment->limits.head_timeout,
 	    .idle_timeout = deployment->limits.idle_timeout,
+	    .stall_timeout = HTTP_STALL_TIMEOUT,
 	    .max_callers = entry->settings->max_callers,
 	};
 
@@ -360,6 +361,7 @@
 		.max_body = ENTRY_BODY_BYTES,
 		.head_timeout = ENTRY_HEAD_TIMEOUT,
 		.idle_timeout = ENTRY_IDLE_TIMEOUT,
+		.stall_timeout = HTTP_STALL_TIMEOUT,
 		.max_callers = entry->settings->max_callers},
 	};
 
--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -6,9 +6,11 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "godwitvale/http/fd_watch.h"
@@ -423,6 +425,38 @@
 	return conn->unsent->len;
 }
 
+/// @return bytes that the kernel has accepted and the peer's has not
+///         acknowledged; 0 where the kernel doesn't tell
+static size_t
+kernel_unacked_bytes(const struct conn *conn)
+{
+	int len = 0;
+
+	if (conn->fd < 0 || conn->connecting ||
+	    ioctl(conn->fd, SIOCOUTQ, &len) != 0 || len < 0)
+		return 0;
+	return (size_t)len;
+}
+
+/// @param conn  a connection
+/// @return bytes that were written and that the peer's kernel has not
+///         acknowledged yet
+size_t
+conn_unacked_bytes(const struct conn *conn)
+{
+	return conn->unsent->len + kernel_unacked_bytes(conn);
+}
+
+/// @param conn  a connection
+/// @return bytes that the peer's kernel has acknowledged
+uint64_t
+conn_acked_bytes(const struct conn *conn)
+{
+	/* The end of the sending side counts as one byte in the kernel. */
+	return conn->sent -
+	    MIN(conn->sent, (uint64_t)kernel_unacked_bytes(conn));
+}
+
 /// @param conn  a connection
 /// @return bytes that may have reached the peer
 uint64_t
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -42,6 +42,8 @@
 void conn_shutdown_write(struct conn *conn);
 void conn_set_paused(struct conn *conn, bool paused);
 size_t conn_unsent_bytes(const struct conn *conn);
+size_t conn_unacked_bytes(const struct conn *conn);
+uint64_t conn_acked_bytes(const struct conn *conn);
 uint64_t conn_sent_bytes(const struct conn *conn);
 bool conn_is_reusable(const struct conn *conn);
 
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -19,6 +19,9 @@
 /// Bytes of pipelined requests after which reading is paused while a request
 /// is in progress.
 #define SERVER_PIPELINE_BYTES 65536
+/// Unsent bytes of finished responses above which the caller's next request is
+/// not processed yet.
+#define SERVER_UNSENT_BYTES_MAX (256 * 1024)
 /// Interval between checks for timeouts, in milliseconds.
 #define SERVER_TIMEOUT_CHECK_MS 250
 /// How long a caller may take to read the last response and close its side of
@@ -100,6 +103,18 @@
 		handler(owner);
 }
 
+/// Starts the time within which a caller must take another byte of the
+/// responses that are finished.
+///
+/// @param caller  caller that may have unsent bytes
+void
+server_await_delivery(struct caller *caller)
+{
+	caller->acked = conn_acked_bytes(caller->conn);
+	caller->stall_deadline =
+	    g_get_monotonic_time() + caller->server->limits.stall_timeout;
+}
+
 /// Starts an orderly close: closes the sending side and leaves the caller time
 /// to read the response and close its own side.
 ///
@@ -109,6 +124,7 @@
 {
 	caller->lingering = true;
 	caller->deadline = g_get_monotonic_time() + SERVER_LINGER;
+	server_await_delivery(caller);
 	if (conn_unsent_bytes(caller->conn) == 0)
 		conn_shutdown_write(caller->conn);
 }
@@ -124,6 +140,8 @@
 
 	if (caller->lingering)
 		conn_shutdown_write(caller->conn);
+	else if (call == NULL)
+		server_read_next(caller);
 	if (call == NULL || call->drain_handler == NULL)
 		return;
 	handler = call->drain_handler;
@@ -235,10 +253,37 @@
 		conn_set_paused(caller->conn, true);
 }
 
+/// Checks whether a caller's next request has to wait: one is in progress, or
+/// too many bytes of earlier responses are unsent.
+static bool
+must_wait(const struct caller *caller)
+{
+	return caller->call != NULL ||
+	    conn_unsent_bytes(caller->conn) > SERVER_UNSENT_BYTES_MAX;
+}
+
+/// Processes the next request of a caller, unless it has to wait.
+///
+/// @param caller  caller without a call; may be freed
+void
+server_read_next(struct caller *caller)
+{
+	GByteArray *pipelined = caller->pipelined;
+
+	if (must_wait(caller))
+		return;
+	conn_set_paused(caller->conn, false);
+	if (pipelined->len == 0)
+		return;
+	caller->pipelined = g_byte_array_new();
+	server_process_input(
+	    caller, (const char *)pipelined->data, pipelined->len);
+	g_byte_array_unref(pipelined);
+}
+
 /// Processes bytes that a caller sent.
 ///
-/// @param caller  a caller; later requests are buffered while one is in
-/// progress
+/// @param caller  a caller; later requests are buffered while they have to wait
 /// @param data    the bytes
 /// @param len     their number
 void
@@ -248,7 +293,7 @@
 	while (len > 0 && caller->conn != NULL && !caller->lingering) {
 		size_t consumed;
 
-		if (caller->call != NULL) {
+		if (must_wait(caller)) {
 			buffer_pipelined(caller, data, len);
 			break;
 		}
@@ -329,6 +374,24 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/// Checks whether a caller has let its deadline pass. While bytes of finished
+/// responses are on their way, that is the deadline for taking another byte.
+static bool
+is_overdue(struct caller *caller, usec_t now)
+{
+	if (caller->call != NULL)
+		return false;
+	if (conn_unacked_bytes(caller->conn) == 0 ||
+	    (caller->reader.progress != HTTP_AT_START && !caller->lingering))
+		return now >= caller->deadline;
+	if (conn_acked_bytes(caller->conn) != caller->acked)
+		server_await_delivery(caller);
+	caller->deadline = now +
+	    (caller->lingering ? SERVER_LINGER
+			       : caller->server->limits.idle_timeout);
+	return now >= caller->stall_deadline;
+}
+
 /// Ends the connection of a caller whose deadline has passed.
 static void
 end_overdue(struct caller *caller)
@@ -348,7 +411,7 @@
 	for (GList *l = callers; l != NULL; l = l->next) {
 		struct caller *caller = l->data;
 
-		if (now < caller->deadline || caller->call != NULL)
+		if (!is_overdue(caller, now))
 			continue;
 		if (caller->reader.progress != HTTP_AT_START &&
 		    !caller->lingering)
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -13,6 +13,9 @@
 #include "godwitvale/core/time_defs.h"
 #include "godwitvale/http/head.h"
 
+/// Default of http_limits.stall_timeout, in microseconds.
+#define HTTP_STALL_TIMEOUT (30 * USEC_PER_SEC)
+
 struct http_server;
 struct http_call;
 
@@ -58,6 +61,8 @@
 	size_t max_body;      /// bytes
 	usec_t head_timeout;  /// from the first byte to the end of a head
 	usec_t idle_timeout;  /// between requests, and between reads of a body
+	usec_t stall_timeout; /// for which a caller may take no byte of a
+			      /// finished response
 	unsigned max_callers; /// simultaneous connections
 };
 
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -80,8 +80,6 @@
 static void
 start_next_request(struct caller *caller, bool close)
 {
-	GByteArray *pipelined = caller->pipelined;
-
 	caller->call = NULL;
 	if (close) {
 		server_start_linger(caller);
@@ -90,13 +88,9 @@
 	http_reader_start_message(&caller->reader);
 	caller->deadline =
 	    g_get_monotonic_time() + caller->server->limits.idle_timeout;
-	conn_set_paused(caller->conn, false);
-	if (caller->processing_input || pipelined->len == 0)
-		return;
-	caller->pipelined = g_byte_array_new();
-	server_process_input(
-	    caller, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_unref(pipelined);
+	server_await_delivery(caller);
+	if (!caller->processing_input)
+		server_read_next(caller);
 }
 
 /// Ends a call whose response was written completely.
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -30,6 +30,8 @@
 	GByteArray *pipelined;
 	struct http_call *call; /// request in progress; NULL between requests
 	usec_t deadline;       /// of the current read; USEC_NEVER during a call
+	usec_t stall_deadline; /// for taking another byte of finished responses
+	uint64_t acked;        /// bytes that it had taken when that was set
 	usec_t received_at;    /// when the request's first byte was read
 	bool lingering;        /// waits for the caller to close
 	bool processing_input; /// process_input() is running
@@ -54,6 +56,8 @@
 /* server.c */
 void server_caller_free(struct caller *caller);
 void server_start_linger(struct caller *caller);
+void server_await_delivery(struct caller *caller);
+void server_read_next(struct caller *caller);
 void server_process_input(struct caller *caller, const char *data, size_t len);
 
 #endif
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -457,6 +457,7 @@
 		.max_body = 4194304,
 		.head_timeout = 60 * USEC_PER_SEC,
 		.idle_timeout = 600 * USEC_PER_SEC,
+		.stall_timeout = HTTP_STALL_TIMEOUT,
 		.max_callers = 1000},
 	};
 
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -620,6 +620,7 @@
 		.max_body = 8388608,
 		.head_timeout = 60 * USEC_PER_SEC,
 		.idle_timeout = 5 * USEC_PER_SEC,
+		.stall_timeout = HTTP_STALL_TIMEOUT,
 		.max_callers = 1000},
 	};
 
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -17,6 +17,9 @@
 
 #include "godwitvale/http/server.h"
 
+/// Length in bytes of a response that doesn't fit into the kernel's buffers.
+#define LARGE_RESPONSE_BYTES (16 * 1024 * 1024)
+
 /// A server whose calls stay open until a test responds to them.
 struct fixture {
 	struct http_server *server;
@@ -91,6 +94,7 @@
 		.max_body = 64,
 		.head_timeout = 200 * USEC_PER_MSEC,
 		.idle_timeout = 400 * USEC_PER_MSEC,
+		.stall_timeout = 3 * USEC_PER_SEC,
 		.max_callers = 8},
 	};
 
@@ -162,7 +166,7 @@
 {
 	GString *text = g_string_new(NULL);
 	usec_t until = g_get_monotonic_time() + duration;
-	char bytes[4096];
+	char bytes[65536];
 
 	while (g_get_monotonic_time() < until) {
 		ssize_t n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
@@ -329,6 +333,111 @@
 	close(fd);
 }
 
+/// Responds to the oldest open call with a body of LARGE_RESPONSE_BYTES.
+static void
+respond_with_large_body(struct fixture *fixture)
+{
+	char *body = g_strnfill(LARGE_RESPONSE_BYTES, 'x');
+
+	respond_to_first_call(fixture, 200, body);
+	g_free(body);
+}
+
+/// Receives a large response, and nothing after it.
+static void
+assert_large_response(struct fixture *fixture, int fd, const char *end)
+{
+	char *received = receive_text(fixture, fd, 20 * USEC_PER_SEC);
+	const char *body = strstr(received, "\r\n\r\n");
+
+	assert_non_null(body);
+	body += strlen("\r\n\r\n");
+	assert_int_equal(strspn(body, "x"), LARGE_RESPONSE_BYTES);
+	assert_string_equal(body + LARGE_RESPONSE_BYTES, end);
+	g_free(received);
+}
+
+/// The times that end an idle and a closing connection don't run while bytes
+/// of a response are unsent, also when a new configuration shortens them.
+static void
+slow_readers_get_all_of_a_finished_response(void **state)
+{
+	static const char *const requests[] = {
+	    "GET / HTTP/1.1\r\n\r\n",
+	    "GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
+	};
+	struct fixture *fixture = *state;
+	const struct http_limits shorter = {.max_head = 512,
+	    .max_body = 64,
+	    .head_timeout = 200 * USEC_PER_MSEC,
+	    .idle_timeout = 100 * USEC_PER_MSEC,
+	    .stall_timeout = 3 * USEC_PER_SEC,
+	    .max_callers = 8};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		int fd = connect_to(fixture);
+
+		send_text(fd, requests[i]);
+		run_loop(fixture, 1, USEC_PER_SEC);
+		respond_with_large_body(fixture);
+		http_server_set_limits(fixture->server, &shorter);
+		run_loop(fixture, 0, 1600 * USEC_PER_MSEC);
+		assert_string_equal(fixture->lost->str, "");
+		assert_large_response(fixture, fd, "|end");
+		close(fd);
+	}
+}
+
+static void
+callers_that_take_no_byte_are_ended(void **state)
+{
+	struct fixture *fixture = *state;
+	const struct http_limits shorter = {.max_head = 512,
+	    .max_body = 64,
+	    .head_timeout = 200 * USEC_PER_MSEC,
+	    .idle_timeout = 100 * USEC_PER_MSEC,
+	    .stall_timeout = 300 * USEC_PER_MSEC,
+	    .max_callers = 8};
+	int fd = connect_to(fixture);
+
+	http_server_set_limits(fixture->server, &shorter);
+	send_text(fd, "GET / HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	respond_with_large_body(fixture);
+	for (int i = 0; i < 1000 && fixture->lost->len == 0; i++)
+		run_loop(fixture, 0, 10 * USEC_PER_MSEC);
+	assert_string_equal(fixture->lost->str, "timeout open=0; ");
+	assert_int_equal(http_server_count_callers(fixture->server), 0);
+	close(fd);
+}
+
+/// Pipelined requests of a caller that reads nothing don't fill the memory.
+static void
+pipelined_requests_wait_for_unsent_responses(void **state)
+{
+	struct fixture *fixture = *state;
+	int fd = connect_to(fixture);
+
+	send_text(fd,
+	    "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n"
+	    "Connection: close\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	respond_with_large_body(fixture);
+	run_loop(fixture, 1, 200 * USEC_PER_MSEC);
+	assert_int_equal(fixture->calls->len, 0);
+	for (int i = 0; i < 1000 && fixture->calls->len == 0; i++) {
+		char bytes[65536];
+
+		while (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+			continue;
+		run_loop(fixture, 1, 2 * USEC_PER_MSEC);
+	}
+	assert_int_equal(fixture->calls->len, 1);
+	respond_to_first_call(fixture, 200, "second");
+	assert_received(fixture, fd, "second\\|end$");
+	close(fd);
+}
+
 static void
 bad_input_is_refused_and_closed(void **state)
 {
@@ -408,6 +517,12 @@
 		reset_during_a_call_is_reported_as_a_loss, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		half_close_is_reported_as_disconnect, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		slow_readers_get_all_of_a_finished_response, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		callers_that_take_no_byte_are_ended, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		pipelined_requests_wait_for_unsent_responses, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		bad_input_is_refused_and_closed, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
