HTTP server: read what has arrived before a timeout ends a connection

After a pause of the process, the timer that ends connections ran before the bytes that had come in meanwhile were read: a request that had arrived in time on an idle connection was lost with it, and one whose head had become complete was refused with 408. The timer's source comes before that of the descriptors in the daemon, as the server is created first.

The timer now reads from a caller whose deadline has passed, and ends its connection only if it is still overdue.

Before: requests_that_wait_unread_are_read_before_the_timeout failed, neither of two requests was passed on. It runs first in its group, so that the order of the sources is that of the daemon; anywhere else it passed before, too. After: it passes.

--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -406,6 +406,17 @@
 		shutdown(conn->fd, SHUT_WR);
 }
 
+/// Reads bytes that have arrived, without waiting for the loop.
+///
+/// @param conn  a connection; its callbacks are called, and may release it
+void
+conn_receive(struct conn *conn)
+{
+	conn->ref_count++;
+	receive_data(conn);
+	conn_unref(conn);
+}
+
 /// Pauses or resumes reading, as backpressure on a peer that sends too fast.
 ///
 /// @param conn    the connection
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -40,6 +40,7 @@
 void conn_abort(struct conn *conn);
 void conn_write(struct conn *conn, const char *data, size_t len);
 void conn_shutdown_write(struct conn *conn);
+void conn_receive(struct conn *conn);
 void conn_set_paused(struct conn *conn, bool paused);
 size_t conn_unsent_bytes(const struct conn *conn);
 size_t conn_unacked_bytes(const struct conn *conn);
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -392,14 +392,32 @@
 	return now >= caller->stall_deadline;
 }
 
-/// Ends the connection of a caller whose deadline has passed.
+/// Ends the connection of a caller whose deadline has passed, or refuses the
+/// request that it has not sent in time.
 static void
 end_overdue(struct caller *caller)
 {
+	if (caller->reader.progress != HTTP_AT_START && !caller->lingering) {
+		refuse_request(caller, 408);
+		return;
+	}
 	report_loss(caller, HTTP_LOSS_TIMEOUT);
 	server_caller_free(caller);
 }
 
+/// Reads what a caller has sent. After a pause of the process, that may have
+/// arrived in time.
+///
+/// @return false if the caller has been freed
+static bool
+read_arrived(struct caller *caller)
+{
+	GHashTable *callers = caller->server->callers;
+
+	conn_receive(caller->conn);
+	return g_hash_table_contains(callers, caller);
+}
+
 /// Timer callback: ends the connections of callers whose deadline has passed.
 static gboolean
 on_timeout_check(gpointer data)
@@ -411,12 +429,10 @@
 	for (GList *l = callers; l != NULL; l = l->next) {
 		struct caller *caller = l->data;
 
-		if (!is_overdue(caller, now))
-			continue;
-		if (caller->reader.progress != HTTP_AT_START &&
-		    !caller->lingering)
-			refuse_request(caller, 408);
-		else
+		/* Handling an earlier caller's request may have freed it. */
+		if (g_hash_table_contains(server->callers, caller) &&
+		    is_overdue(caller, now) && read_arrived(caller) &&
+		    is_overdue(caller, now))
 			end_overdue(caller);
 	}
 	g_list_free(callers);
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -438,6 +438,29 @@
 	close(fd);
 }
 
+/// After a pause of the process, requests that came in meanwhile are read
+/// before connections end.
+static void
+requests_that_wait_unread_are_read_before_the_timeout(void **state)
+{
+	struct fixture *fixture = *state;
+	int idle = connect_to(fixture);
+	int late_head = connect_to(fixture);
+
+	send_text(late_head, "GET /late HTTP/1.1\r\n");
+	run_loop(fixture, 0, 50 * USEC_PER_MSEC);
+	send_text(late_head, "\r\n");
+	send_text(idle, "GET /idle HTTP/1.1\r\n\r\n");
+	g_usleep(1 * USEC_PER_SEC);
+	run_loop(fixture, 2, USEC_PER_SEC);
+	assert_int_equal(fixture->calls->len, 2);
+	assert_string_equal(fixture->refused->str, "");
+	respond_to_first_call(fixture, 200, "x");
+	respond_to_first_call(fixture, 200, "x");
+	close(idle);
+	close(late_head);
+}
+
 static void
 bad_input_is_refused_and_closed(void **state)
 {
@@ -507,6 +530,10 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    /* First: its server's timer comes before the first watch. */
+	    cmocka_unit_test_setup_teardown(
+		requests_that_wait_unread_are_read_before_the_timeout, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		pipelined_requests_are_answered_in_order, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
