Connections: a peer that reads late isn't taken for a dead one

A caller that asked for a 16 MiB answer and read nothing for 5 s was reset after 12 KB. TCP_USER_TIMEOUT of 3 s counts also while the peer's window is closed, on both legs: a sound upstream that is held up while a long body is written to it meets the same limit.

The limit now depends on how many bytes are unacknowledged: 3 s while few are, so that a dead peer is still detected by a small request or, between requests, by keep-alive probes (with a user timeout the kernel gives up a probed connection after that time); 30 s while more are, until none is. For callers any byte is many; for upstreams what exceeds ten segments, an initial window.

The stand-in's leg towards the instance is a caller's leg as well.

Before: both tests of conn_test failed, one for each leg, with a reset within 4 s without reading; entry_slow_callers got 127993 and 6137 bytes of and a reset. After: all pass.

--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -26,12 +26,39 @@
 #define CONN_PROBE_IDLE_S 1
 #define CONN_PROBE_INTERVAL_S 1
 #define CONN_PROBE_COUNT 2
-/// Time after which unacknowledged bytes end a connection, in milliseconds.
-#define CONN_USER_TIMEOUT_MS 3000
+/// Time after which few unacknowledged bytes end a connection, and after which
+/// many do, in milliseconds. The kernel counts it also while the peer's window
+/// is closed, so a peer that is there but reads late is under the second one.
+#define CONN_DETECTION_MS 3000
+#define CONN_PATIENCE_MS 30000
+/// Bytes that fit into the initial window of any upstream: ten segments.
+#define CONN_INITIAL_WINDOW_BYTES 14600
+
+/// Limits on how long bytes may stay unacknowledged.
+struct conn_limits {
+	unsigned detection_ms; /// while few are
+	unsigned patience_ms; /// while more than `few_bytes` are, until none is
+	size_t few_bytes;
+};
+
+/// Callers may read late; how long a response may take is bounded elsewhere.
+static const struct conn_limits caller_limits = {
+    .detection_ms = CONN_DETECTION_MS,
+    .patience_ms = CONN_PATIENCE_MS,
+    .few_bytes = 0,
+};
+
+/// A dead upstream is detected soon, by a small request.
+static const struct conn_limits upstream_limits = {
+    .detection_ms = CONN_DETECTION_MS,
+    .patience_ms = CONN_PATIENCE_MS,
+    .few_bytes = CONN_INITIAL_WINDOW_BYTES,
+};
 
 struct conn {
 	const struct conn_vtable *vtable;
 	void *owner;
+	const struct conn_limits *limits;
 	GByteArray *unsent;
 	fd_watch watch;
 	guint failure_source; /// reports that it could not be opened
@@ -41,6 +68,7 @@
 	uint64_t sent; /// bytes handed to the kernel
 	bool connecting;
 	bool paused;
+	bool is_patient;         /// `patience_ms` holds
 	bool reports_half_close; /// also while reading is paused
 	bool send_failed;        /// the peer has reset the connection
 	bool closed;             /// released by its owner
@@ -86,6 +114,27 @@
 	conn->vtable->ended(conn->owner, end);
 }
 
+/// @return bytes that the kernel has accepted and the peer's has not
+///         acknowledged; 0 where the kernel doesn't tell
+static size_t
+kernel_unacked_bytes(const struct conn *conn)
+{
+	int len = 0;
+
+	if (conn->fd < 0 || conn->connecting ||
+	    ioctl(conn->fd, SIOCOUTQ, &len) != 0 || len < 0)
+		return 0;
+	return (size_t)len;
+}
+
+/// Limits how long sent bytes may stay unacknowledged.
+static void
+set_user_timeout(int fd, unsigned timeout_ms)
+{
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+}
+
 static void on_socket_ready(GIOCondition condition, void *data);
 
 /// Updates the socket events that the loop watches for. A half close by a
@@ -196,6 +245,8 @@
 	had_unsent = conn->unsent->len > 0;
 	if (condition & G_IO_OUT)
 		flush_unsent(conn);
+	if (had_unsent)
+		conn_update_limits(conn);
 	if (had_unsent && conn->unsent->len == 0 && !conn->closed &&
 	    conn->fd >= 0 && conn->vtable->drained != NULL)
 		conn->vtable->drained(conn->owner);
@@ -213,21 +264,19 @@
 /// Sets the options of every socket: no send delay, keep-alive probes and a
 /// limit on how long sent bytes may stay unacknowledged.
 static void
-set_options(int fd)
+set_options(int fd, const struct conn_limits *limits)
 {
 	const int on = 1;
 	const int idle = CONN_PROBE_IDLE_S;
 	const int interval = CONN_PROBE_INTERVAL_S;
 	const int count = CONN_PROBE_COUNT;
-	const int user_timeout = CONN_USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-	    sizeof(user_timeout));
+	set_user_timeout(fd, limits->detection_ms);
 }
 
 /// Creates a connection from an open socket.
@@ -247,7 +296,8 @@
 	conn->ref_count = 1;
 	conn->unsent = g_byte_array_new();
 	conn->reports_half_close = true;
-	set_options(fd);
+	conn->limits = &caller_limits;
+	set_options(fd, conn->limits);
 	update_watch(conn);
 	return conn;
 }
@@ -326,9 +376,10 @@
 	conn->ref_count = 1;
 	conn->unsent = g_byte_array_new();
 	conn->connecting = true;
+	conn->limits = &upstream_limits;
 	if (conn->fd < 0)
 		goto fail;
-	set_options(conn->fd);
+	set_options(conn->fd, conn->limits);
 	if (source != NULL && !bind_source(conn->fd, source))
 		goto fail;
 	if (connect(conn->fd, (struct sockaddr *)&address, len) != 0 &&
@@ -379,6 +430,23 @@
 	conn_close(conn);
 }
 
+/// Adapts the time for which bytes may stay unacknowledged to how many are.
+///
+/// @param conn  a connection
+void
+conn_update_limits(struct conn *conn)
+{
+	size_t unacked = conn_unacked_bytes(conn);
+	bool patient = unacked > conn->limits->few_bytes ||
+	    (unacked > 0 && conn->is_patient);
+
+	if (conn->fd < 0 || patient == conn->is_patient)
+		return;
+	conn->is_patient = patient;
+	set_user_timeout(conn->fd,
+	    patient ? conn->limits->patience_ms : conn->limits->detection_ms);
+}
+
 /// Writes bytes. A failure is reported later, by `ended`.
 ///
 /// @param conn  a connection; the bytes are discarded if it has ended
@@ -389,9 +457,11 @@
 {
 	if (conn->fd < 0)
 		return;
+	conn_update_limits(conn);
 	g_byte_array_append(conn->unsent, (const guint8 *)data, (guint)len);
 	if (!conn->connecting)
 		flush_unsent(conn);
+	conn_update_limits(conn);
 	update_watch(conn);
 }
 
@@ -436,19 +506,6 @@
 	return conn->unsent->len;
 }
 
-/// @return bytes that the kernel has accepted and the peer's has not
-///         acknowledged; 0 where the kernel doesn't tell
-static size_t
-kernel_unacked_bytes(const struct conn *conn)
-{
-	int len = 0;
-
-	if (conn->fd < 0 || conn->connecting ||
-	    ioctl(conn->fd, SIOCOUTQ, &len) != 0 || len < 0)
-		return 0;
-	return (size_t)len;
-}
-
 /// @param conn  a connection
 /// @return bytes that were written and that the peer's kernel has not
 ///         acknowledged yet
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -39,6 +39,7 @@
 void conn_close(struct conn *conn);
 void conn_abort(struct conn *conn);
 void conn_write(struct conn *conn, const char *data, size_t len);
+void conn_update_limits(struct conn *conn);
 void conn_shutdown_write(struct conn *conn);
 void conn_receive(struct conn *conn);
 void conn_set_paused(struct conn *conn, bool paused);
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -430,8 +430,10 @@
 		struct caller *caller = l->data;
 
 		/* Handling an earlier caller's request may have freed it. */
-		if (g_hash_table_contains(server->callers, caller) &&
-		    is_overdue(caller, now) && read_arrived(caller) &&
+		if (!g_hash_table_contains(server->callers, caller))
+			continue;
+		conn_update_limits(caller->conn);
+		if (is_overdue(caller, now) && read_arrived(caller) &&
 		    is_overdue(caller, now))
 			end_overdue(caller);
 	}
