Entry: SIGTERM waits for the delivery of finished answers

At SIGTERM the process ended as soon as no request was open, 3 s later at the earliest, although callers that read late had bytes of finished answers coming: these lost the rest.

It now waits, within the leave deadline, also until the kernels of all callers have acknowledged all bytes of responses. The log line "stopping" tells how many connections were left.

Before: in entry_slow_callers a caller that sends pipelined requests for pages of 250000 bytes and reads after 6 s got 2810967 bytes of 13 answers (3250000), and an orderly end; "response-lost" had cause server-freed and unsent=439119. After: it gets whole answers, as many as the log says were given.

--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -263,19 +263,31 @@
 	store_restart_calls(entry->store);
 }
 
-/// Ends the process after SIGTERM, once no request is open or the deadline has
-/// passed.
+/// Checks whether callers wait for nothing from this instance.
+static bool
+is_idle(const struct entry *entry)
+{
+	return http_server_count_open_calls(entry->caller_server) == 0 &&
+	    http_server_count_undelivered(entry->caller_server) == 0;
+}
+
+/// Ends the process after SIGTERM, once no request is open and all responses
+/// are delivered, or the deadline has passed.
 static void
 check_leaving(struct entry *entry, usec_t now)
 {
-	bool idle = http_server_count_open_calls(entry->caller_server) == 0 &&
-	    now >= entry->leaving_since + ENTRY_LEAVE_MIN_DURATION;
+	bool done;
 
-	if (!entry->leaving || (!idle && now < entry->leave_deadline))
+	if (!entry->leaving)
+		return;
+	done = now >= entry->leaving_since + ENTRY_LEAVE_MIN_DURATION &&
+	    is_idle(entry);
+	if (!done && now < entry->leave_deadline)
 		return;
 	log_event(LOG_LEVEL_INFO, "stopping",
-	    "open=%u since_ms=%" G_GINT64_FORMAT,
+	    "open=%u undelivered=%u since_ms=%" G_GINT64_FORMAT,
 	    http_server_count_open_calls(entry->caller_server),
+	    http_server_count_undelivered(entry->caller_server),
 	    (now - entry->leaving_since) / USEC_PER_MSEC);
 	g_main_loop_quit(entry->loop);
 }
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -561,3 +561,23 @@
 {
 	return server->open_calls;
 }
+
+/// @param server  a running server
+/// @return the number of connections whose caller's kernel has not acknowledged
+///         all bytes of responses
+unsigned
+http_server_count_undelivered(const struct http_server *server)
+{
+	GHashTableIter iter;
+	void *key;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, server->callers);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct caller *caller = key;
+
+		if (conn_unacked_bytes(caller->conn) > 0)
+			n++;
+	}
+	return n;
+}
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -85,6 +85,7 @@
 void http_server_disable_keep_alive(struct http_server *server);
 unsigned http_server_count_callers(const struct http_server *server);
 unsigned http_server_count_open_calls(const struct http_server *server);
+unsigned http_server_count_undelivered(const struct http_server *server);
 
 const struct http_head *http_call_head(const struct http_call *call);
 const char *http_call_body(const struct http_call *call, size_t *len);
--- a/test/caller/raw_caller.c
+++ b/test/caller/raw_caller.c
@@ -2,8 +2,9 @@
  * A caller that curl can't play: it may close its sending side after the
  * request, read late, and keep its receive window small.
  * Usage: raw_caller IP:PORT [--half-close] [--read-after MS]
- *     [--receive-buffer BYTES] <REQUEST
- * Prints what came until the response was complete or the connection ended:
+ *     [--receive-buffer BYTES] [--to-end] <REQUEST
+ * Prints what came until the response was complete or, with --to-end, until
+ * the connection ended:
  * status and number of body bytes, and how it ended.
  */
 #include <errno.h>
@@ -28,6 +29,7 @@
 struct options {
 	const char *address;
 	bool half_close;
+	bool to_end;
 	int read_after_ms;
 	int receive_buffer; /// bytes; 0: the kernel's choice
 };
@@ -41,6 +43,8 @@
 	for (int i = 2; i < argc; i++) {
 		if (strcmp(argv[i], "--half-close") == 0)
 			options->half_close = true;
+		else if (strcmp(argv[i], "--to-end") == 0)
+			options->to_end = true;
 		else if (strcmp(argv[i], "--read-after") == 0 && i + 1 < argc)
 			options->read_after_ms = atoi(argv[++i]);
 		else if (strcmp(argv[i], "--receive-buffer") == 0 &&
@@ -134,7 +138,7 @@
 ///
 /// @return how it ended
 static const char *
-receive_response(int fd, GString *received)
+receive_response(int fd, bool to_end, GString *received)
 {
 	char bytes[READ_BYTES];
 
@@ -147,7 +151,7 @@
 			return errno == EAGAIN ? "silence" : "reset";
 		g_string_append_len(received, bytes, n);
 		skip_interim(received);
-		if (is_complete(received))
+		if (!to_end && is_complete(received))
 			return "complete";
 	}
 }
@@ -173,7 +177,8 @@
 
 	if (!parse_options(argc, argv, &options)) {
 		fputs("usage: raw_caller IP:PORT [--half-close] "
-		      "[--read-after MS] [--receive-buffer BYTES]\n",
+		      "[--read-after MS] [--receive-buffer BYTES] "
+		      "[--to-end]\n",
 		    stderr);
 		return 64;
 	}
@@ -183,7 +188,7 @@
 	if (options.half_close)
 		shutdown(fd, SHUT_WR);
 	g_usleep((gulong)options.read_after_ms * 1000);
-	end = receive_response(fd, received);
+	end = receive_response(fd, options.to_end, received);
 	printf("status %.3s, %zu bytes x, %s\n",
 	    received->len > 12 ? received->str + 9 : "000",
 	    count_body(received), end);
--- a/test/functional/entry_slow_callers.sh
+++ b/test/functional/entry_slow_callers.sh
@@ -9,18 +9,40 @@
 route page /page/ idempotent shop ',"timeout_ms":25000,"max_attempts":1'
 configure
 settings_entry e1
+sed -i 's/"grace_ms": [0-9]*/"grace_ms": 12000/' "$workdir/e1.json"
 start_instance e1
 wait_for "upstreams" logged e1 'upstream-added.*shop1'
 
+# request ID
+request()
+{
+	printf '%s\r\n' 'GET /page/x HTTP/1.1' 'Host: a.example' \
+	    'Authorization: Token k1' "Attempt-Id: $1" 'Deadline-Ms: 24000' ''
+}
+
 # raw NAME ID [OPTION...]: a request of a caller that curl can't play.
 raw()
 {
-	printf '%s\r\n' 'GET /page/x HTTP/1.1' 'Host: a.example' \
-	    'Authorization: Token k1' "Attempt-Id: $2" 'Deadline-Ms: 24000' '' |
-	    "$BINDIR/raw_caller" "${entry_caller[$1]}" "${@:3}"
+	request "$2" | "$BINDIR/raw_caller" "${entry_caller[$1]}" "${@:3}"
 }
 
 echo "== a large answer that is read late"
 ctl worker/shop1/big
 raw e1 big-1 --read-after 5000
 raw e1 big-2 --receive-buffer 4096 --read-after 5000
+
+echo "== finished answers that are read late, beside SIGTERM"
+ctl worker/shop1/page
+for ((i = 0; i < 20; i++)); do
+	request "late-$i"
+done | "$BINDIR/raw_caller" "${entry_caller[e1]}" --receive-buffer 4096 \
+    --read-after 6000 --to-end >"$workdir/late" &
+late=$!
+pids+=("$late")
+wait_for "an answer" logged e1 '"id":"late-0".*"outcome":"answered"'
+sleep 1
+kill -TERM "${entry_pid[e1]}"
+wait "$late"
+answered=$(grep -c '"id":"late-[0-9]*".*"outcome":"answered"' "$workdir/e1.log")
+[ "$(cat "$workdir/late")" = \
+    "status 200, $((answered * 250000)) bytes x, end" ] && echo "whole answers"
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -13,6 +13,8 @@
 #define EVENT_INTERVAL_MS 20
 /// Size of the response body in mode "big", in bytes.
 #define LARGE_BODY_BYTES (16 * 1024 * 1024)
+/// The same in mode "page": an answer that is buffered as a whole.
+#define PAGE_BODY_BYTES 250000
 /// Time that a plain service takes for a request, in milliseconds.
 #define PLAIN_DURATION_MS 5
 /// The same while workers are brittle.
@@ -164,6 +166,9 @@
 	if (strcmp(run->worker->mode, "big") == 0) {
 		g_free(body);
 		body = g_strnfill(LARGE_BODY_BYTES, 'x');
+	} else if (strcmp(run->worker->mode, "page") == 0) {
+		g_free(body);
+		body = g_strnfill(PAGE_BODY_BYTES, 'x');
 	}
 	if (strcmp(run->worker->mode, "cut") == 0) {
 		http_call_start_response(run->call, &head);
@@ -693,7 +698,8 @@
 ///     "cutstart" (closes a stream's connection before its first event),
 ///     "reset" (closes the connection), "wrongresume" (status 500 for resumed
 ///     streams); for plain services also "cut" (closes the connection within
-///     the body), "errors" (status 500), "big" (large body)
+///     the body), "errors" (status 500), "big" (large body), "page" (body that
+///     fits into a buffer)
 /// @return false when there is no such mode
 bool
 worker_set_mode(struct worker *worker, const char *mode)
@@ -728,7 +734,7 @@
 		if (worker->server == NULL && worker_start(worker))
 			publish_entry(worker);
 	} else if (strstr(" well shed mute mutecopy reset cut cutstart errors "
-			  "big wrongresume ",
+			  "big page wrongresume ",
 		       mode) != NULL) {
 		g_strlcpy(worker->mode, mode, sizeof(worker->mode));
 	} else {
