HTTP server: a caller that closes its sending side gets its answer

A caller that sends a whole request and closes its sending side got 0 bytes and the end: the FIN was taken for the end of the caller. A FIN alone doesn't tell a caller that waits from one that has left, whose work must end soon.

The test half_close_is_reported_as_disconnect stated the old choice. Seven tests replace it: a full close is reported within half a second both while waiting and while streaming (with the next event), later also after a half close; half-closed callers get a whole response (HTTP/1.1 and 1.0), the rest of a stream, all responses to pipelined requests, and what was unsent.

Before: five of the seven failed (close_while_waiting_is_reported and close_while_streaming_is_reported passed, as they must on both), and entry_slow_callers got "status 000, 0 bytes x, end" from three half-closed callers. After: all pass.

--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -70,6 +70,8 @@
 	bool paused;
 	bool is_patient;         /// `patience_ms` holds
 	bool reports_half_close; /// also while reading is paused
+	bool is_half_closed;     /// by the peer, which `half_closed` has told
+	bool input_ended;        /// all that the peer sent has been read
 	bool send_failed;        /// the peer has reset the connection
 	bool closed;             /// released by its owner
 	bool ended;              /// `ended` has been called
@@ -137,6 +139,21 @@
 
 static void on_socket_ready(GIOCondition condition, void *data);
 
+/// Reports that the peer has closed its sending side: once to an owner that
+/// goes on, as the end to any other.
+static void
+report_half_close(struct conn *conn)
+{
+	if (conn->vtable->half_closed == NULL || conn->send_failed) {
+		report_end(conn, CONN_END_ORDERLY);
+		return;
+	}
+	if (conn->is_half_closed || conn->closed)
+		return;
+	conn->is_half_closed = true;
+	conn->vtable->half_closed(conn->owner);
+}
+
 /// Updates the socket events that the loop watches for. A half close by a
 /// caller is still reported while reading is paused.
 static void
@@ -146,9 +163,9 @@
 
 	if (conn->fd < 0)
 		return;
-	if (!conn->paused)
+	if (!conn->paused && !conn->input_ended)
 		wanted |= G_IO_IN;
-	else if (conn->reports_half_close)
+	else if (conn->reports_half_close && !conn->is_half_closed)
 		wanted |= (GIOCondition)POLLRDHUP;
 	if (conn->connecting || conn->unsent->len > 0)
 		wanted |= G_IO_OUT;
@@ -196,7 +213,8 @@
 	for (int i = 0; i < CONN_READS_PER_WAKEUP; i++) {
 		ssize_t n;
 
-		if (conn->fd < 0 || conn->paused || conn->closed)
+		if (conn->fd < 0 || conn->paused || conn->closed ||
+		    conn->input_ended)
 			return;
 		n = recv(conn->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 		if (n > 0) {
@@ -209,7 +227,11 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			return;
-		report_end(conn, n == 0 ? CONN_END_ORDERLY : CONN_END_RESET);
+		conn->input_ended = n == 0;
+		if (n == 0)
+			report_half_close(conn);
+		else
+			report_end(conn, CONN_END_RESET);
 		return;
 	}
 }
@@ -250,10 +272,13 @@
 	if (had_unsent && conn->unsent->len == 0 && !conn->closed &&
 	    conn->fd >= 0 && conn->vtable->drained != NULL)
 		conn->vtable->drained(conn->owner);
-	if (conn->paused && !conn->closed &&
-	    (condition & ((GIOCondition)POLLRDHUP | G_IO_ERR | G_IO_HUP)))
+	if ((conn->paused || conn->input_ended) && !conn->closed &&
+	    (condition & (G_IO_ERR | G_IO_HUP)))
 		report_end(conn,
 		    condition & G_IO_ERR ? CONN_END_RESET : CONN_END_ORDERLY);
+	else if (conn->paused && !conn->closed &&
+	    (condition & (GIOCondition)POLLRDHUP))
+		report_half_close(conn);
 	else if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
 		receive_data(conn);
 	if (!conn->closed)
--- a/src/godwitvale/http/conn.h
+++ b/src/godwitvale/http/conn.h
@@ -27,12 +27,15 @@
 	void (*received)(void *owner, const char *data, size_t len);
 	void (*ended)(void *owner, enum conn_end end);
 	void (*drained)(void *owner); /// the kernel has taken all written bytes
+	/// The peer has closed its sending side; bytes that it sent before may
+	/// be unread while reading is paused. NULL: the connection ends then.
+	void (*half_closed)(void *owner);
 };
 
 struct conn *conn_open(const char *source, const char *ip, uint16_t port,
     const struct conn_vtable *vtable, void *owner);
-/// The peer of an adopted connection is a caller. When it closes its sending
-/// side, the connection ends, also while reading is paused.
+/// The peer of an adopted connection is a caller. That it closes its sending
+/// side is reported also while reading is paused.
 struct conn *conn_adopt(int fd, const struct conn_vtable *vtable, void *owner);
 void conn_set_owner(
     struct conn *conn, const struct conn_vtable *vtable, void *owner);
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -22,12 +22,19 @@
 /// Unsent bytes of finished responses above which the caller's next request is
 /// not processed yet.
 #define SERVER_UNSENT_BYTES_MAX (256 * 1024)
+/// Number of interim responses that probe whether a half-closed caller is still
+/// there, and the pause after the first one, which doubles, in microseconds.
+/// Some clients accept no more than five interim responses.
+#define SERVER_PROBES_MAX 4
+#define SERVER_PROBE_PAUSE (500 * USEC_PER_MSEC)
 /// Interval between checks for timeouts, in milliseconds.
 #define SERVER_TIMEOUT_CHECK_MS 250
 /// How long a caller may take to read the last response and close its side of
 /// the connection, in microseconds.
 #define SERVER_LINGER (1 * USEC_PER_SEC)
 
+static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
 /// @param cause  why a response was lost
 /// @return the cause as one word, for log lines
 const char *
@@ -149,6 +156,61 @@
 	handler(call->drain_owner);
 }
 
+/// Ends the connection of a caller that sends nothing more and waits for no
+/// response; unsent bytes are sent first.
+static void
+end_if_input_ended(struct caller *caller)
+{
+	if (!caller->input_ended || caller->call != NULL ||
+	    caller->pipelined->len > 0)
+		return;
+	if (conn_unsent_bytes(caller->conn) == 0)
+		caller_disconnect(caller);
+	else if (!caller->lingering)
+		server_start_linger(caller);
+}
+
+/// Sends an interim response to a caller that has closed its sending side, if
+/// it waits for a response: the kernel of a caller that has left replies with
+/// a reset. HTTP/1.0 has no interim responses.
+static void
+probe_caller(struct caller *caller)
+{
+	usec_t pause = SERVER_PROBE_PAUSE << caller->n_probes;
+
+	if (caller->call->head.http10)
+		return;
+	caller->n_probes++;
+	caller->probe_due = caller->n_probes < SERVER_PROBES_MAX
+	    ? g_get_monotonic_time() + pause
+	    : USEC_NEVER;
+	conn_write(caller->conn, continue_response, strlen(continue_response));
+}
+
+/// Starts to probe whether a caller that has closed its sending side is still
+/// there. Once its response has begun, the bytes of that are the probe.
+static void
+start_probing(struct caller *caller)
+{
+	caller->n_probes = 0;
+	if (!caller->call->has_head)
+		probe_caller(caller);
+}
+
+/// Connection callback: the caller has closed its sending side. It may have
+/// left, or wait for its response.
+static void
+on_half_closed(void *owner)
+{
+	struct caller *caller = owner;
+
+	caller->input_ended = true;
+	if (caller->call != NULL)
+		start_probing(caller);
+	else
+		end_if_input_ended(caller);
+}
+
 /// Connection callback: the connection has ended.
 static void
 on_ended(void *owner, enum conn_end end)
@@ -198,7 +260,6 @@
 static void
 on_head(void *owner, struct http_reader *reader)
 {
-	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct caller *caller = owner;
 
 	if (!reader->head.http10 &&
@@ -240,6 +301,8 @@
 	caller->call = call;
 	caller->deadline = USEC_NEVER;
 	server->open_calls++;
+	if (caller->input_ended)
+		start_probing(caller);
 	server->options.vtable->request(server->options.owner, call);
 }
 
@@ -273,8 +336,10 @@
 	if (must_wait(caller))
 		return;
 	conn_set_paused(caller->conn, false);
-	if (pipelined->len == 0)
+	if (pipelined->len == 0) {
+		end_if_input_ended(caller);
 		return;
+	}
 	caller->pipelined = g_byte_array_new();
 	server_process_input(
 	    caller, (const char *)pipelined->data, pipelined->len);
@@ -318,6 +383,8 @@
 	caller->processing_input = false;
 	if (caller->conn == NULL)
 		server_caller_free(caller);
+	else
+		end_if_input_ended(caller);
 }
 
 /// Connection callback: bytes were received.
@@ -331,6 +398,7 @@
     .received = on_received,
     .ended = on_ended,
     .drained = on_drained,
+    .half_closed = on_half_closed,
 };
 
 /// Creates the caller of an accepted connection.
@@ -349,6 +417,7 @@
 	caller->number = ++server->n_accepted;
 	caller->body = g_byte_array_new();
 	caller->pipelined = g_byte_array_new();
+	caller->probe_due = USEC_NEVER;
 	caller->deadline = g_get_monotonic_time() + server->limits.idle_timeout;
 	http_reader_init(&caller->reader, &options);
 	caller->conn = conn_adopt(fd, &conn_vtable, caller);
@@ -433,6 +502,8 @@
 		if (!g_hash_table_contains(server->callers, caller))
 			continue;
 		conn_update_limits(caller->conn);
+		if (now >= caller->probe_due)
+			probe_caller(caller);
 		if (is_overdue(caller, now) && read_arrived(caller) &&
 		    is_overdue(caller, now))
 			end_overdue(caller);
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -81,6 +81,7 @@
 start_next_request(struct caller *caller, bool close)
 {
 	caller->call = NULL;
+	caller->probe_due = USEC_NEVER;
 	if (close) {
 		server_start_linger(caller);
 		return;
@@ -105,6 +106,15 @@
 		start_next_request(caller, close);
 }
 
+/// Checks whether a caller has closed its sending side after the request in
+/// progress.
+static bool
+is_last_request(const struct caller *caller)
+{
+	return caller->input_ended && caller->pipelined->len == 0 &&
+	    !caller->processing_input;
+}
+
 /// Writes the head of a response and adds its framing fields.
 ///
 /// @param framing  name of the field that frames the body; NULL: none
@@ -121,8 +131,10 @@
 	http_head_copy_end_to_end(&framed, head);
 	if (framing != NULL)
 		http_head_add(&framed, framing, value);
-	if (call->server->keep_alive_disabled)
+	if (call->server->keep_alive_disabled || is_last_request(call->caller))
 		call->close = true;
+	call->has_head = true;
+	call->caller->probe_due = USEC_NEVER;
 	if (call->close)
 		http_head_add(&framed, "Connection", "close");
 	http_head_write(&framed, bytes);
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -33,7 +33,10 @@
 	usec_t stall_deadline; /// for taking another byte of finished responses
 	uint64_t acked;        /// bytes that it had taken when that was set
 	usec_t received_at;    /// when the request's first byte was read
+	usec_t probe_due;      /// next probe; USEC_NEVER: none is due
+	unsigned n_probes;     /// sent during the present call
 	bool lingering;        /// waits for the caller to close
+	bool input_ended;      /// the caller has closed its sending side
 	bool processing_input; /// process_input() is running
 };
 
@@ -48,6 +51,7 @@
 	void *disconnect_owner;
 	http_drain_handler drain_handler; /// NULL: none
 	void *drain_owner;
+	bool has_head; /// the response has begun
 	bool chunked;
 	bool close; /// the connection closes after the response
 	bool is_head_request;
--- a/test/functional/entry_slow_callers.sh
+++ b/test/functional/entry_slow_callers.sh
@@ -31,6 +31,13 @@
 raw e1 big-1 --read-after 5000
 raw e1 big-2 --receive-buffer 4096 --read-after 5000
 
+echo "== callers that close their sending side after the request"
+raw e1 half-big --half-close
+ctl worker/shop1/page
+raw e1 half-page --half-close --to-end
+request half-old | sed 's|HTTP/1.1|HTTP/1.0|' |
+    "$BINDIR/raw_caller" "${entry_caller[e1]}" --half-close --to-end
+
 echo "== finished answers that are read late, beside SIGTERM"
 ctl worker/shop1/page
 for ((i = 0; i < 20; i++)); do
