Connections: the patience for late readers costs few system calls, and doesn't slow connecting

And a connection on which more than an initial window waits to be sent had the longer time also while it was being opened, so that an upstream that doesn't reply was detected after 30 s.

The longer time is now set by the number of bytes that wait to be sent, on an open connection only; the kernel is asked by the server's timer, and when a connection changes its owner.

Before: large_requests_do_not_delay_a_failed_connect failed, with no end within 20 s.

--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -37,7 +37,7 @@
 /// Limits on how long bytes may stay unacknowledged.
 struct conn_limits {
 	unsigned detection_ms; /// while few are
-	unsigned patience_ms; /// while more than `few_bytes` are, until none is
+	unsigned patience_ms;  /// from when more are to be sent, until none is
 	size_t few_bytes;
 };
 
@@ -236,6 +236,26 @@
 	}
 }
 
+/// Sets whether the longer time for unacknowledged bytes holds.
+static void
+set_patient(struct conn *conn, bool patient)
+{
+	if (conn->fd < 0 || patient == conn->is_patient)
+		return;
+	conn->is_patient = patient;
+	set_user_timeout(conn->fd,
+	    patient ? conn->limits->patience_ms : conn->limits->detection_ms);
+}
+
+/// Notes that bytes are about to be sent. The longer time for unacknowledged
+/// bytes doesn't hold while the connection is being opened.
+static void
+note_sending(struct conn *conn)
+{
+	if (!conn->connecting && conn->unsent->len > conn->limits->few_bytes)
+		set_patient(conn, true);
+}
+
 /// Handles the result of a non-blocking connect().
 static void
 finish_connecting(struct conn *conn)
@@ -250,6 +270,7 @@
 		report_end(conn, CONN_END_REFUSED);
 		return;
 	}
+	note_sending(conn);
 	if (conn->vtable->opened != NULL)
 		conn->vtable->opened(conn->owner);
 }
@@ -267,8 +288,6 @@
 	had_unsent = conn->unsent->len > 0;
 	if (condition & G_IO_OUT)
 		flush_unsent(conn);
-	if (had_unsent)
-		conn_update_limits(conn);
 	if (had_unsent && conn->unsent->len == 0 && !conn->closed &&
 	    conn->fd >= 0 && conn->vtable->drained != NULL)
 		conn->vtable->drained(conn->owner);
@@ -417,6 +436,16 @@
 	return conn;
 }
 
+/// Restores the shorter time for unacknowledged bytes once there are none.
+///
+/// @param conn  a connection
+void
+conn_update_limits(struct conn *conn)
+{
+	if (conn->is_patient && conn_unacked_bytes(conn) == 0)
+		set_patient(conn, false);
+}
+
 /// Transfers a connection to another owner.
 ///
 /// @param conn    a connection that has not ended
@@ -427,6 +456,7 @@
 {
 	conn->vtable = vtable;
 	conn->owner = owner;
+	conn_update_limits(conn);
 }
 
 /// Closes and releases a connection. Buffered bytes are discarded.
@@ -455,23 +485,6 @@
 	conn_close(conn);
 }
 
-/// Adapts the time for which bytes may stay unacknowledged to how many are.
-///
-/// @param conn  a connection
-void
-conn_update_limits(struct conn *conn)
-{
-	size_t unacked = conn_unacked_bytes(conn);
-	bool patient = unacked > conn->limits->few_bytes ||
-	    (unacked > 0 && conn->is_patient);
-
-	if (conn->fd < 0 || patient == conn->is_patient)
-		return;
-	conn->is_patient = patient;
-	set_user_timeout(conn->fd,
-	    patient ? conn->limits->patience_ms : conn->limits->detection_ms);
-}
-
 /// Writes bytes. A failure is reported later, by `ended`.
 ///
 /// @param conn  a connection; the bytes are discarded if it has ended
@@ -482,11 +495,10 @@
 {
 	if (conn->fd < 0)
 		return;
-	conn_update_limits(conn);
 	g_byte_array_append(conn->unsent, (const guint8 *)data, (guint)len);
+	note_sending(conn);
 	if (!conn->connecting)
 		flush_unsent(conn);
-	conn_update_limits(conn);
 	update_watch(conn);
 }
 
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -117,6 +117,7 @@
 void
 server_await_delivery(struct caller *caller)
 {
+	caller->is_delivering = true;
 	caller->acked = conn_acked_bytes(caller->conn);
 	caller->stall_deadline =
 	    g_get_monotonic_time() + caller->server->limits.stall_timeout;
@@ -450,7 +451,9 @@
 {
 	if (caller->call != NULL)
 		return false;
-	if (conn_unacked_bytes(caller->conn) == 0 ||
+	if (caller->is_delivering)
+		caller->is_delivering = conn_unacked_bytes(caller->conn) > 0;
+	if (!caller->is_delivering ||
 	    (caller->reader.progress != HTTP_AT_START && !caller->lingering))
 		return now >= caller->deadline;
 	if (conn_acked_bytes(caller->conn) != caller->acked)
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -35,6 +35,7 @@
 	usec_t received_at;    /// when the request's first byte was read
 	usec_t probe_due;      /// next probe; USEC_NEVER: none is due
 	unsigned n_probes;     /// sent during the present call
+	bool is_delivering;    /// it may not have all of finished responses
 	bool lingering;        /// waits for the caller to close
 	bool input_ended;      /// the caller has closed its sending side
 	bool processing_input; /// process_input() is running
--- a/test/unit/conn_test.c
+++ b/test/unit/conn_test.c
@@ -17,6 +17,8 @@
 
 /// Bytes that don't fit into the kernel's buffers.
 #define LARGE_BYTES (16 * 1024 * 1024)
+/// Connections that fill the backlog of a listener in these tests.
+#define FULL_BACKLOG 4
 /// Time for which a peer reads nothing, longer than the detection of a dead
 /// one.
 #define STALL_US (4 * G_USEC_PER_SEC)
@@ -162,12 +164,44 @@
 	close(listener);
 }
 
+/// An upstream that doesn't reply to connection attempts is detected soon, also
+/// when a large request waits to be sent.
+static void
+large_requests_do_not_delay_a_failed_connect(void **state)
+{
+	struct events events = {0};
+	uint16_t port;
+	int listener = listen_on_loopback(&port);
+	struct events others[FULL_BACKLOG] = {{0}};
+	struct conn *full[FULL_BACKLOG];
+	struct conn *conn;
+	char *bytes = g_malloc0(LARGE_BYTES);
+	gint64 until = g_get_monotonic_time() + WAIT_US;
+
+	(void)state;
+	for (int i = 0; i < FULL_BACKLOG; i++)
+		full[i] =
+		    conn_open(NULL, "127.0.0.1", port, &vtable, &others[i]);
+	run_loop(100 * 1000);
+	conn = conn_open(NULL, "127.0.0.1", port, &vtable, &events);
+	conn_write(conn, bytes, LARGE_BYTES);
+	while (events.end == 0 && g_get_monotonic_time() < until)
+		run_loop(20 * 1000);
+	assert_int_equal(events.end, CONN_END_REFUSED);
+	conn_close(conn);
+	for (int i = 0; i < FULL_BACKLOG; i++)
+		conn_close(full[i]);
+	close(listener);
+	g_free(bytes);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(upstreams_that_read_late_get_all_of_a_request),
 	    cmocka_unit_test(callers_that_read_late_get_all_of_a_response),
+	    cmocka_unit_test(large_requests_do_not_delay_a_failed_connect),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
