--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -124,6 +124,7 @@
 	    .max_body = deployment->limits.max_body_bytes,
 	    .head_timeout = deployment->limits.head_timeout,
 	    .idle_timeout = deployment->limits.idle_timeout,
+	    .stall_timeout = HTTP_STALL_TIMEOUT,
 	    .max_callers = entry->settings->max_callers,
 	};
 
@@ -262,19 +263,31 @@
 	store_restart_calls(entry->store);
 }
 
-/// Ends the process after SIGTERM, once no request is open or the deadline has
-/// passed.
+/// Checks whether callers wait for nothing from this instance.
+static bool
+is_idle(const struct entry *entry)
+{
+	return http_server_count_open_calls(entry->caller_server) == 0 &&
+	    http_server_count_undelivered(entry->caller_server) == 0;
+}
+
+/// Ends the process after SIGTERM, once no request is open and all responses
+/// are delivered, or the deadline has passed.
 static void
 check_leaving(struct entry *entry, usec_t now)
 {
-	bool idle = http_server_count_open_calls(entry->caller_server) == 0 &&
-	    now >= entry->leaving_since + ENTRY_LEAVE_MIN_DURATION;
+	bool done;
 
-	if (!entry->leaving || (!idle && now < entry->leave_deadline))
+	if (!entry->leaving)
+		return;
+	done = now >= entry->leaving_since + ENTRY_LEAVE_MIN_DURATION &&
+	    is_idle(entry);
+	if (!done && now < entry->leave_deadline)
 		return;
 	log_event(LOG_LEVEL_INFO, "stopping",
-	    "open=%u since_ms=%" G_GINT64_FORMAT,
+	    "open=%u undelivered=%u since_ms=%" G_GINT64_FORMAT,
 	    http_server_count_open_calls(entry->caller_server),
+	    http_server_count_undelivered(entry->caller_server),
 	    (now - entry->leaving_since) / USEC_PER_MSEC);
 	g_main_loop_quit(entry->loop);
 }
@@ -360,6 +373,7 @@
 		.max_body = ENTRY_BODY_BYTES,
 		.head_timeout = ENTRY_HEAD_TIMEOUT,
 		.idle_timeout = ENTRY_IDLE_TIMEOUT,
+		.stall_timeout = HTTP_STALL_TIMEOUT,
 		.max_callers = entry->settings->max_callers},
 	};
 
--- a/src/godwitvale/http/conn.c
+++ b/src/godwitvale/http/conn.c
@@ -6,9 +6,11 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "godwitvale/http/fd_watch.h"
@@ -24,12 +26,39 @@
 #define CONN_PROBE_IDLE_S 1
 #define CONN_PROBE_INTERVAL_S 1
 #define CONN_PROBE_COUNT 2
-/// Time after which unacknowledged bytes end a connection, in milliseconds.
-#define CONN_USER_TIMEOUT_MS 3000
+/// Time after which few unacknowledged bytes end a connection, and after which
+/// many do, in milliseconds. The kernel counts it also while the peer's window
+/// is closed, so a peer that is there but reads late is under the second one.
+#define CONN_DETECTION_MS 3000
+#define CONN_PATIENCE_MS 30000
+/// Bytes that fit into the initial window of any upstream: ten segments.
+#define CONN_INITIAL_WINDOW_BYTES 14600
+
+/// Limits on how long bytes may stay unacknowledged.
+struct conn_limits {
+	unsigned detection_ms; /// while few are
+	unsigned patience_ms;  /// from when more are to be sent, until none is
+	size_t few_bytes;
+};
+
+/// Callers may read late; how long a response may take is bounded elsewhere.
+static const struct conn_limits caller_limits = {
+    .detection_ms = CONN_DETECTION_MS,
+    .patience_ms = CONN_PATIENCE_MS,
+    .few_bytes = 0,
+};
+
+/// A dead upstream is detected soon, by a small request.
+static const struct conn_limits upstream_limits = {
+    .detection_ms = CONN_DETECTION_MS,
+    .patience_ms = CONN_PATIENCE_MS,
+    .few_bytes = CONN_INITIAL_WINDOW_BYTES,
+};
 
 struct conn {
 	const struct conn_vtable *vtable;
 	void *owner;
+	const struct conn_limits *limits;
 	GByteArray *unsent;
 	fd_watch watch;
 	guint failure_source; /// reports that it could not be opened
@@ -39,7 +68,10 @@
 	uint64_t sent; /// bytes handed to the kernel
 	bool connecting;
 	bool paused;
+	bool is_patient;         /// `patience_ms` holds
 	bool reports_half_close; /// also while reading is paused
+	bool is_half_closed;     /// by the peer, which `half_closed` has told
+	bool input_ended;        /// all that the peer sent has been read
 	bool send_failed;        /// the peer has reset the connection
 	bool closed;             /// released by its owner
 	bool ended;              /// `ended` has been called
@@ -84,8 +116,44 @@
 	conn->vtable->ended(conn->owner, end);
 }
 
+/// @return bytes that the kernel has accepted and the peer's has not
+///         acknowledged; 0 where the kernel doesn't tell
+static size_t
+kernel_unacked_bytes(const struct conn *conn)
+{
+	int len = 0;
+
+	if (conn->fd < 0 || conn->connecting ||
+	    ioctl(conn->fd, SIOCOUTQ, &len) != 0 || len < 0)
+		return 0;
+	return (size_t)len;
+}
+
+/// Limits how long sent bytes may stay unacknowledged.
+static void
+set_user_timeout(int fd, unsigned timeout_ms)
+{
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+}
+
 static void on_socket_ready(GIOCondition condition, void *data);
 
+/// Reports that the peer has closed its sending side: once to an owner that
+/// goes on, as the end to any other.
+static void
+report_half_close(struct conn *conn)
+{
+	if (conn->vtable->half_closed == NULL || conn->send_failed) {
+		report_end(conn, CONN_END_ORDERLY);
+		return;
+	}
+	if (conn->is_half_closed || conn->closed)
+		return;
+	conn->is_half_closed = true;
+	conn->vtable->half_closed(conn->owner);
+}
+
 /// Updates the socket events that the loop watches for. A half close by a
 /// caller is still reported while reading is paused.
 static void
@@ -95,9 +163,9 @@
 
 	if (conn->fd < 0)
 		return;
-	if (!conn->paused)
+	if (!conn->paused && !conn->input_ended)
 		wanted |= G_IO_IN;
-	else if (conn->reports_half_close)
+	else if (conn->reports_half_close && !conn->is_half_closed)
 		wanted |= (GIOCondition)POLLRDHUP;
 	if (conn->connecting || conn->unsent->len > 0)
 		wanted |= G_IO_OUT;
@@ -145,7 +213,8 @@
 	for (int i = 0; i < CONN_READS_PER_WAKEUP; i++) {
 		ssize_t n;
 
-		if (conn->fd < 0 || conn->paused || conn->closed)
+		if (conn->fd < 0 || conn->paused || conn->closed ||
+		    conn->input_ended)
 			return;
 		n = recv(conn->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 		if (n > 0) {
@@ -158,11 +227,35 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			return;
-		report_end(conn, n == 0 ? CONN_END_ORDERLY : CONN_END_RESET);
+		conn->input_ended = n == 0;
+		if (n == 0)
+			report_half_close(conn);
+		else
+			report_end(conn, CONN_END_RESET);
 		return;
 	}
 }
 
+/// Sets whether the longer time for unacknowledged bytes holds.
+static void
+set_patient(struct conn *conn, bool patient)
+{
+	if (conn->fd < 0 || patient == conn->is_patient)
+		return;
+	conn->is_patient = patient;
+	set_user_timeout(conn->fd,
+	    patient ? conn->limits->patience_ms : conn->limits->detection_ms);
+}
+
+/// Notes that bytes are about to be sent. The longer time for unacknowledged
+/// bytes doesn't hold while the connection is being opened.
+static void
+note_sending(struct conn *conn)
+{
+	if (!conn->connecting && conn->unsent->len > conn->limits->few_bytes)
+		set_patient(conn, true);
+}
+
 /// Handles the result of a non-blocking connect().
 static void
 finish_connecting(struct conn *conn)
@@ -177,6 +270,7 @@
 		report_end(conn, CONN_END_REFUSED);
 		return;
 	}
+	note_sending(conn);
 	if (conn->vtable->opened != NULL)
 		conn->vtable->opened(conn->owner);
 }
@@ -197,10 +291,13 @@
 	if (had_unsent && conn->unsent->len == 0 && !conn->closed &&
 	    conn->fd >= 0 && conn->vtable->drained != NULL)
 		conn->vtable->drained(conn->owner);
-	if (conn->paused && !conn->closed &&
-	    (condition & ((GIOCondition)POLLRDHUP | G_IO_ERR | G_IO_HUP)))
+	if ((conn->paused || conn->input_ended) && !conn->closed &&
+	    (condition & (G_IO_ERR | G_IO_HUP)))
 		report_end(conn,
 		    condition & G_IO_ERR ? CONN_END_RESET : CONN_END_ORDERLY);
+	else if (conn->paused && !conn->closed &&
+	    (condition & (GIOCondition)POLLRDHUP))
+		report_half_close(conn);
 	else if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
 		receive_data(conn);
 	if (!conn->closed)
@@ -211,21 +308,19 @@
 /// Sets the options of every socket: no send delay, keep-alive probes and a
 /// limit on how long sent bytes may stay unacknowledged.
 static void
-set_options(int fd)
+set_options(int fd, const struct conn_limits *limits)
 {
 	const int on = 1;
 	const int idle = CONN_PROBE_IDLE_S;
 	const int interval = CONN_PROBE_INTERVAL_S;
 	const int count = CONN_PROBE_COUNT;
-	const int user_timeout = CONN_USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-	    sizeof(user_timeout));
+	set_user_timeout(fd, limits->detection_ms);
 }
 
 /// Creates a connection from an open socket.
@@ -245,7 +340,8 @@
 	conn->ref_count = 1;
 	conn->unsent = g_byte_array_new();
 	conn->reports_half_close = true;
-	set_options(fd);
+	conn->limits = &caller_limits;
+	set_options(fd, conn->limits);
 	update_watch(conn);
 	return conn;
 }
@@ -324,9 +420,10 @@
 	conn->ref_count = 1;
 	conn->unsent = g_byte_array_new();
 	conn->connecting = true;
+	conn->limits = &upstream_limits;
 	if (conn->fd < 0)
 		goto fail;
-	set_options(conn->fd);
+	set_options(conn->fd, conn->limits);
 	if (source != NULL && !bind_source(conn->fd, source))
 		goto fail;
 	if (connect(conn->fd, (struct sockaddr *)&address, len) != 0 &&
@@ -339,6 +436,16 @@
 	return conn;
 }
 
+/// Restores the shorter time for unacknowledged bytes once there are none.
+///
+/// @param conn  a connection
+void
+conn_update_limits(struct conn *conn)
+{
+	if (conn->is_patient && conn_unacked_bytes(conn) == 0)
+		set_patient(conn, false);
+}
+
 /// Transfers a connection to another owner.
 ///
 /// @param conn    a connection that has not ended
@@ -349,6 +456,7 @@
 {
 	conn->vtable = vtable;
 	conn->owner = owner;
+	conn_update_limits(conn);
 }
 
 /// Closes and releases a connection. Buffered bytes are discarded.
@@ -388,6 +496,7 @@
 	if (conn->fd < 0)
 		return;
 	g_byte_array_append(conn->unsent, (const guint8 *)data, (guint)len);
+	note_sending(conn);
 	if (!conn->connecting)
 		flush_unsent(conn);
 	update_watch(conn);
@@ -404,6 +513,17 @@
 		shutdown(conn->fd, SHUT_WR);
 }
 
+/// Reads bytes that have arrived, without waiting for the loop.
+///
+/// @param conn  a connection; its callbacks are called, and may release it
+void
+conn_receive(struct conn *conn)
+{
+	conn->ref_count++;
+	receive_data(conn);
+	conn_unref(conn);
+}
+
 /// Pauses or resumes reading, as backpressure on a peer that sends too fast.
 ///
 /// @param conn    the connection
@@ -423,6 +543,25 @@
 	return conn->unsent->len;
 }
 
+/// @param conn  a connection
+/// @return bytes that were written and that the peer's kernel has not
+///         acknowledged yet
+size_t
+conn_unacked_bytes(const struct conn *conn)
+{
+	return conn->unsent->len + kernel_unacked_bytes(conn);
+}
+
+/// @param conn  a connection
+/// @return bytes that the peer's kernel has acknowledged
+uint64_t
+conn_acked_bytes(const struct conn *conn)
+{
+	/* The end of the sending side counts as one byte in the kernel. */
+	return conn->sent -
+	    MIN(conn->sent, (uint64_t)kernel_unacked_bytes(conn));
+}
+
 /// @param conn  a connection
 /// @return bytes that may have reached the peer
 uint64_t
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -19,12 +19,22 @@
 /// Bytes of pipelined requests after which reading is paused while a request
 /// is in progress.
 #define SERVER_PIPELINE_BYTES 65536
+/// Unsent bytes of finished responses above which the caller's next request is
+/// not processed yet.
+#define SERVER_UNSENT_BYTES_MAX (256 * 1024)
+/// Number of interim responses that probe whether a half-closed caller is still
+/// there, and the pause after the first one, which doubles, in microseconds.
+/// Some clients accept no more than five interim responses.
+#define SERVER_PROBES_MAX 4
+#define SERVER_PROBE_PAUSE (500 * USEC_PER_MSEC)
 /// Interval between checks for timeouts, in milliseconds.
 #define SERVER_TIMEOUT_CHECK_MS 250
 /// How long a caller may take to read the last response and close its side of
 /// the connection, in microseconds.
 #define SERVER_LINGER (1 * USEC_PER_SEC)
 
+static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
 /// @param cause  why a response was lost
 /// @return the cause as one word, for log lines
 const char *
@@ -100,6 +110,19 @@
 		handler(owner);
 }
 
+/// Starts the time within which a caller must take another byte of the
+/// responses that are finished.
+///
+/// @param caller  caller that may have unsent bytes
+void
+server_await_delivery(struct caller *caller)
+{
+	caller->is_delivering = true;
+	caller->acked = conn_acked_bytes(caller->conn);
+	caller->stall_deadline =
+	    g_get_monotonic_time() + caller->server->limits.stall_timeout;
+}
+
 /// Starts an orderly close: closes the sending side and leaves the caller time
 /// to read the response and close its own side.
 ///
@@ -109,6 +132,7 @@
 {
 	caller->lingering = true;
 	caller->deadline = g_get_monotonic_time() + SERVER_LINGER;
+	server_await_delivery(caller);
 	if (conn_unsent_bytes(caller->conn) == 0)
 		conn_shutdown_write(caller->conn);
 }
@@ -124,6 +148,8 @@
 
 	if (caller->lingering)
 		conn_shutdown_write(caller->conn);
+	else if (call == NULL)
+		server_read_next(caller);
 	if (call == NULL || call->drain_handler == NULL)
 		return;
 	handler = call->drain_handler;
@@ -131,6 +157,61 @@
 	handler(call->drain_owner);
 }
 
+/// Ends the connection of a caller that sends nothing more and waits for no
+/// response; unsent bytes are sent first.
+static void
+end_if_input_ended(struct caller *caller)
+{
+	if (!caller->input_ended || caller->call != NULL ||
+	    caller->pipelined->len > 0)
+		return;
+	if (conn_unsent_bytes(caller->conn) == 0)
+		caller_disconnect(caller);
+	else if (!caller->lingering)
+		server_start_linger(caller);
+}
+
+/// Sends an interim response to a caller that has closed its sending side, if
+/// it waits for a response: the kernel of a caller that has left replies with
+/// a reset. HTTP/1.0 has no interim responses.
+static void
+probe_caller(struct caller *caller)
+{
+	usec_t pause = SERVER_PROBE_PAUSE << caller->n_probes;
+
+	if (caller->call->head.http10)
+		return;
+	caller->n_probes++;
+	caller->probe_due = caller->n_probes < SERVER_PROBES_MAX
+	    ? g_get_monotonic_time() + pause
+	    : USEC_NEVER;
+	conn_write(caller->conn, continue_response, strlen(continue_response));
+}
+
+/// Starts to probe whether a caller that has closed its sending side is still
+/// there. Once its response has begun, the bytes of that are the probe.
+static void
+start_probing(struct caller *caller)
+{
+	caller->n_probes = 0;
+	if (!caller->call->has_head)
+		probe_caller(caller);
+}
+
+/// Connection callback: the caller has closed its sending side. It may have
+/// left, or wait for its response.
+static void
+on_half_closed(void *owner)
+{
+	struct caller *caller = owner;
+
+	caller->input_ended = true;
+	if (caller->call != NULL)
+		start_probing(caller);
+	else
+		end_if_input_ended(caller);
+}
+
 /// Connection callback: the connection has ended.
 static void
 on_ended(void *owner, enum conn_end end)
@@ -180,7 +261,6 @@
 static void
 on_head(void *owner, struct http_reader *reader)
 {
-	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct caller *caller = owner;
 
 	if (!reader->head.http10 &&
@@ -222,6 +302,8 @@
 	caller->call = call;
 	caller->deadline = USEC_NEVER;
 	server->open_calls++;
+	if (caller->input_ended)
+		start_probing(caller);
 	server->options.vtable->request(server->options.owner, call);
 }
 
@@ -235,10 +317,39 @@
 		conn_set_paused(caller->conn, true);
 }
 
+/// Checks whether a caller's next request has to wait: one is in progress, or
+/// too many bytes of earlier responses are unsent.
+static bool
+must_wait(const struct caller *caller)
+{
+	return caller->call != NULL ||
+	    conn_unsent_bytes(caller->conn) > SERVER_UNSENT_BYTES_MAX;
+}
+
+/// Processes the next request of a caller, unless it has to wait.
+///
+/// @param caller  caller without a call; may be freed
+void
+server_read_next(struct caller *caller)
+{
+	GByteArray *pipelined = caller->pipelined;
+
+	if (must_wait(caller))
+		return;
+	conn_set_paused(caller->conn, false);
+	if (pipelined->len == 0) {
+		end_if_input_ended(caller);
+		return;
+	}
+	caller->pipelined = g_byte_array_new();
+	server_process_input(
+	    caller, (const char *)pipelined->data, pipelined->len);
+	g_byte_array_unref(pipelined);
+}
+
 /// Processes bytes that a caller sent.
 ///
-/// @param caller  a caller; later requests are buffered while one is in
-/// progress
+/// @param caller  a caller; later requests are buffered while they have to wait
 /// @param data    the bytes
 /// @param len     their number
 void
@@ -248,7 +359,7 @@
 	while (len > 0 && caller->conn != NULL && !caller->lingering) {
 		size_t consumed;
 
-		if (caller->call != NULL) {
+		if (must_wait(caller)) {
 			buffer_pipelined(caller, data, len);
 			break;
 		}
@@ -273,6 +384,8 @@
 	caller->processing_input = false;
 	if (caller->conn == NULL)
 		server_caller_free(caller);
+	else
+		end_if_input_ended(caller);
 }
 
 /// Connection callback: bytes were received.
@@ -286,6 +399,7 @@
     .received = on_received,
     .ended = on_ended,
     .drained = on_drained,
+    .half_closed = on_half_closed,
 };
 
 /// Creates the caller of an accepted connection.
@@ -304,6 +418,7 @@
 	caller->number = ++server->n_accepted;
 	caller->body = g_byte_array_new();
 	caller->pipelined = g_byte_array_new();
+	caller->probe_due = USEC_NEVER;
 	caller->deadline = g_get_monotonic_time() + server->limits.idle_timeout;
 	http_reader_init(&caller->reader, &options);
 	caller->conn = conn_adopt(fd, &conn_vtable, caller);
@@ -329,14 +444,52 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Ends the connection of a caller whose deadline has passed.
+/// Checks whether a caller has let its deadline pass. While bytes of finished
+/// responses are on their way, that is the deadline for taking another byte.
+static bool
+is_overdue(struct caller *caller, usec_t now)
+{
+	if (caller->call != NULL)
+		return false;
+	if (caller->is_delivering)
+		caller->is_delivering = conn_unacked_bytes(caller->conn) > 0;
+	if (!caller->is_delivering ||
+	    (caller->reader.progress != HTTP_AT_START && !caller->lingering))
+		return now >= caller->deadline;
+	if (conn_acked_bytes(caller->conn) != caller->acked)
+		server_await_delivery(caller);
+	caller->deadline = now +
+	    (caller->lingering ? SERVER_LINGER
+			       : caller->server->limits.idle_timeout);
+	return now >= caller->stall_deadline;
+}
+
+/// Ends the connection of a caller whose deadline has passed, or refuses the
+/// request that it has not sent in time.
 static void
 end_overdue(struct caller *caller)
 {
+	if (caller->reader.progress != HTTP_AT_START && !caller->lingering) {
+		refuse_request(caller, 408);
+		return;
+	}
 	report_loss(caller, HTTP_LOSS_TIMEOUT);
 	server_caller_free(caller);
 }
 
+/// Reads what a caller has sent. After a pause of the process, that may have
+/// arrived in time.
+///
+/// @return false if the caller has been freed
+static bool
+read_arrived(struct caller *caller)
+{
+	GHashTable *callers = caller->server->callers;
+
+	conn_receive(caller->conn);
+	return g_hash_table_contains(callers, caller);
+}
+
 /// Timer callback: ends the connections of callers whose deadline has passed.
 static gboolean
 on_timeout_check(gpointer data)
@@ -348,12 +501,14 @@
 	for (GList *l = callers; l != NULL; l = l->next) {
 		struct caller *caller = l->data;
 
-		if (now < caller->deadline || caller->call != NULL)
+		/* Handling an earlier caller's request may have freed it. */
+		if (!g_hash_table_contains(server->callers, caller))
 			continue;
-		if (caller->reader.progress != HTTP_AT_START &&
-		    !caller->lingering)
-			refuse_request(caller, 408);
-		else
+		conn_update_limits(caller->conn);
+		if (now >= caller->probe_due)
+			probe_caller(caller);
+		if (is_overdue(caller, now) && read_arrived(caller) &&
+		    is_overdue(caller, now))
 			end_overdue(caller);
 	}
 	g_list_free(callers);
@@ -480,3 +635,23 @@
 {
 	return server->open_calls;
 }
+
+/// @param server  a running server
+/// @return the number of connections whose caller's kernel has not acknowledged
+///         all bytes of responses
+unsigned
+http_server_count_undelivered(const struct http_server *server)
+{
+	GHashTableIter iter;
+	void *key;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, server->callers);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct caller *caller = key;
+
+		if (conn_unacked_bytes(caller->conn) > 0)
+			n++;
+	}
+	return n;
+}
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -13,6 +13,9 @@
 #include "godwitvale/core/time_defs.h"
 #include "godwitvale/http/head.h"
 
+/// Default of http_limits.stall_timeout, in microseconds.
+#define HTTP_STALL_TIMEOUT (30 * USEC_PER_SEC)
+
 struct http_server;
 struct http_call;
 
@@ -58,6 +61,8 @@
 	size_t max_body;      /// bytes
 	usec_t head_timeout;  /// from the first byte to the end of a head
 	usec_t idle_timeout;  /// between requests, and between reads of a body
+	usec_t stall_timeout; /// for which a caller may take no byte of a
+			      /// finished response
 	unsigned max_callers; /// simultaneous connections
 };
 
@@ -80,6 +85,7 @@
 void http_server_disable_keep_alive(struct http_server *server);
 unsigned http_server_count_callers(const struct http_server *server);
 unsigned http_server_count_open_calls(const struct http_server *server);
+unsigned http_server_count_undelivered(const struct http_server *server);
 
 const struct http_head *http_call_head(const struct http_call *call);
 const char *http_call_body(const struct http_call *call, size_t *len);
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -80,9 +80,8 @@
 static void
 start_next_request(struct caller *caller, bool close)
 {
-	GByteArray *pipelined = caller->pipelined;
-
 	caller->call = NULL;
+	caller->probe_due = USEC_NEVER;
 	if (close) {
 		server_start_linger(caller);
 		return;
@@ -90,13 +89,9 @@
 	http_reader_start_message(&caller->reader);
 	caller->deadline =
 	    g_get_monotonic_time() + caller->server->limits.idle_timeout;
-	conn_set_paused(caller->conn, false);
-	if (caller->processing_input || pipelined->len == 0)
-		return;
-	caller->pipelined = g_byte_array_new();
-	server_process_input(
-	    caller, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_unref(pipelined);
+	server_await_delivery(caller);
+	if (!caller->processing_input)
+		server_read_next(caller);
 }
 
 /// Ends a call whose response was written completely.
@@ -111,6 +106,15 @@
 		start_next_request(caller, close);
 }
 
+/// Checks whether a caller has closed its sending side after the request in
+/// progress.
+static bool
+is_last_request(const struct caller *caller)
+{
+	return caller->input_ended && caller->pipelined->len == 0 &&
+	    !caller->processing_input;
+}
+
 /// Writes the head of a response and adds its framing fields.
 ///
 /// @param framing  name of the field that frames the body; NULL: none
@@ -127,8 +131,10 @@
 	http_head_copy_end_to_end(&framed, head);
 	if (framing != NULL)
 		http_head_add(&framed, framing, value);
-	if (call->server->keep_alive_disabled)
+	if (call->server->keep_alive_disabled || is_last_request(call->caller))
 		call->close = true;
+	call->has_head = true;
+	call->caller->probe_due = USEC_NEVER;
 	if (call->close)
 		http_head_add(&framed, "Connection", "close");
 	http_head_write(&framed, bytes);
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -30,8 +30,14 @@
 	GByteArray *pipelined;
 	struct http_call *call; /// request in progress; NULL between requests
 	usec_t deadline;       /// of the current read; USEC_NEVER during a call
+	usec_t stall_deadline; /// for taking another byte of finished responses
+	uint64_t acked;        /// bytes that it had taken when that was set
 	usec_t received_at;    /// when the request's first byte was read
+	usec_t probe_due;      /// next probe; USEC_NEVER: none is due
+	unsigned n_probes;     /// sent during the present call
+	bool is_delivering;    /// it may not have all of finished responses
 	bool lingering;        /// waits for the caller to close
+	bool input_ended;      /// the caller has closed its sending side
 	bool processing_input; /// process_input() is running
 };
 
@@ -46,6 +52,7 @@
 	void *disconnect_owner;
 	http_drain_handler drain_handler; /// NULL: none
 	void *drain_owner;
+	bool has_head; /// the response has begun
 	bool chunked;
 	bool close; /// the connection closes after the response
 	bool is_head_request;
@@ -54,6 +61,8 @@
 /* server.c */
 void server_caller_free(struct caller *caller);
 void server_start_linger(struct caller *caller);
+void server_await_delivery(struct caller *caller);
+void server_read_next(struct caller *caller);
 void server_process_input(struct caller *caller, const char *data, size_t len);
 
 #endif
