--- a/scripts/bench-control.sh
+++ b/scripts/bench-control.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# What an idle instance spends on control: processor time, memory, datagrams,
-# at several numbers of upstreams and instances. Timings: no test.
+# Measures the cost of control at an idle instance (processor time, memory,
+# datagrams) for several numbers of upstreams and instances. Not a test.
 BINDIR=${BUILD:-build}
 FIRST_PORT=${FIRST_PORT:-25500}
 SPAN=${SPAN:-10} # seconds that each row is measured for
@@ -8,7 +8,7 @@
 . test/functional/lib.sh || exit 1
 . scripts/fleet.sh || exit 1
 
-# row N_INSTANCES N_ENGINES
+# row N_INSTANCES N_ENGINES: measures one combination and prints it.
 row()
 {
 	(
--- a/scripts/bench-relay.sh
+++ b/scripts/bench-relay.sh
@@ -1,13 +1,14 @@
 #!/bin/bash
-# Cost of relaying: the same load against an engine directly and through one
-# instance, with the instance's processor time. Timings: no test.
+# Measures the cost of forwarding: applies the same load to an engine directly
+# and through one instance, and prints the instance's processor time. Not a
+# test.
 BINDIR=${BUILD:-build}
 FIRST_PORT=${FIRST_PORT:-24500}
 cd "$(dirname "$0")/.." || exit 1
 . test/functional/lib.sh || exit 1
 . scripts/fleet.sh || exit 1
 
-# measure NAME STREAMS TOKENS
+# measure NAME STREAMS TOKENS: applies the load and prints the result.
 measure()
 {
 	local before after line
--- a/scripts/check-layout.sh
+++ b/scripts/check-layout.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Checks what the linter can't: each C file opens with a comment on what it
-# owns, and the core keeps clear of I/O, clocks and global random numbers.
+# Checks what the linter doesn't: each C file begins with a comment on its
+# purpose, and the core uses no I/O, clock or global random numbers.
 set -eu
 status=0
 for file in $(git ls-files 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'bench/*.[ch]' |
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# The main job on stand-ins: generations, a lookup and an order through three
-# instances, a zone taken out, and one instance leaving with a stream under
-# way. Ends with "demo: ok", or fails.
+# Demonstrates the system over stand-ins: sends generations, a lookup and an
+# order through three instances, disables a zone, and shuts down an instance
+# that is forwarding a stream. Prints "demo: ok" at the end, or fails.
 BINDIR=${BUILD:-build}
 FIRST_PORT=${FIRST_PORT:-19500}
 cd "$(dirname "$0")/.." || exit 1
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,5 +1,5 @@
-# A small fleet on loopback, for the demo and the functional tests: stand-ins
-# of the platform and the upstreams, and entry instances. Sourced after
+# Functions that start a small fleet on loopback for the demo and the functional
+# tests: stand-ins of the platform and the upstreams, and entry instances. Sourced after
 # test/functional/lib.sh, whose functions it uses.
 
 PEER_KEY=
@@ -13,7 +13,7 @@
 service_window_ms=3000
 declare -A caller_of operator_of peer_of pid_of zone_of
 
-# make_keys: the operators' key pair and the instances' common key.
+# make_keys: creates the operators' key pair and the instances' common key.
 make_keys()
 {
 	"$BINDIR/godwitvale" keygen --out "$workdir/operator.key" >/dev/null ||
@@ -23,7 +23,8 @@
 	PEER_KEY=$("$BINDIR/godwitvale" keygen --peer)
 }
 
-# start_platform [CONFIG_OPTION...]: configuration service and member list.
+# start_platform [CONFIG_OPTION...]: starts the configuration service and the
+# member list.
 start_platform()
 {
 	start_standin config "$@"
@@ -51,7 +52,7 @@
 	caller_of[$1]=$address
 }
 
-# state NAME LIST: "out" where NAME is one of the words of LIST.
+# state NAME LIST: prints "out" if NAME is one of the words of LIST.
 state()
 {
 	case " $2 " in
@@ -60,7 +61,7 @@
 	esac
 }
 
-# upstream_json NAME ZONE ADDRESS SERVES
+# upstream_json NAME ZONE ADDRESS SERVES: prints an upstream's entry in a bundle.
 upstream_json()
 {
 	local engine=false memory=0
@@ -74,7 +75,7 @@
 	printf '"state":"%s"}' "$(state "$1" "$upstreams_out")"
 }
 
-# write_bundle FILE: the bundle's text, version $bundle_version.
+# write_bundle FILE: writes the bundle with the version $bundle_version.
 write_bundle()
 {
 	local zone row service separator=
@@ -113,7 +114,8 @@
 	} >"$1"
 }
 
-# publish_bundle: signs the next version and gives it to the service.
+# publish_bundle: signs the next version and sends it to the configuration
+# service.
 publish_bundle()
 {
 	bundle_version=$((bundle_version + 1))
@@ -125,14 +127,14 @@
 	offer_bundle "$workdir/bundle-$bundle_version.signed"
 }
 
-# offer_bundle FILE: gives a signed bundle to the configuration service.
+# offer_bundle FILE: sends a signed bundle to the configuration service.
 offer_bundle()
 {
 	[ "$(status "$config/control/bundle" -X PUT --data-binary @"$1")" \
 	    = 200 ] || fail "offer bundle"
 }
 
-# write_settings NAME ZONE FILE
+# write_settings NAME ZONE FILE: writes an instance's settings.
 write_settings()
 {
 	cat >"$3" <<EOF
@@ -195,20 +197,22 @@
 	pids+=($!)
 }
 
-# json_is NAME PATH FIELD VALUE: looks at an instance's operator address.
+# json_is NAME PATH FIELD VALUE: checks a field of an answer at an instance's
+# operator address.
 json_is()
 {
 	get "${operator_of[$1]}$2" | tr -d ' \t\n' |
 	    grep -q "\"$3\":$4[,}]"
 }
 
-# wait_up NAME: until it answers; its callers' address is open then too.
+# wait_up NAME: waits until it answers; it accepts callers from then on, too.
 wait_up()
 {
 	wait_for "$1 to answer" json_is "$1" /status instance "\"$1\""
 }
 
-# wait_voting NAME...: until each votes and is sure of the newest bundle.
+# wait_voting NAME...: waits until each votes and has confirmed the newest
+# bundle.
 wait_voting()
 {
 	local name
@@ -219,7 +223,7 @@
 	done
 }
 
-# wait_bundle VERSION NAME...
+# wait_bundle VERSION NAME...: waits until each uses this version.
 wait_bundle()
 {
 	local name version=$1
@@ -230,7 +234,7 @@
 	done
 }
 
-# metric NAME COUNTER: a counter's value at an instance.
+# metric NAME COUNTER: prints a counter's value at an instance.
 metric()
 {
 	get "${operator_of[$1]}/metrics" | sed -n "s/^$2 //p"
@@ -252,7 +256,7 @@
 	    -d '{"van":1}' "${@:3}"
 }
 
-# ask ADDRESS/PATH [CURL_OPTION...]: a call as the clinic; prints its status,
+# ask ADDRESS/PATH [CURL_OPTION...]: sends a call as the clinic; prints its status,
 # its verdict, a refusal's type and "retry" where Retry-After came.
 ask()
 {
@@ -263,7 +267,7 @@
 	summary "$head" "$body"
 }
 
-# summary HEAD BODY: what ask prints, of an answer in files.
+# summary HEAD BODY: prints the same for an answer that is in files.
 summary()
 {
 	printf '%s %s %s %s\n' \
@@ -282,14 +286,14 @@
 	    -H "X-Request-Id: $2" -d '{"van":1}' "${@:3}"
 }
 
-# runs ID [SERVICE]: how often the order ran.
+# runs ID [SERVICE]: prints how often the order ran.
 runs()
 {
 	get "${caller_of[${2:-s1}]}/stats" | tr -d ' ' |
 	    grep -o "\"$1\":[0-9]*" | cut -d: -f2 | grep . || echo 0
 }
 
-# ran ID: whether the order has run at all.
+# ran ID: checks whether the order has run.
 ran()
 {
 	[ "$(runs "$1")" -gt 0 ]
@@ -311,7 +315,7 @@
 	wait_for "$1 to serve" grep -q '^ready ' "$workdir/$program.log"
 }
 
-# check_logs: prints GLib's complaints and those of the sanitizers.
+# check_logs: prints the warnings of GLib and the reports of the sanitizers.
 check_logs()
 {
 	grep -h 'CRITICAL\|WARNING \*\*\|ERROR: \(Address\|Leak\)Sani\|runtime error' \
@@ -320,7 +324,8 @@
 }
 
 # shellcheck disable=SC2086 # options are words
-# start_fleet: platform, two engines, one order worker, three instances.
+# start_fleet: starts the platform, two engines, one order service and three
+# instances.
 start_fleet()
 {
 	make_keys
@@ -341,7 +346,7 @@
 	wait_voting e1 e2 e3
 }
 
-# cpu_ms PID: a process's processor time so far, in ms.
+# cpu_ms PID: prints a process's processor time, in milliseconds.
 cpu_ms()
 {
 	awk -v hz="$(getconf CLK_TCK)" \
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Makes the committed XDR code anew from its .x files; needs rpcgen.
+# Generates the XDR code that is in the repository from its .x files; needs
+# rpcgen.
 set -eu
 cd "$(dirname "$0")/../src/godwitvale"
 for wire in peer/peer_wire fleet/fleet_wire; do
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Installs, by Debian package name, what the build, tests and demo need.
+# Installs the Debian packages that the build, the tests and the demo need.
 set -eu
 packages="build-essential cmake ninja-build pkg-config git curl
     libglib2.0-dev libsoup-3.0-dev libtirpc-dev libjson-c-dev libxxhash-dev
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Runs all tests. Those that KNOWN-RED.txt names are run apart: they are
-# printed, and don't decide the outcome.
+# Runs all tests. Those that KNOWN-RED.txt lists run separately: their results
+# are printed, but don't change the exit status.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 build=${BUILD:-build}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Starts a small fleet of stand-ins and instances for a person to try, and
-# keeps it until it is interrupted.
+# Starts a small fleet of stand-ins and instances to try by hand, and keeps it
+# running until it is interrupted.
 BINDIR=${BUILD:-build}
 FIRST_PORT=${FIRST_PORT:-19600}
 cd "$(dirname "$0")/.." || exit 1
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -1,5 +1,5 @@
-# The stand-in of the users' platform and entry instances on loopback, for the
-# functional tests. Sourced after test/functional/lib.sh.
+# Functions that start the stand-in of the users' platform and entry instances on
+# loopback, for the functional tests. Sourced after test/functional/lib.sh.
 
 declare -A entry_zone entry_caller entry_ready entry_control entry_metrics entry_pid
 site_version=1
@@ -39,7 +39,7 @@
 	ctl "cut/${entry_caller[$1]%:*}/$2"
 }
 
-# ctl PATH [BODY]: the test's own call to the stand-in.
+# ctl PATH [BODY]: sends a control call of the test to the stand-in.
 ctl()
 {
 	get "$site/ctl/$1" -d "${2:-}"
@@ -69,7 +69,7 @@
 	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"]}]}"
 }
 
-# usual_routes: one of each kind.
+# usual_routes: adds one route of each kind.
 usual_routes()
 {
 	route draft /draft/ streaming lm \
@@ -130,31 +130,32 @@
 	wait_for "$1 to be ready" is_ready "$1"
 }
 
-# is_ready NAME
+# is_ready NAME: checks whether it reports itself ready.
 is_ready()
 {
 	[ "$(status "${entry_ready[$1]}/")" = 200 ]
 }
 
-# status_is ADDRESS/PATH STATUS
+# status_is ADDRESS/PATH STATUS: checks the status of an answer.
 status_is()
 {
 	[ "$(status "$1")" = "$2" ]
 }
 
-# call_is NAME PATH ID STATUS: whether a request gets that status.
+# call_is NAME PATH ID STATUS: checks the status that a request gets.
 call_is()
 {
 	[ "$(call "$1" "$2" "$3" | tail -1)" = "$4" ]
 }
 
-# answers ADDRESS/PATH: whether anybody answers.
+# answers ADDRESS/PATH: checks whether there is any answer.
 answers()
 {
 	! status_is "$1" 000
 }
 
-# call NAME PATH ID [CURL OPTION...]: a request of a caller; status and body.
+# call NAME PATH ID [CURL OPTION...]: sends a request as a caller; prints the
+# body and the status.
 call()
 {
 	curl -sS -N -m "$CURL_CAP" "http://${entry_caller[$1]}$2" \
@@ -163,14 +164,15 @@
 	    -w '%{http_code}\n' "${@:4}" 2>>"$workdir/curl.err"
 }
 
-# draft NAME ID EVENTS [CURL OPTION...]: a generation of so many events.
+# draft NAME ID EVENTS [CURL OPTION...]: requests a generation of so many events.
 draft()
 {
 	call "$1" /draft/x "$2" -H "Token-Usage: 100,$(($3 * 4))" \
 	    -H 'Model: m' -X POST "${@:4}"
 }
 
-# event_ids FILE: the ids of a stream's events, first and last and how many.
+# event_ids FILE: prints the first and last id of a stream's events, or the first
+# gap.
 event_ids()
 {
 	sed -n 's/^id: //p' "$1" | awk 'NR == 1 { first = $1; next_id = $1 }
@@ -179,13 +181,13 @@
 	    END { print "events", first, "to", last }'
 }
 
-# runs ID: how often a request was begun by a worker.
+# runs ID: prints how often workers began a request.
 runs()
 {
 	ctl "runs/$1"
 }
 
-# logged NAME PATTERN: whether an instance's log has a line like that.
+# logged NAME PATTERN: checks whether an instance's log has a matching line.
 logged()
 {
 	grep -qE "$2" "$workdir/$1.log"
