Tests: what comes before a break has reached the caller before the reset

The engine that writes raw answers keeps its connection open for a while before it breaks it off, and the test waits until the instances know each other.

A further case kills the helping instance within a stream when no engine is left for the rest: the caller's stream is cut after its three events, without a line of the refusal.

--- a/test/functional/entry_broken_forwarded.sh
+++ b/test/functional/entry_broken_forwarded.sh
@@ -18,9 +18,13 @@
 for instance in e1 e2 e3; do
 	start_instance "$instance"
 done
+knows()
+{
+	logged "$1" "\"peer-joined\",\"peer\":\"$2\""
+}
 for peer in e2 e3; do
-	wait_for "e1 to know $peer" logged e1 \
-	    "\"peer-joined\",\"peer\":\"$peer\""
+	wait_for "e1 to know $peer" knows e1 "$peer"
+	wait_for "$peer to know e1" knows "$peer" e1
 done
 cut e1 refuse
 call e1 /hint/x poke -m 3 -X POST -H 'Token-Usage: 100,8' >/dev/null &
@@ -70,3 +74,20 @@
 answer show_body feed large-then-text
 # Nothing of the first run was passed on: the second run is the whole answer.
 answer show_body feed small-then-text
+
+echo "== the helper is killed, and no other one has an engine for the rest"
+both held-then-rest
+start_get "$workdir/killed" "${entry_caller[e1]}/hint/x" -X POST -d killed \
+    -H 'Host: a.example' -H 'Authorization: Token k1' \
+    -H 'Attempt-Id: killed' -H 'Token-Usage: 100,20' -H 'Deadline-Ms: 20000'
+wait_for "its events" grep -q '^id: 3' "$workdir/killed"
+both draining
+for engine in raw1 raw2; do
+	wait_for_change e2 upstream-draining "$engine"
+	wait_for_change e3 upstream-draining "$engine"
+done
+helper=$(grep '"request-forwarded","id":"killed"' "$workdir/e1.log" |
+    sed 's/.*"to":"\(e[23]\)".*/\1/')
+kill -KILL "${entry_pid[$helper]}"
+wait "$call"
+show_stream killed "$?"
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -58,8 +58,9 @@
 	char buffer[4096];
 	bool is_endless; /// `answer` is repeated from `repeat_from` on
 	gsize repeat_from;
-	bool resets; /// ends with a reset
-	bool holds;  /// stays open after its answer until it is stopped
+	bool resets;  /// ends with a reset
+	bool holds;   /// stays open after its answer until it is stopped
+	bool lingers; /// stays open after its answer for a while
 	/// size of one write, in bytes, with a pause before the next; 0: all
 	gsize piece;
 	guint64 written;
@@ -236,6 +237,7 @@
 	if (g_str_has_prefix(kind, "head")) {
 		append_head(conn, "Content-Type: text/event-stream\r\n");
 		append_events(conn, BROKEN_EVENT_COUNT);
+		conn->piece = conn->answer->len;
 		if (strcmp(kind, "head-in-event") == 0)
 			g_string_append(conn->answer, "id: 4\ndata: ra");
 		append_message(conn, "500 Internal Server Error", "text/plain");
@@ -289,14 +291,16 @@
 	g_string_append(conn->answer, "0\r\n\r\n");
 }
 
-/// Builds the answer to a run in a mode that names two kinds of answers.
+/// Builds the answer to a run in a mode that names two kinds of answers. What
+/// comes before a break has reached the caller when the connection ends.
 static void
 build_answer_of_run(struct raw_conn *conn, const char *separator)
 {
 	const char *mode = conn->worker->mode;
 	char *kind = g_strndup(mode, (gsize)(separator - mode));
 
-	if (count_run(conn))
+	conn->lingers = count_run(conn);
+	if (conn->lingers)
 		build_broken_answer(conn, kind);
 	else
 		build_later_answer(conn, separator + strlen(MODE_SEPARATOR));
@@ -443,6 +447,15 @@
 	g_timeout_add(PIECE_PAUSE_MS, on_pause_over, conn);
 }
 
+/// Loop callback: an answer that breaks off has been with its caller for a
+/// while.
+static gboolean
+on_linger_over(gpointer data)
+{
+	raw_conn_free(data);
+	return G_SOURCE_REMOVE;
+}
+
 static void
 on_written(GObject *object, GAsyncResult *result, gpointer data)
 {
@@ -464,6 +477,8 @@
 		write_more(conn);
 	else if (conn->holds)
 		g_ptr_array_add(conn->worker->held, conn);
+	else if (conn->lingers)
+		g_timeout_add(PIECE_PAUSE_MS, on_linger_over, conn);
 	else
 		raw_conn_free(conn);
 }
