--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -148,6 +148,18 @@
 	return G_SOURCE_REMOVE;
 }
 
+/// Checks whether a plain service responds with a large body: in mode "big",
+/// and to a request whose body is "large".
+static bool
+has_large_answer(const struct run *run)
+{
+	size_t len;
+	const char *body = http_call_body(run->call, &len);
+
+	return strcmp(run->worker->mode, "big") == 0 ||
+	    (len == strlen("large") && memcmp(body, "large", len) == 0);
+}
+
 static gboolean
 on_plain_timer(gpointer data)
 {
@@ -167,7 +179,7 @@
 		head.status = 503;
 		http_head_add(&head, "Godwitvale-Verdict", "not-run");
 	}
-	if (strcmp(run->worker->mode, "big") == 0) {
+	if (has_large_answer(run)) {
 		g_free(body);
 		body = g_strnfill(LARGE_BODY_BYTES, 'x');
 	} else if (strcmp(run->worker->mode, "page") == 0) {
