Soak: planned work only in every third seed, and a check for lost answers

The soak couldn't show a lost answer: faults excused each one, a configuration changed nothing but its version, and no check looked at how a connection ended.

Every third seed now plays planned work only: SIGTERM, SIGHUP, draining and configurations that take a route away and add it again, move it to another service, remove and add a service and a key, lower and raise timeouts and the idle timeout, in series and overlapping, beside workers that are silent for 1.2 s and bursts of 30 requests. A request that was sent whole and whose connection ends without a complete answer fails the run, unless nobody ran it and it crossed the close, its time was over, or a fault was injected from 3 s before it to its end (soak_events.c records them). In all seeds, at most three requests may end without an answer at sound workers. Beside a configuration this is stricter than the users' rule, which compares with other times.

Callers have connections of their own (soak_conns.c) that they use until the instance closes them; the run fails if planned work leaves too few of them. Some break off a stream and take it up elsewhere. Faults and requests are drawn from generators of their own, so that a seed's faults no longer depend on timing, except where they look at the state of instances. Checks and configurations are split off from the callers and the world.

--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* Main program of the fault soak: soak --bindir DIR [--seeds N] [--from S]
- * [--span S] */
+ * [--span S] [--odd-callers] */
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -19,6 +19,10 @@
 #define FAULT_MS 350
 /// Time from the end of the faults to the earliest end of a run.
 #define CALM_SPAN (5 * USEC_PER_SEC)
+/// Time from SIGTERM to the end of an instance's work. The long one is longer
+/// than streams whose worker is silent for a while.
+#define SHORT_GRACE (3 * USEC_PER_SEC)
+#define LONG_GRACE (6 * USEC_PER_SEC)
 
 /// Number of ports of a driver.
 #define PORT_BLOCK 1000
@@ -177,20 +181,27 @@
 
 /// Runs the soak with one seed.
 ///
+/// @param options  what is the same for all seeds
+/// @param span_s   time in which faults are injected, in seconds
 /// @return whether all checks passed
 static bool
-play(guint32 seed, const char *bindir, const char *old_bindir, int span_s)
+play(const struct soak *options, guint32 seed, int span_s)
 {
-	struct soak soak = {
-	    .seed = seed, .bindir = bindir, .old_bindir = old_bindir};
+	struct soak soak = *options;
 	guint sources[3];
 	bool ok;
 
+	soak.seed = seed;
+	soak.planned_only = seed % 3 == 0;
+	soak.grace = soak.planned_only ? LONG_GRACE : SHORT_GRACE;
 	soak.rand = g_rand_new_with_seed(seed);
+	soak.call_rand = g_rand_new_with_seed(seed);
 	soak.dir = g_dir_make_tmp("soak-XXXXXX", NULL);
 	soak.loop = g_main_loop_new(NULL, FALSE);
 	soak.pool = pool_new();
 	soak.calls = g_ptr_array_new();
+	soak.conns = g_ptr_array_new();
+	soak.events = g_array_new(FALSE, FALSE, sizeof(struct soak_event));
 	soak.failures = g_string_new(NULL);
 	soak.history = g_string_new(NULL);
 	soak.started_at = g_get_monotonic_time();
@@ -211,10 +222,12 @@
 	g_main_loop_run(soak.loop);
 	for (int i = 0; i < 3; i++)
 		g_source_remove(sources[i]);
-	soak_callers_check(&soak);
+	soak_checks_run(&soak);
 	soak_world_check_logs(&soak);
+	soak_conns_free(&soak);
 	soak_callers_free(&soak);
 	soak_world_stop(&soak);
+	g_array_unref(soak.events);
 	ok = soak.failures->len == 0;
 	if (!ok)
 		g_print("seed %u FAILED, logs in %s\n%s-- faults\n%s", seed,
@@ -225,6 +238,7 @@
 	g_string_free(soak.history, TRUE);
 	g_main_loop_unref(soak.loop);
 	g_rand_free(soak.rand);
+	g_rand_free(soak.call_rand);
 	g_free(soak.dir);
 	return ok;
 }
@@ -235,12 +249,12 @@
 	int seeds = 1;
 	int from = 1;
 	int span = 10;
-	char *bindir = NULL;
-	char *old_bindir = NULL;
+	gboolean odd_callers = FALSE;
+	struct soak options = {.bindir = "build"};
 	const GOptionEntry entries[] = {
-	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &bindir,
+	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &options.bindir,
 		"Where the programs are", "DIR"},
-	    {"old-bindir", 0, 0, G_OPTION_ARG_FILENAME, &old_bindir,
+	    {"old-bindir", 0, 0, G_OPTION_ARG_FILENAME, &options.old_bindir,
 		"Where an earlier build is, which runs beside", "DIR"},
 	    {"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "How many", "N"},
 	    {"from", 0, 0, G_OPTION_ARG_INT, &from, "The first", "S"},
@@ -248,6 +262,8 @@
 		"First of the ports that are used", "PORT"},
 	    {"span", 0, 0, G_OPTION_ARG_INT, &span,
 		"Seconds of faults in a run", "S"},
+	    {"odd-callers", 0, 0, G_OPTION_ARG_NONE, &odd_callers,
+		"Some callers read slowly or close their sending side", NULL},
 	    G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -257,10 +273,10 @@
 	if (!g_option_context_parse(context, &argc, &argv, NULL))
 		return 64;
 	g_option_context_free(context);
+	options.odd_callers = odd_callers;
 	take_port_block();
 	for (int i = 0; i < seeds; i++)
-		failed += !play((guint32)(from + i),
-		    bindir == NULL ? "build" : bindir, old_bindir, span);
+		failed += !play(&options, (guint32)(from + i), span);
 	g_print("%d passed, %d failed\n", seeds - failed, failed);
 	return failed == 0 ? 0 : 1;
 }
--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -9,12 +9,11 @@
 
 #include "godwitvale/http/fetch.h"
 
-/// Workers: three engines and two plain services.
+const char *const soak_worker_names[SOAK_WORKERS] = {
+    "lm1", "lm2", "lm3", "shop1", "shop2", "depot1"};
+/// Service and zone of each worker: engines, and two plain services.
 static const char *const worker_specs[SOAK_WORKERS] = {
-    "lm1,lm,z1", "lm2,lm,z2", "lm3,lm,z1", "shop1,shop,z1", "shop2,shop,z2"};
-/// Time after the grace within which an instance must have exited.
-#define LEAVE_SPAN (5 * USEC_PER_SEC)
-#define GRACE_MS 3000
+    "lm,z1", "lm,z2", "lm,z1", "shop,z1", "shop,z2", "depot,z1"};
 
 /// Starts a program in the background and redirects its output to a file.
 static GPid
@@ -54,8 +53,9 @@
 	const char *argv[SOAK_WORKERS + 3] = {program, port};
 
 	for (int i = 0; i < SOAK_WORKERS; i++) {
-		specs[i] = g_strdup_printf("%s,%u,%u", worker_specs[i],
-		    soak->worker_ports[i], soak->worker_ports[i] + 1);
+		specs[i] = g_strdup_printf("%s,%s,%u,%u", soak_worker_names[i],
+		    worker_specs[i], soak->worker_ports[i],
+		    soak->worker_ports[i] + 1);
 		argv[i + 2] = specs[i];
 	}
 	soak->site = start(soak, argv, "site.log");
@@ -86,7 +86,8 @@
 	    entry->name, i % 2 + 1, entry->ip, soak->ports[0], entry->ip,
 	    soak->ports[1], entry->ip, soak->ports[2], soak->ports[3],
 	    soak->ports[4], soak->entries[0].ip, soak->ports[2],
-	    soak->store_port + 1, is_old ? "" : newer, GRACE_MS);
+	    soak->store_port + 1, is_old ? "" : newer,
+	    (int)(soak->grace / USEC_PER_MSEC));
 
 	g_free(entry->settings);
 	entry->settings = g_strdup_printf("%s/%s.json", soak->dir, entry->name);
@@ -117,6 +118,8 @@
 	entry->leaving = false;
 	entry->kill_at = 0;
 	entry->pid = start(soak, argv, log);
+	soak_events_add(
+	    soak, SUBJECT_START + (int)(entry - soak->entries), false);
 	g_free(program);
 	g_free(log);
 }
@@ -169,44 +172,6 @@
 	g_free(target);
 }
 
-/// Writes the next version of the configuration.
-///
-/// @param soak  the run
-void
-soak_world_configure(struct soak *soak)
-{
-	static const char routes[] =
-	    "{\"name\":\"draft\",\"host\":\"a.example\",\"prefix\":\"/draft/\","
-	    "\"route_kind\":\"streaming\",\"service\":\"lm\",\"sticky\":true,"
-	    "\"timeout_ms\":20000,\"target_latency_ms\":1500,"
-	    "\"max_attempts\":1},"
-	    "{\"name\":\"hint\",\"host\":\"a.example\",\"prefix\":\"/hint/\","
-	    "\"route_kind\":\"streaming\",\"service\":\"lm\",\"sticky\":true,"
-	    "\"resumable\":true,\"timeout_ms\":6000,"
-	    "\"target_latency_ms\":1500,\"max_attempts\":2},"
-	    "{\"name\":\"order\",\"host\":\"a.example\",\"prefix\":\"/order/\","
-	    "\"route_kind\":\"non_idempotent\",\"service\":\"shop\","
-	    "\"timeout_ms\":2000,\"target_latency_ms\":300,"
-	    "\"max_attempts\":1},"
-	    "{\"name\":\"check\",\"host\":\"a.example\",\"prefix\":\"/check/\","
-	    "\"route_kind\":\"idempotent\",\"service\":\"shop\","
-	    "\"timeout_ms\":2000,\"target_latency_ms\":300,"
-	    "\"max_attempts\":2}";
-	char *text;
-
-	soak->config_version += 1 + g_rand_int_range(soak->rand, 0, 5);
-	text = g_strdup_printf(
-	    "{\"version\":%u,\"routes\":[%s],\"services\":[{\"name\":\"lm\","
-	    "\"max_conns\":200,\"cold_per_s\":20,\"engine\":{\"slots\":24,"
-	    "\"kv_capacity\":34000,\"kv_bytes\":18432,\"stride\":4,"
-	    "\"handle_s\":5,\"moves\":true}},{\"name\":\"shop\","
-	    "\"max_conns\":100}],\"tenants\":[{\"name\":\"t1\","
-	    "\"api_keys\":[\"k1\"]}]}",
-	    soak->config_version, routes);
-	soak_world_ctl(soak, "put/op/config", text);
-	g_free(text);
-}
-
 /// Starts all processes and links.
 ///
 /// @param soak  the run, with its ports
@@ -225,7 +190,7 @@
 			return false;
 	}
 	g_usleep(300000); /* time for the platform to start */
-	soak_world_configure(soak);
+	soak_config_write(soak);
 	/* Two software versions serve side by side. */
 	soak_world_ctl(soak, "worker/lm2/version-v2", "");
 	for (int i = 0; i < SOAK_ENTRIES; i++) {
