Placement: a begun stream keeps the service that a configuration takes away

What callers saw: beside a change of the configuration, a begun stream was reset, neither complete nor refused. Cause: the service of a request was looked up in the configuration in force, not in that with which it had begun. When a configuration had taken the service away and then the stream's engine left as planned, no engine was found for the copy of its generation (handover-no-target) or for another start, although one stood ready.

A request that has begun goes by its own configuration where the one in force lacks the service.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -297,6 +297,7 @@
 	const uint64_t tried[] = {
 	    request->target.key, request->copy_target.key};
 	const struct dispatch_request placement = {
+	    .deployment = request->deployment,
 	    .service = request->service,
 	    .place = entry_request_make_place_request(request),
 	    .zone = request->target.zone,
--- a/src/godwitvale/entry/dispatch.c
+++ b/src/godwitvale/entry/dispatch.c
@@ -394,6 +394,21 @@
 		options->turn_taken(options->owner, &turn);
 }
 
+/// Finds the service of a request.
+///
+/// @return NULL: there is none
+static const struct service *
+find_service(
+    const struct dispatch *dispatch, const struct dispatch_request *request)
+{
+	const struct service *service = deployment_find_service(
+	    view_deployment(dispatch->options.view), request->service);
+
+	if (service != NULL || request->deployment == NULL)
+		return service;
+	return deployment_find_service(request->deployment, request->service);
+}
+
 /// Chooses an upstream for a request. For a cold upstream, takes one of this
 /// instance's permits.
 ///
@@ -407,8 +422,7 @@
 dispatch_place(struct dispatch *dispatch,
     const struct dispatch_request *request, struct dispatch_target *target)
 {
-	const struct service *service = deployment_find_service(
-	    view_deployment(dispatch->options.view), request->service);
+	const struct service *service = find_service(dispatch, request);
 	usec_t now = g_get_monotonic_time();
 	struct place_request place = request->place;
 	struct candidate_list list;
@@ -454,8 +468,7 @@
 dispatch_find_earliest(
     struct dispatch *dispatch, const struct dispatch_request *request)
 {
-	const struct service *service = deployment_find_service(
-	    view_deployment(dispatch->options.view), request->service);
+	const struct service *service = find_service(dispatch, request);
 	const GPtrArray *records = directory_get_service_records(
 	    view_directory(dispatch->options.view), request->service);
 	struct eligibility earliest = {INELIGIBLE_DRAINING, USEC_NEVER};
--- a/src/godwitvale/entry/dispatch.h
+++ b/src/godwitvale/entry/dispatch.h
@@ -35,6 +35,9 @@
 
 /// A request to be placed.
 struct dispatch_request {
+	/// Configuration that holds where the one in force doesn't have the
+	/// service: that of a begun answer, which still needs it. NULL: none.
+	const struct deployment *deployment;
 	const char *service;
 	struct place_request place;
 	const char *zone; /// zone to prefer; NULL: the zone of this instance
@@ -101,6 +104,8 @@
     struct dispatch *dispatch, uint64_t service, usec_t left);
 size_t dispatch_list_brittle(
     const struct dispatch *dispatch, struct peers_brittle *brittle, size_t max);
+bool dispatch_is_usable(
+    const struct dispatch *dispatch, const struct dispatch_target *target);
 bool dispatch_is_leaving(
     const struct dispatch *dispatch, const struct dispatch_target *target);
 size_t dispatch_list_unreachable(
--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -110,6 +110,8 @@
 make_dispatch_request(const struct entry_request *request)
 {
 	return (struct dispatch_request){
+	    .deployment =
+		request->response_started ? request->deployment : NULL,
 	    .service = request->service,
 	    .place = entry_request_make_place_request(request),
 	    .tried = request->tried,
