Placement: a begun answer waits for a place until its deadline

What callers saw: a begun stream that had lost its engine and had to wait for a place was reset after half of the route's target latency (no-room), or at once when all engines in the list were leaving and the next one wasn't listed yet.

Cause: the wait is limited, and ended early, because a refusal with a time to come back serves the caller better. A begun answer can't be refused, only broken off.

Evidence: functional/entry_begun_waits: cut at event 20 before, whole now. functional/entry_config_inside still has a request refused at once when its service goes.

--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -24,10 +24,12 @@
 #define ENTRY_REQUEST_TURN_WAIT (150 * USEC_PER_MSEC)
 
 /// @return time until which a request that begins to wait now may wait for
-///         capacity
+///         capacity. A begun answer can't be refused, only broken off.
 static usec_t
 get_wait_deadline(const struct entry_request *request)
 {
+	if (request->response_started)
+		return request->deadline;
 	return MIN(request->deadline,
 	    g_get_monotonic_time() +
 		request->route->target_latency / ENTRY_REQUEST_WAIT_DIVISOR);
@@ -241,6 +243,17 @@
 	}
 }
 
+/// Checks whether the configuration in force has no place for a request that
+/// waits. Otherwise an upstream may still come. A begun answer can't be refused
+/// any more.
+static bool
+is_service_gone(const struct entry_request *request)
+{
+	return !request->response_started &&
+	    deployment_find_service(view_deployment(request->entry->view),
+		request->service) == NULL;
+}
+
 /// Queue callback: tries to place a waiting request, or ends it because of a
 /// quarantine, or because its service has no upstream any more.
 ///
@@ -261,6 +274,8 @@
 	case PLACE_FULL:
 		return false;
 	default:
+		if (!is_service_gone(request))
+			return false;
 		refuse_without_upstream(request);
 		return true;
 	}
