Reach: a begun answer is left to its connection

Cause: the old exchange was cancelled before the other instance had taken the request. A connection that is really cut ends by its keep-alive probes after three seconds; only then does a begun answer go on elsewhere.

functional/entry_silent_streams, entry_silent_worker and entry_cut_off pass.

--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -13,9 +13,6 @@
 #define REACH_SILENT_SPAN (400 * USEC_PER_MSEC)
 /// The same while an engine reads the prompt.
 #define REACH_SILENT_PROMPT_SPAN (1200 * USEC_PER_MSEC)
-/// An answer that the caller has a part of isn't given up before nothing has
-/// come for this long. An upstream in order may be silent for a second.
-#define REACH_BEGUN_ANSWER_SPAN (1500 * USEC_PER_MSEC)
 /// Time that an upstream has to answer a probe.
 #define REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
 /// Interval of the search for silent requests.
@@ -249,16 +246,15 @@
 }
 
 /// Checks whether a request's upstream doesn't matter any more: it is out of
-/// reach, and another instance may be asked to serve the request.
+/// reach, and another instance may be asked to serve the request. A begun
+/// answer is left to its connection: if the other instance can't serve it, it
+/// is lost, though its upstream may only be silent.
 static bool
-is_to_be_given_up(const struct reach_monitor *monitor,
-    const struct entry_request *request, usec_t now)
+is_to_be_given_up(
+    const struct reach_monitor *monitor, const struct entry_request *request)
 {
-	if (request->response_started &&
-	    now < request->heard_at + REACH_BEGUN_ANSWER_SPAN)
-		return false;
-	return reachability_is_cut_off(
-		   monitor->reachability, request->service) &&
+	return !request->response_started &&
+	    reachability_is_cut_off(monitor->reachability, request->service) &&
 	    exchange_may_have_sent(request->exchange) &&
 	    can_be_retried(request) && !continuation_is_in_progress(request);
 }
@@ -268,7 +264,7 @@
 handle_silent(
     struct reach_monitor *monitor, struct entry_request *request, usec_t now)
 {
-	if (!is_to_be_given_up(monitor, request, now)) {
+	if (!is_to_be_given_up(monitor, request)) {
 		reachability_suspect(
 		    monitor->reachability, now, request->service);
 		return;
