Log: responses that this process breaks off are lost ones, too

response-lost was silent about http_call_abort(), the end of most begun answers that get lost, so that 'lost, as logged' of a test couldn't go red for them.

--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -45,6 +45,7 @@
 	    [HTTP_LOSS_CALLER_RESET] = "caller-reset",
 	    [HTTP_LOSS_TIMEOUT] = "timeout",
 	    [HTTP_LOSS_SERVER_FREED] = "server-freed",
+	    [HTTP_LOSS_ABORTED] = "aborted",
 	};
 
 	return names[cause];
@@ -52,8 +53,11 @@
 
 /// Reports the end of a connection if its caller doesn't have all of a
 /// response.
-static void
-report_loss(const struct caller *caller, enum http_loss_cause cause)
+///
+/// @param caller  caller whose connection ends
+/// @param cause   why it ends
+void
+server_report_loss(const struct caller *caller, enum http_loss_cause cause)
 {
 	const struct http_server_options *options = &caller->server->options;
 	const struct http_loss loss = {
@@ -216,7 +220,7 @@
 static void
 on_ended(void *owner, enum conn_end end)
 {
-	report_loss(owner,
+	server_report_loss(owner,
 	    end == CONN_END_ORDERLY ? HTTP_LOSS_CALLER_CLOSED
 				    : HTTP_LOSS_CALLER_RESET);
 	caller_disconnect(owner);
@@ -473,7 +477,7 @@
 		refuse_request(caller, 408);
 		return;
 	}
-	report_loss(caller, HTTP_LOSS_TIMEOUT);
+	server_report_loss(caller, HTTP_LOSS_TIMEOUT);
 	server_caller_free(caller);
 }
 
@@ -577,7 +581,7 @@
 	GList *callers = g_hash_table_get_keys(server->callers);
 
 	for (GList *l = callers; l != NULL; l = l->next) {
-		report_loss(l->data, HTTP_LOSS_SERVER_FREED);
+		server_report_loss(l->data, HTTP_LOSS_SERVER_FREED);
 		caller_disconnect(l->data);
 	}
 	g_list_free(callers);
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -25,6 +25,7 @@
 	HTTP_LOSS_CALLER_RESET,      /// reset by the caller, or it is silent
 	HTTP_LOSS_TIMEOUT,           /// the caller read too slowly
 	HTTP_LOSS_SERVER_FREED,      /// the process ends
+	HTTP_LOSS_ABORTED,           /// this process broke the response off
 };
 
 /// A caller's connection that ended before the caller had all of a response.
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -234,6 +234,8 @@
 	struct caller *caller = call->caller;
 
 	call->disconnect_handler = NULL;
+	if (caller != NULL)
+		server_report_loss(caller, HTTP_LOSS_ABORTED);
 	call_free(call);
 	if (caller == NULL)
 		return;
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -59,6 +59,8 @@
 };
 
 /* server.c */
+void server_report_loss(
+    const struct caller *caller, enum http_loss_cause cause);
 void server_caller_free(struct caller *caller);
 void server_start_linger(struct caller *caller);
 void server_await_delivery(struct caller *caller);
