Handover: a target that didn't take a generation is tried with sense

A target that turned the request away for a moment (not run, the copy unused) still cost the stream.

Cause: the tries looked neither at what else could be done nor at whether the target is to get requests. Now a stream that may be begun again is, at once; the others are sent there again with doubling delays while the directory has the same incarnation, ready, not leaving and not in an evacuated zone; a target that turns the request away costs a retry permit each time.

--- a/src/godwitvale/core/handover.c
+++ b/src/godwitvale/core/handover.c
@@ -247,20 +247,24 @@
 	return true;
 }
 
-/// Notes that the target accepted no connection, so that the copy is unused.
-/// The generation is to be resumed there again after `retry_delay`.
+/// Notes that the target didn't take the request that was to resume the
+/// generation, so that the copy is unused. It is to be sent there again after
+/// `retry_delay`, which doubles each time.
 ///
 /// @param handover  handover of the generation
 /// @param now       current time
 /// @return false once `resume_span` has passed since this was first noted
 bool
-handover_target_unreachable(struct handover *handover, usec_t now)
+handover_resume_failed(struct handover *handover, usec_t now)
 {
-	if (handover->resume_until == 0)
+	if (handover->resume_until == 0) {
 		handover->resume_until = now + handover->options.resume_span;
+		handover->resume_delay = handover->options.retry_delay;
+	}
 	if (now >= handover->resume_until)
 		return false;
-	handover->resume_at = now + handover->options.retry_delay;
+	handover->resume_at = now + handover->resume_delay;
+	handover->resume_delay *= 2;
 	return true;
 }
 
--- a/src/godwitvale/core/handover.h
+++ b/src/godwitvale/core/handover.h
@@ -75,7 +75,7 @@
 	/// how long the outcome of a copy request is awaited after the stream
 	/// was cut
 	usec_t answer_timeout;
-	/// how long a target that accepts no connection is tried again
+	/// how long a target that didn't take the request is tried again
 	usec_t resume_span;
 	/// failures with HANDOVER_NO_ROOM after which no copy is tried any more
 	unsigned max_no_room_failures;
@@ -94,6 +94,7 @@
 	usec_t cut_at;    /// when the stream was cut; 0 while it is open
 	usec_t resume_at; /// not to be resumed before; 0: at once
 	usec_t resume_until; /// when to give the target up; 0: not tried yet
+	usec_t resume_delay; /// from the last failed try to the next
 	unsigned n_no_room_failures; /// copies failed with HANDOVER_NO_ROOM
 	bool has_copy;               /// a target holds a complete copy
 	/// the stream ended where a complete one may end, so that the outcome
@@ -119,7 +120,7 @@
     struct handover *handover, usec_t now, enum handover_copy_failure failure);
 void handover_stream_cut(struct handover *handover, usec_t now);
 bool handover_stream_ended(struct handover *handover, usec_t now);
-bool handover_target_unreachable(struct handover *handover, usec_t now);
+bool handover_resume_failed(struct handover *handover, usec_t now);
 bool handover_has_copy(const struct handover *handover);
 const char *handover_step_name(enum handover_step step);
 
--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -107,6 +107,20 @@
 		    info->pause_span);
 }
 
+/// Handles the refusal of a target to resume a stream. Its copy is unused. Each
+/// further try is a further arrival there, and needs a permit.
+static void
+handle_resume_refusal(
+    struct entry_request *request, const struct site_answer *info)
+{
+	if (!info->misdirected &&
+	    dispatch_take_retry_permit(
+		request->entry->dispatch, request->service))
+		continuation_handle_not_taken(request, "resume-refused");
+	else
+		continuation_handle_refusal(request, "resume-refused");
+}
+
 /// Handles an upstream's statement that it has not run the request: sends the
 /// request to another upstream or refuses it.
 static void
@@ -135,7 +149,7 @@
 	}
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming) {
-		continuation_handle_refusal(request, "resume-refused");
+		handle_resume_refusal(request, info);
 		return;
 	}
 	if (acquire_retry(request))
@@ -518,7 +532,7 @@
 		crash_probes_note_cut(request, was_down);
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming && failure == EXCHANGE_UNREACHABLE)
-		continuation_handle_unreachable(request);
+		continuation_handle_not_taken(request, "resume-unreachable");
 	else if (request->route->kind == ROUTE_STREAM &&
 	    (request->is_stream || continuation_is_in_progress(request)) &&
 	    failure != EXCHANGE_UNREACHABLE)
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -32,8 +32,8 @@
 #define CONTINUATION_RETRY_DELAY (80 * USEC_PER_MSEC)
 /// Timeout for the answer to a copy request after the stream was cut.
 #define CONTINUATION_ANSWER_TIMEOUT (300 * USEC_PER_MSEC)
-/// How long a target that accepts no connection is tried again. An upstream in
-/// order may be silent for a second; its copy expires after a few.
+/// How long a target that doesn't take a generation is tried again. An upstream
+/// in order may be silent for a second; its copy expires after a few.
 #define CONTINUATION_RESUME_SPAN (3 * USEC_PER_SEC)
 /// Copies of one generation that may fail for lack of capacity at the target.
 #define CONTINUATION_MAX_TRIES 6
@@ -343,7 +343,7 @@
 	g_clear_pointer(&request->copy_fetch, fetch_cancel);
 	entry_request_cancel_exchange(request);
 	request->is_resuming = true;
-	request->handovers++;
+	request->handovers += request->handover.resume_until == 0;
 	log_event(LOG_LEVEL_INFO, "handover-resumed",
 	    "id=%s source=%s target=%s handle=%s last_event=%" G_GINT64_FORMAT
 	    " silent_ms=%" G_GINT64_FORMAT,
@@ -356,24 +356,40 @@
 	entry_request_send(request, &continuation);
 }
 
-/// Resumes a generation at the upstream that has the copy.
+/// Resumes a generation at the upstream that has the copy. Another try is made
+/// only while that upstream may get requests.
 static void
 resume_at_copy_target(struct entry_request *request)
 {
+	if (request->handover.resume_until != 0 &&
+	    !dispatch_is_usable(
+		request->entry->dispatch, &request->copy_target)) {
+		continuation_handle_refusal(request, "resume-target-gone");
+		return;
+	}
 	entry_request_cancel_exchange(request);
 	release_copy_load(request);
 	clone_target(&request->target, &request->copy_target);
 	send_resume(request);
 }
 
+/// Checks whether a stream may be begun again, at another upstream.
+static bool
+can_restart(const struct entry_request *request)
+{
+	return entry_request_is_repeatable(request) &&
+	    request->attempts < request->route->max_attempts &&
+	    dispatch_has_retry_permit(
+		request->entry->dispatch, request->service);
+}
+
 /// Restarts a stream without a copy, at the event after the last one sent to
 /// the caller, if the route and the retry budget allow this; otherwise fails
 /// the request.
 static void
 restart_or_fail(struct entry_request *request, const char *reason)
 {
-	if (entry_request_is_repeatable(request) &&
-	    request->attempts < request->route->max_attempts &&
+	if (can_restart(request) &&
 	    dispatch_take_retry_permit(
 		request->entry->dispatch, request->service)) {
 		reset_handover(request);
@@ -510,27 +526,34 @@
 	restart_or_fail(request, reason);
 }
 
-/// Handles a target that accepted no connection to resume a stream: it is tried
-/// again for a while, as it still holds the copy.
+/// Handles a target that didn't take the request that was to resume a stream.
+/// It still holds the copy and is tried again for a while, unless the stream
+/// can be begun again elsewhere.
 ///
 /// @param request  request without an exchange
+/// @param reason   one word for the log and the metrics
 void
-continuation_handle_unreachable(struct entry_request *request)
+continuation_handle_not_taken(struct entry_request *request, const char *reason)
 {
 	usec_t now = g_get_monotonic_time();
 
-	if (!handover_target_unreachable(&request->handover, now)) {
-		continuation_handle_refusal(request, "resume-refused");
+	if (can_restart(request) ||
+	    !dispatch_is_usable(
+		request->entry->dispatch, &request->copy_target) ||
+	    !handover_resume_failed(&request->handover, now)) {
+		continuation_handle_refusal(request, reason);
 		return;
 	}
 	request->is_resuming = false;
-	log_event(LOG_LEVEL_WARN, "handover-unreachable",
-	    "id=%s target=%s gives_up_ms=%" G_GINT64_FORMAT
-	    " outcome=tried-again",
-	    request->params.id, request->target.id,
+	log_event(LOG_LEVEL_WARN, "handover-not-taken",
+	    "id=%s target=%s reason=%s again_ms=%" G_GINT64_FORMAT
+	    " gives_up_ms=%" G_GINT64_FORMAT,
+	    request->params.id, request->target.id, reason,
+	    (request->handover.resume_at - now) / USEC_PER_MSEC,
 	    (request->handover.resume_until - now) / USEC_PER_MSEC);
 	continuation_advance(request);
-	entry_request_set_timer(request);
+	if (!request->is_done)
+		entry_request_set_timer(request);
 }
 
 /// Checks whether the handover of a request is in progress.
--- a/src/godwitvale/entry/dispatch_upstream.c
+++ b/src/godwitvale/entry/dispatch_upstream.c
@@ -249,6 +249,26 @@
 	pool_close_idle(dispatch->options.pool, target->address);
 }
 
+/// @param dispatch  knows the upstreams
+/// @param target    the upstream
+/// @return false if the upstream is gone, was started again, leaves, or is in
+/// an
+///         availability zone that is being evacuated
+bool
+dispatch_is_usable(
+    const struct dispatch *dispatch, const struct dispatch_target *target)
+{
+	const struct view *view = dispatch->options.view;
+	const struct upstream_record *record =
+	    directory_find(view_directory(view), target->id);
+
+	return record != NULL &&
+	    record->incarnation_key == target->incarnation_key &&
+	    record->entry.state == UPSTREAM_READY &&
+	    !dispatch_is_leaving(dispatch, target) &&
+	    !view_is_zone_evacuated(view, record->entry.zone);
+}
+
 /// @param dispatch  knows what upstreams have said
 /// @param target    the upstream
 /// @return whether the upstream has itself said that it leaves
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -164,7 +164,8 @@
 void continuation_handle_cut(struct entry_request *request, const char *reason);
 bool continuation_handle_end(struct entry_request *request);
 void continuation_handle_resumed(struct entry_request *request);
-void continuation_handle_unreachable(struct entry_request *request);
+void continuation_handle_not_taken(
+    struct entry_request *request, const char *reason);
 void continuation_handle_refusal(
     struct entry_request *request, const char *reason);
 bool continuation_is_supported(const struct entry_request *request);
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -645,7 +645,7 @@
 ///
 /// @return false when the port can't be listened on
 static bool
-worker_start(struct worker *worker)
+worker_listen(struct worker *worker)
 {
 	const struct http_server_options options = {
 	    .vtable = &vtable,
@@ -661,10 +661,19 @@
 	};
 
 	worker->server = http_server_new(&options, NULL);
+	return worker->server != NULL;
+}
+
+/// Starts a worker.
+///
+/// @return false when the port can't be listened on
+static bool
+worker_start(struct worker *worker)
+{
 	worker->start_count++;
 	worker->draining = false;
 	worker->says_leaving = false;
-	return worker->server != NULL;
+	return worker_listen(worker);
 }
 
 /// Aborts every run of a worker.
@@ -720,7 +729,9 @@
 /// @param worker  the worker
 /// @param mode    state of the worker: "ready" or "draining" (writes its entry
 ///     with this state), "saysleaving" (only its answers say that it leaves,
-///     until it starts again), "gone" (stops; the entry stays), "leave" (stops
+///     until it starts again), "gone" (stops; the entry stays),
+///     "listen" (accepts connections again after "gone", without a new start),
+///     "leave" (stops
 ///     and deletes the entry), "back" (starts again), "version-V" (starts
 ///     again with software version V), "cutruns" (aborts all runs),
 ///     "hold" (does nothing for a while, and goes on); or its way
@@ -746,6 +757,9 @@
 		worker->says_leaving = true;
 	} else if (strcmp(mode, "gone") == 0) {
 		worker_stop(worker);
+	} else if (strcmp(mode, "listen") == 0) {
+		if (worker->server == NULL)
+			worker_listen(worker);
 	} else if (strcmp(mode, "leave") == 0) {
 		worker_stop(worker);
 		site_store_delete(worker->site->store, key);
