--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -1,6 +1,6 @@
 /*
  * The HTTP server: connections of callers and their requests. server_call.c
- * writes the responses.
+ * writes the responses, server_timeouts.c ends connections.
  */
 #include "godwitvale/http/server.h"
 
@@ -29,9 +29,6 @@
 #define SERVER_PROBE_PAUSE (500 * USEC_PER_MSEC)
 /// Interval between checks for timeouts, in milliseconds.
 #define SERVER_TIMEOUT_CHECK_MS 250
-/// How long a caller may take to read the last response and close its side of
-/// the connection, in microseconds.
-#define SERVER_LINGER (1 * USEC_PER_SEC)
 
 static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -114,19 +111,6 @@
 		handler(owner);
 }
 
-/// Starts the time within which a caller must take another byte of the
-/// responses that are finished.
-///
-/// @param caller  caller that may have unsent bytes
-void
-server_await_delivery(struct caller *caller)
-{
-	caller->is_delivering = true;
-	caller->acked = conn_acked_bytes(caller->conn);
-	caller->stall_deadline =
-	    g_get_monotonic_time() + caller->server->limits.stall_timeout;
-}
-
 /// Starts an orderly close: closes the sending side and leaves the caller time
 /// to read the response and close its own side.
 ///
@@ -178,8 +162,10 @@
 /// Sends an interim response to a caller that has closed its sending side, if
 /// it waits for a response: the kernel of a caller that has left replies with
 /// a reset. HTTP/1.0 has no interim responses.
-static void
-probe_caller(struct caller *caller)
+///
+/// @param caller  caller with a call
+void
+server_probe_caller(struct caller *caller)
 {
 	usec_t pause = SERVER_PROBE_PAUSE << caller->n_probes;
 
@@ -199,7 +185,7 @@
 {
 	caller->n_probes = 0;
 	if (!caller->call->has_head)
-		probe_caller(caller);
+		server_probe_caller(caller);
 }
 
 /// Connection callback: the caller has closed its sending side. It may have
@@ -227,8 +213,11 @@
 }
 
 /// Refuses a request with an empty response and closes the connection.
-static void
-refuse_request(struct caller *caller, unsigned status)
+///
+/// @param caller  caller whose request isn't passed on
+/// @param status  status of the response
+void
+server_refuse_request(struct caller *caller, unsigned status)
 {
 	struct http_head head;
 	GString *bytes = g_string_new(NULL);
@@ -380,7 +369,7 @@
 			caller->deadline = g_get_monotonic_time() +
 			    caller->server->limits.idle_timeout;
 		if (caller->reader.progress == HTTP_INVALID)
-			refuse_request(
+			server_refuse_request(
 			    caller, fault_status(caller->reader.fault));
 		else if (caller->reader.progress == HTTP_COMPLETE)
 			dispatch_request(caller);
@@ -448,74 +437,11 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Checks whether a caller has let its deadline pass. While bytes of finished
-/// responses are on their way, that is the deadline for taking another byte.
-static bool
-is_overdue(struct caller *caller, usec_t now)
-{
-	if (caller->call != NULL)
-		return false;
-	if (caller->is_delivering)
-		caller->is_delivering = conn_unacked_bytes(caller->conn) > 0;
-	if (!caller->is_delivering ||
-	    (caller->reader.progress != HTTP_AT_START && !caller->lingering))
-		return now >= caller->deadline;
-	if (conn_acked_bytes(caller->conn) != caller->acked)
-		server_await_delivery(caller);
-	caller->deadline = now +
-	    (caller->lingering ? SERVER_LINGER
-			       : caller->server->limits.idle_timeout);
-	return now >= caller->stall_deadline;
-}
-
-/// Ends the connection of a caller whose deadline has passed, or refuses the
-/// request that it has not sent in time.
-static void
-end_overdue(struct caller *caller)
-{
-	if (caller->reader.progress != HTTP_AT_START && !caller->lingering) {
-		refuse_request(caller, 408);
-		return;
-	}
-	server_report_loss(caller, HTTP_LOSS_TIMEOUT);
-	server_caller_free(caller);
-}
-
-/// Reads what a caller has sent. After a pause of the process, that may have
-/// arrived in time.
-///
-/// @return false if the caller has been freed
-static bool
-read_arrived(struct caller *caller)
-{
-	GHashTable *callers = caller->server->callers;
-
-	conn_receive(caller->conn);
-	return g_hash_table_contains(callers, caller);
-}
-
-/// Timer callback: ends the connections of callers whose deadline has passed.
+/// Timer callback: a check for timeouts is due.
 static gboolean
 on_timeout_check(gpointer data)
 {
-	struct http_server *server = data;
-	usec_t now = g_get_monotonic_time();
-	GList *callers = g_hash_table_get_keys(server->callers);
-
-	for (GList *l = callers; l != NULL; l = l->next) {
-		struct caller *caller = l->data;
-
-		/* Handling an earlier caller's request may have freed it. */
-		if (!g_hash_table_contains(server->callers, caller))
-			continue;
-		conn_update_limits(caller->conn);
-		if (now >= caller->probe_due)
-			probe_caller(caller);
-		if (is_overdue(caller, now) && read_arrived(caller) &&
-		    is_overdue(caller, now))
-			end_overdue(caller);
-	}
-	g_list_free(callers);
+	server_check_timeouts(data);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -1,4 +1,7 @@
-/* State of the HTTP server, shared by server.c and server_call.c. */
+/*
+ * State of the HTTP server, shared by server.c, server_call.c and
+ * server_timeouts.c.
+ */
 #ifndef GODWITVALE_HTTP_SERVER_STATE_H
 #define GODWITVALE_HTTP_SERVER_STATE_H
 
@@ -8,6 +11,10 @@
 #include "godwitvale/http/reader.h"
 #include "godwitvale/http/server.h"
 
+/// How long a caller may take to read the last response and close its side of
+/// the connection, in microseconds.
+#define SERVER_LINGER (1 * USEC_PER_SEC)
+
 struct http_server {
 	struct http_server_options options;
 	struct http_limits limits;
@@ -63,8 +70,13 @@
     const struct caller *caller, enum http_loss_cause cause);
 void server_caller_free(struct caller *caller);
 void server_start_linger(struct caller *caller);
-void server_await_delivery(struct caller *caller);
 void server_read_next(struct caller *caller);
 void server_process_input(struct caller *caller, const char *data, size_t len);
+void server_refuse_request(struct caller *caller, unsigned status);
+void server_probe_caller(struct caller *caller);
+
+/* server_timeouts.c */
+void server_await_delivery(struct caller *caller);
+void server_check_timeouts(struct http_server *server);
 
 #endif
