Entry: an instance that leaves waits for the requests that others forward to it

What callers saw: a stream that an instance which is cut off had forwarded was cut as soon as the other instance had no callers of its own left after SIGTERM, 3 s after it, however much of the grace period was left.

Cause: is_idle() counts the calls on the callers' server. Forwarded requests come in on the control server, and so do the acknowledgements of their answers.

The set of requests holds both kinds, so the process ends once it is empty and the answers on both servers are delivered, or at the deadline as before.

--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -263,12 +263,15 @@
 	store_restart_calls(entry->store);
 }
 
-/// Checks whether callers wait for nothing from this instance.
+/// Checks whether callers wait for nothing from this instance, and neither do
+/// those of other instances, whose requests come in on the control server.
 static bool
 is_idle(const struct entry *entry)
 {
-	return http_server_count_open_calls(entry->caller_server) == 0 &&
-	    http_server_count_undelivered(entry->caller_server) == 0;
+	return g_hash_table_size(entry->requests) == 0 &&
+	    http_server_count_open_calls(entry->caller_server) == 0 &&
+	    http_server_count_undelivered(entry->caller_server) == 0 &&
+	    http_server_count_undelivered(entry->control_server) == 0;
 }
 
 /// Ends the process after SIGTERM, once no request is open and all responses
@@ -285,9 +288,11 @@
 	if (!done && now < entry->leave_deadline)
 		return;
 	log_event(LOG_LEVEL_INFO, "stopping",
-	    "open=%u undelivered=%u since_ms=%" G_GINT64_FORMAT,
+	    "open=%u requests=%u undelivered=%u since_ms=%" G_GINT64_FORMAT,
 	    http_server_count_open_calls(entry->caller_server),
-	    http_server_count_undelivered(entry->caller_server),
+	    g_hash_table_size(entry->requests),
+	    http_server_count_undelivered(entry->caller_server) +
+		http_server_count_undelivered(entry->control_server),
 	    (now - entry->leaving_since) / USEC_PER_MSEC);
 	g_main_loop_quit(entry->loop);
 }
