Forwarding: a retry at another instance takes one permit

What callers saw: streams that had begun were reset and idempotent requests got 502, while an instance that reached the upstreams was there to help.

Cause: the sender takes a retry permit when it gives an attempt up, and the receiver took another one on arrival. A receiver without any refused with the reason "full", which the sender takes for the upstreams' state, so that it asks nobody else. Permits come from an instance's own requests, so one that had few of them could not help.

A forwarded request now says that its next send to an upstream is counted: as a first request, or by the permit for the retry. The receiver counts it only if the sender has not. A permit stays with its request until a send may have reached an upstream, so it goes on to the next instance if one accepts no connection or refuses. After an attempt of another instance the sender takes a permit of its own, or, if it has none, leaves that to the next instance; without both the request isn't sent again. So each send but the first is covered by one permit, and the first is no longer credited at both instances if the sender's connection to an upstream failed. Builds without the field count at the receiver as before, so a mixed fleet retries less, never more.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -84,8 +84,7 @@
 		return false;
 	if (request->attempts >= request->route->max_attempts)
 		return false;
-	return dispatch_take_retry_permit(
-	    request->entry->dispatch, request->service);
+	return entry_request_take_retry_permit(request);
 }
 
 /// Notes the pause that an upstream asks for as it turns a request away.
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -373,8 +373,7 @@
 {
 	if (entry_request_is_repeatable(request) &&
 	    request->attempts < request->route->max_attempts &&
-	    dispatch_take_retry_permit(
-		request->entry->dispatch, request->service)) {
+	    entry_request_take_retry_permit(request)) {
 		reset_handover(request);
 		entry_request_place(request);
 		return;
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -395,6 +395,19 @@
 	}
 }
 
+/// Takes a permit for the next attempt of a request. It holds for one send to
+/// an upstream, whichever instance makes it.
+///
+/// @param request  request that was sent to an upstream before
+/// @return false if this instance's share of the retries is used up
+bool
+entry_request_take_retry_permit(struct entry_request *request)
+{
+	request->is_counted = dispatch_take_retry_permit(
+	    request->entry->dispatch, request->service);
+	return request->is_counted;
+}
+
 /// Starts the handover of the generations that run at a leaving upstream.
 ///
 /// @param entry      instance that sent the generations
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -110,6 +110,9 @@
 	bool is_forwarded;  /// another instance has forwarded it to this one
 	bool is_trial;      /// sent although a quarantine covers it
 	bool has_version;   /// the caller has events of the stream
+	/// the current attempt, or the next one if none runs, is counted as a
+	/// first request or by a retry permit, here or at the sender
+	bool is_counted;
 };
 
 /* entry_request_log.c */
@@ -155,6 +158,7 @@
 void entry_request_add_tried(struct entry_request *request, uint64_t key);
 bool entry_request_can_go_on(const struct entry_request *request);
 bool entry_request_is_repeatable(const struct entry_request *request);
+bool entry_request_take_retry_permit(struct entry_request *request);
 
 /* continuation.c */
 void continuation_init(struct entry_request *request);
--- a/src/godwitvale/entry/entry_request_start.c
+++ b/src/godwitvale/entry/entry_request_start.c
@@ -182,20 +182,22 @@
 	entry_request_refuse(request, RETRY_AFTER_STARTING, outcome);
 }
 
-/// Counts the arrival of a request at its service: as a first one, or as a
-/// retry of an attempt at another instance.
+/// Counts the arrival of a request at its service, unless the instance that
+/// forwards it has: as a first one, or as a retry of an attempt elsewhere.
 ///
 /// @return false if there is no permit for the retry
 static bool
 count_arrival(struct entry_request *request)
 {
-	struct dispatch *dispatch = request->entry->dispatch;
-
+	if (request->is_counted)
+		return true;
 	if (request->attempts > 0)
-		return dispatch_take_retry_permit(dispatch, request->service);
+		return entry_request_take_retry_permit(request);
 	if (!request->is_forwarded && forwarding_is_needed(request))
 		return true;
-	dispatch_record_first_request(dispatch, request->service);
+	dispatch_record_first_request(
+	    request->entry->dispatch, request->service);
+	request->is_counted = true;
 	return true;
 }
 
@@ -259,6 +261,7 @@
 
 	request->is_forwarded = true;
 	request->attempts = fields->attempts;
+	request->is_counted = fields->is_counted;
 	request->has_version = fields->has_version;
 	request->version_key = fields->version_key;
 	if (objection != NULL) {
--- a/src/godwitvale/entry/forward_fields.c
+++ b/src/godwitvale/entry/forward_fields.c
@@ -10,13 +10,14 @@
 #define FIELD_ORGANISATION "Godwitvale-Organisation"
 #define FIELD_CONFIG "Godwitvale-Config"
 #define FIELD_ATTEMPTS "Godwitvale-Attempts"
+#define FIELD_COUNTED "Godwitvale-Counted"
 #define FIELD_VERSION "Godwitvale-Stream-Version"
 #define FIELD_VERDICT "Godwitvale-Verdict"
 #define FIELD_REASON "Godwitvale-Refusal"
 
 static const char *const all_fields[] = {FIELD_SENDER, FIELD_INCARNATION,
-    FIELD_ORGANISATION, FIELD_CONFIG, FIELD_ATTEMPTS, FIELD_VERSION,
-    FIELD_VERDICT, FIELD_REASON};
+    FIELD_ORGANISATION, FIELD_CONFIG, FIELD_ATTEMPTS, FIELD_COUNTED,
+    FIELD_VERSION, FIELD_VERDICT, FIELD_REASON};
 
 static const enum verdict verdicts[] = {
     VERDICT_NOT_RUN, VERDICT_MAY_HAVE_RUN, VERDICT_RAN};
@@ -72,6 +73,8 @@
 		http_head_add(head, FIELD_ORGANISATION, request->organisation);
 	http_head_add_number(head, FIELD_CONFIG, request->config_version);
 	http_head_add_number(head, FIELD_ATTEMPTS, request->attempts);
+	if (request->is_counted)
+		http_head_add_number(head, FIELD_COUNTED, 1);
 	if (request->has_version)
 		add_hex(head, FIELD_VERSION, request->version_key);
 }
@@ -88,6 +91,7 @@
 {
 	const char *sender = http_head_get(head, FIELD_SENDER);
 	uint64_t attempts = 0;
+	uint64_t counted = 0;
 
 	memset(request, 0, sizeof(*request));
 	if (sender == NULL ||
@@ -103,6 +107,8 @@
 			&request->version_key))
 			return false;
 	}
+	read_number(head, FIELD_COUNTED, 10, 1, &counted);
+	request->is_counted = counted == 1;
 	request->attempts = (unsigned)attempts;
 	request->sender = g_strdup(sender);
 	request->organisation =
--- a/src/godwitvale/entry/forward_fields.h
+++ b/src/godwitvale/entry/forward_fields.h
@@ -21,8 +21,11 @@
 	char *organisation;
 	uint64_t config_version; /// of the sender
 	unsigned attempts;       /// sends to upstreams so far
-	bool has_version;        /// the caller has events of the stream
-	uint64_t version_key;    /// version that the stream goes on at
+	/// The sender has counted the next send to an upstream: as a first one,
+	/// or by a retry permit. Senders of older builds never say so.
+	bool is_counted;
+	bool has_version;     /// the caller has events of the stream
+	uint64_t version_key; /// version that the stream goes on at
 };
 
 /// What the answer to a forwarded request says, beside the upstream's own head.
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -101,6 +101,7 @@
 	    .organisation = organisation == NULL ? NULL : organisation->name,
 	    .config_version = request->deployment->version,
 	    .attempts = request->attempts,
+	    .is_counted = request->is_counted,
 	    .has_version = request->has_version,
 	    .version_key = request->version_key,
 	};
@@ -338,6 +339,29 @@
 	return true;
 }
 
+/// Finds out who counts the next attempt of a request that another instance
+/// may have sent: this instance, or, if it has no permit left, the next one
+/// that it asks.
+///
+/// @return false if there is no permit
+static bool
+acquire_retry(struct entry_request *request)
+{
+	return entry_request_take_retry_permit(request) ||
+	    (forwarding_is_needed(request) && forwarding_is_possible(request));
+}
+
+/// Places a request that another instance has accepted no connection for.
+static void
+handle_unreachable(struct entry_request *request)
+{
+	if (request->attempts == 0 || request->is_counted ||
+	    acquire_retry(request))
+		entry_request_place(request);
+	else
+		entry_request_fail(request, 502, "no-retry-permit");
+}
+
 /// Handles the failure of an exchange with another instance: it has served the
 /// request, or not, or in part.
 ///
@@ -352,7 +376,7 @@
 	request->is_forwarding = false;
 	series_add(&entry_metric_forwards, request->service, "failed", 1);
 	if (failure == EXCHANGE_UNREACHABLE) {
-		entry_request_place(request);
+		handle_unreachable(request);
 		return;
 	}
 	request->attempts++;
@@ -361,9 +385,7 @@
 	g_string_truncate(request->answer_body, 0);
 	if (may_go_on && entry_request_is_repeatable(request) &&
 	    request->attempts < request->route->max_attempts &&
-	    (forwarding_is_needed(request) ||
-		dispatch_take_retry_permit(
-		    request->entry->dispatch, request->service)))
+	    acquire_retry(request))
 		entry_request_place(request);
 	else
 		entry_request_fail(
--- a/test/unit/forward_fields_test.c
+++ b/test/unit/forward_fields_test.c
@@ -17,6 +17,7 @@
 	    .organisation = (char *)"t1",
 	    .config_version = 17,
 	    .attempts = 1,
+	    .is_counted = true,
 	    .has_version = true,
 	    .version_key = UINT64_C(0x8c3d4698568f3a79),
 	};
@@ -37,6 +38,7 @@
 	assert_string_equal(received.organisation, sent.organisation);
 	assert_int_equal(received.config_version, 17);
 	assert_int_equal(received.attempts, 1);
+	assert_true(received.is_counted);
 	assert_true(received.has_version);
 	assert_true(received.version_key == sent.version_key);
 	forward_request_clear(&received);
@@ -45,6 +47,30 @@
 	http_head_clear(&head);
 }
 
+/* Senders of older builds don't have the field, and callers may send it. */
+static void
+only_the_sender_says_that_a_send_is_counted(void **state)
+{
+	const struct forward_request sent = {
+	    .sender = (char *)"edge-1", .incarnation = 1, .attempts = 1};
+	struct forward_request received;
+	struct http_head head;
+
+	(void)state;
+	http_head_init(&head);
+	http_head_add(&head, "godwitvale-counted", "1");
+	forward_fields_remove(&head);
+	forward_fields_write_request(&head, &sent);
+	assert_true(forward_fields_read_request(&head, &received));
+	assert_false(received.is_counted);
+	forward_request_clear(&received);
+	http_head_add(&head, "Godwitvale-Counted", "yes");
+	assert_true(forward_fields_read_request(&head, &received));
+	assert_false(received.is_counted);
+	forward_request_clear(&received);
+	http_head_clear(&head);
+}
+
 static void
 malformed_requests_are_no_forwarded_ones(void **state)
 {
@@ -104,6 +130,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(requests_are_read_as_written),
+	    cmocka_unit_test(only_the_sender_says_that_a_send_is_counted),
 	    cmocka_unit_test(malformed_requests_are_no_forwarded_ones),
 	    cmocka_unit_test(answers_are_read_as_written),
 	};
