Forwarding: an instance that stands still doesn't cost what was forwarded to it

What callers saw: an instance stood still for more than 1.2 s and went on, and the streams and requests that others had forwarded to it were reset, among them those that must not run again.

Cause: an instance whose heartbeats are missing counted as gone, and all exchanges with it were ended. For what can't go on elsewhere that is the loss of an answer that would still come.

Silence now ends only what can go on elsewhere: nothing was sent yet, or the request is repeatable, has an attempt left, and there is another instance to ask or, where the upstreams are in reach, a permit. The rest is left to its connection and deadline. A request remembers the incarnation that it was forwarded to; when another one of that instance is heard, also after a silence, its connections are gone and the request is ended at once. After a pause of this instance nothing is ended for the members that are forgotten, as before, but a restart meanwhile now is found when they are heard again.

--- a/src/godwitvale/entry/entry_peers.c
+++ b/src/godwitvale/entry/entry_peers.c
@@ -86,11 +86,18 @@
 		    brittle->service, brittle->left / USEC_PER_MSEC);
 }
 
-/// Peers callback: another instance has fallen silent or was restarted.
+/// Peers callback: another instance has fallen silent.
 static void
-on_member_lost(void *owner, const struct member *member)
+on_member_silent(void *owner, const struct member *member)
 {
-	forwarding_handle_lost_member(owner, member->name);
+	forwarding_handle_silent_member(owner, member);
+}
+
+/// Peers callback: another instance is heard for the first time.
+static void
+on_member_started(void *owner, const struct member *member)
+{
+	forwarding_handle_started_member(owner, member);
 }
 
 /// Peers callback: lists upstreams that refused connections of this instance.
@@ -198,7 +205,8 @@
     .reach_reported = on_reach_reported,
     .list_brittle = list_brittle,
     .brittle_reported = on_brittle_reported,
-    .member_lost = on_member_lost,
+    .member_silent = on_member_silent,
+    .member_started = on_member_started,
     .list_unreachable = list_unreachable,
     .unreachable_reported = on_unreachable_reported,
     .limit_reported = on_limit_reported,
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -79,6 +79,7 @@
 	/* Forwarding to another instance, which `target` then names. */
 	uint64_t helpers[ENTRY_REQUEST_HELPERS_MAX]; /// asked, by name hash
 	unsigned n_helpers;
+	uint64_t helper_incarnation; /// of the one that was asked last
 	/* What an answer of the other instance's own says. */
 	enum verdict own_verdict;
 	enum retry_after_reason own_reason; /// 0: it refuses for no known one
--- a/src/godwitvale/entry/forwarding.c
+++ b/src/godwitvale/entry/forwarding.c
@@ -276,6 +276,7 @@
 	request->target.id = g_strdup(member->name);
 	request->target.address =
 	    g_strdup_printf("%s:%u", member->ip, entry->settings->control.port);
+	request->helper_incarnation = member->incarnation;
 	options.address = request->target.address;
 	options.body = http_call_body(request->call, &options.body_len);
 	http_head_init(&head);
@@ -392,12 +393,44 @@
 		    request, 502, exchange_failure_name(failure));
 }
 
-/// Ends the exchanges with an instance that has fallen silent or was restarted.
-///
-/// @param entry  instance that forwards requests
-/// @param name   name of the other instance
-void
-forwarding_handle_lost_member(struct entry *entry, const char *name)
+/// Checks whether a request may be sent once more although the instance that
+/// it was forwarded to may still answer, and whether there is a way to.
+static bool
+can_go_on_elsewhere(const struct entry_request *request)
+{
+	if (!exchange_may_have_sent(request->exchange))
+		return true;
+	if (!entry_request_is_repeatable(request) ||
+	    request->attempts + 1 >= request->route->max_attempts)
+		return false;
+	return forwarding_is_needed(request)
+	    ? forwarding_is_possible(request)
+	    : dispatch_has_retry_permit(
+		  request->entry->dispatch, request->service);
+}
+
+/// Ends a request's exchange with another instance, and handles that as a
+/// failure.
+static void
+give_up_exchange(struct entry_request *request)
+{
+	enum exchange_failure failure =
+	    exchange_may_have_sent(request->exchange) ? EXCHANGE_NO_ANSWER
+						      : EXCHANGE_UNREACHABLE;
+
+	entry_request_cancel_exchange(request);
+	answer_vtable()->failed(request, failure);
+}
+
+/// Checks whether an exchange of a request with another instance must be given
+/// up.
+typedef bool (*give_up_check)(
+    const struct entry_request *request, const struct member *member);
+
+/// Gives up those exchanges with another instance that a check names.
+static void
+give_up_exchanges(
+    struct entry *entry, const struct member *member, give_up_check check)
 {
 	GList *requests = g_hash_table_get_keys(entry->requests);
 
@@ -407,20 +440,56 @@
 		struct entry_request *request = l->data;
 
 		if (!request->is_done && request->is_forwarding &&
-		    strcmp(request->target.id, name) == 0) {
-			enum exchange_failure failure =
-			    exchange_may_have_sent(request->exchange)
-			    ? EXCHANGE_NO_ANSWER
-			    : EXCHANGE_UNREACHABLE;
-
-			entry_request_cancel_exchange(request);
-			answer_vtable()->failed(request, failure);
-		}
+		    strcmp(request->target.id, member->name) == 0 &&
+		    check(request, member))
+			give_up_exchange(request);
 		entry_request_unref(request);
 	}
 	g_list_free(requests);
 }
 
+/// Give-up check for an instance that has fallen silent.
+static bool
+is_lost_to_silence(
+    const struct entry_request *request, const struct member *member)
+{
+	(void)member;
+	return can_go_on_elsewhere(request);
+}
+
+/// Handles an instance that has fallen silent: requests that were forwarded to
+/// it go on elsewhere if they can. It may only stand still, so the others are
+/// left to their connections and deadlines.
+///
+/// @param entry   instance that forwards requests
+/// @param member  the other instance
+void
+forwarding_handle_silent_member(
+    struct entry *entry, const struct member *member)
+{
+	give_up_exchanges(entry, member, is_lost_to_silence);
+}
+
+/// Give-up check for an instance that was started.
+static bool
+is_lost_to_restart(
+    const struct entry_request *request, const struct member *member)
+{
+	return request->helper_incarnation != member->incarnation;
+}
+
+/// Handles an instance that is heard for the first time since it was started or
+/// fell silent: no earlier incarnation of it answers any more.
+///
+/// @param entry   instance that forwards requests
+/// @param member  the other instance
+void
+forwarding_handle_started_member(
+    struct entry *entry, const struct member *member)
+{
+	give_up_exchanges(entry, member, is_lost_to_restart);
+}
+
 /// @param head  head of a request to this instance
 /// @return whether another instance says that it forwards the request
 bool
--- a/src/godwitvale/entry/forwarding.h
+++ b/src/godwitvale/entry/forwarding.h
@@ -13,7 +13,10 @@
 bool forwarding_start(struct entry_request *request);
 void forwarding_handle_failure(
     struct entry_request *request, enum exchange_failure failure);
-void forwarding_handle_lost_member(struct entry *entry, const char *name);
+void forwarding_handle_silent_member(
+    struct entry *entry, const struct member *member);
+void forwarding_handle_started_member(
+    struct entry *entry, const struct member *member);
 bool forwarding_is_forwarded(const struct http_head *head);
 void forwarding_accept(struct entry *entry, struct http_call *call);
 
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -116,10 +116,12 @@
 		loads_remove_peer(peers->options.loads, member->name_hash);
 	stream_sync_on_member_change(peers->stream_sync, change, member);
 	/* After a pause of this process members are forgotten, not silent. */
-	if (change == MEMBER_RESTARTED ||
-	    (change == MEMBER_LOST &&
-		g_get_monotonic_time() >= member->lost_deadline))
-		peers->options.vtable->member_lost(
+	if (change == MEMBER_LOST &&
+	    g_get_monotonic_time() >= member->lost_deadline)
+		peers->options.vtable->member_silent(
+		    peers->options.owner, member);
+	if (change == MEMBER_JOINED || change == MEMBER_RESTARTED)
+		peers->options.vtable->member_started(
 		    peers->options.owner, member);
 }
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -59,8 +59,11 @@
 	/// Another instance says that a service is brittle.
 	void (*brittle_reported)(
 	    void *owner, const struct peers_brittle *brittle);
-	/// Another instance has fallen silent, or was restarted.
-	void (*member_lost)(void *owner, const struct member *member);
+	/// Another instance has fallen silent; it may go on later.
+	void (*member_silent)(void *owner, const struct member *member);
+	/// Another instance is heard, for the first time since it was started
+	/// or fell silent. Earlier incarnations of it have ended.
+	void (*member_started)(void *owner, const struct member *member);
 	/// Another instance reports that an upstream accepts no connection.
 	void (*unreachable_reported)(void *owner, uint64_t upstream);
 	/// Another instance reports a limit of an upstream, or its end.
