--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -389,9 +389,7 @@
 static void
 restart_or_fail(struct entry_request *request, const char *reason)
 {
-	if (can_restart(request) &&
-	    dispatch_take_retry_permit(
-		request->entry->dispatch, request->service)) {
+	if (can_restart(request) && entry_request_take_retry_permit(request)) {
 		reset_handover(request);
 		entry_request_place(request);
 		return;
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -79,6 +79,7 @@
 	/* Forwarding to another instance, which `target` then names. */
 	uint64_t helpers[ENTRY_REQUEST_HELPERS_MAX]; /// asked, by name hash
 	unsigned n_helpers;
+	uint64_t helper_incarnation; /// of the one that was asked last
 	/* What an answer of the other instance's own says. */
 	enum verdict own_verdict;
 	enum retry_after_reason own_reason; /// 0: it refuses for no known one
@@ -110,6 +111,9 @@
 	bool is_forwarded;  /// another instance has forwarded it to this one
 	bool is_trial;      /// sent although a quarantine covers it
 	bool has_version;   /// the caller has events of the stream
+	/// the current attempt, or the next one if none runs, is counted as a
+	/// first request or by a retry permit, here or at the sender
+	bool is_counted;
 };
 
 /* entry_request_log.c */
@@ -155,6 +159,7 @@
 void entry_request_add_tried(struct entry_request *request, uint64_t key);
 bool entry_request_can_go_on(const struct entry_request *request);
 bool entry_request_is_repeatable(const struct entry_request *request);
+bool entry_request_take_retry_permit(struct entry_request *request);
 
 /* continuation.c */
 void continuation_init(struct entry_request *request);
