Reach: a begun answer is given up after three seconds of silence

A path that goes silent without a reset behind a proxy keeps the connection alive: with that, functional/entry_forwarded_permit cut streams at event 10 that another instance can continue. After three seconds, the time in which keep-alive probes end a connection that is really cut, such an answer is given up. A target that turned a generation away costs one permit a try, and none if the stream is begun again elsewhere instead.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -106,18 +106,15 @@
 		    info->pause_span);
 }
 
-/// Handles the refusal of a target to resume a stream. Its copy is unused. Each
-/// further try is a further arrival there, and needs a permit.
+/// Handles the refusal of a target to resume a stream. Its copy is unused.
 static void
 handle_resume_refusal(
     struct entry_request *request, const struct site_answer *info)
 {
-	if (!info->misdirected &&
-	    dispatch_take_retry_permit(
-		request->entry->dispatch, request->service))
-		continuation_handle_not_taken(request, "resume-refused");
-	else
+	if (info->misdirected)
 		continuation_handle_refusal(request, "resume-refused");
+	else
+		continuation_handle_not_taken(request, "resume-refused", true);
 }
 
 /// Handles an upstream's statement that it has not run the request: sends the
@@ -531,7 +528,8 @@
 		crash_probes_note_cut(request, was_down);
 	entry_request_cancel_exchange(request);
 	if (request->is_resuming && failure == EXCHANGE_UNREACHABLE)
-		continuation_handle_not_taken(request, "resume-unreachable");
+		continuation_handle_not_taken(
+		    request, "resume-unreachable", false);
 	else if (request->route->kind == ROUTE_STREAM &&
 	    (request->is_stream || continuation_is_in_progress(request)) &&
 	    failure != EXCHANGE_UNREACHABLE)
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -528,17 +528,21 @@
 /// It still holds the copy and is tried again for a while, unless the stream
 /// can be begun again elsewhere.
 ///
-/// @param request  request without an exchange
-/// @param reason   one word for the log and the metrics
+/// @param request      request without an exchange
+/// @param reason       one word for the log and the metrics
+/// @param has_arrived  the target has turned it away, so that another try needs
+///                     a permit
 void
-continuation_handle_not_taken(struct entry_request *request, const char *reason)
+continuation_handle_not_taken(
+    struct entry_request *request, const char *reason, bool has_arrived)
 {
 	usec_t now = g_get_monotonic_time();
 
 	if (can_restart(request) ||
 	    !dispatch_is_usable(
 		request->entry->dispatch, &request->copy_target) ||
-	    !handover_resume_failed(&request->handover, now)) {
+	    !handover_resume_failed(&request->handover, now) ||
+	    (has_arrived && !entry_request_take_retry_permit(request))) {
 		continuation_handle_refusal(request, reason);
 		return;
 	}
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -170,7 +170,7 @@
 bool continuation_handle_end(struct entry_request *request);
 void continuation_handle_resumed(struct entry_request *request);
 void continuation_handle_not_taken(
-    struct entry_request *request, const char *reason);
+    struct entry_request *request, const char *reason, bool has_arrived);
 void continuation_handle_refusal(
     struct entry_request *request, const char *reason);
 bool continuation_is_supported(const struct entry_request *request);
--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -13,6 +13,10 @@
 #define REACH_SILENT_SPAN (400 * USEC_PER_MSEC)
 /// The same while an engine reads the prompt.
 #define REACH_SILENT_PROMPT_SPAN (1200 * USEC_PER_MSEC)
+/// A begun answer isn't given up before nothing has come for this long. An
+/// upstream in order may be silent for a second or two; a connection that is
+/// really cut ends by its keep-alive probes in this time.
+#define REACH_BEGUN_ANSWER_SPAN (3 * USEC_PER_SEC)
 /// Time that an upstream has to answer a probe.
 #define REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
 /// Interval of the search for silent requests.
@@ -246,15 +250,17 @@
 }
 
 /// Checks whether a request's upstream doesn't matter any more: it is out of
-/// reach, and another instance may be asked to serve the request. A begun
-/// answer is left to its connection: if the other instance can't serve it, it
-/// is lost, though its upstream may only be silent.
+/// reach, and another instance may be asked to serve the request. If that
+/// doesn't, a begun answer is lost.
 static bool
-is_to_be_given_up(
-    const struct reach_monitor *monitor, const struct entry_request *request)
+is_to_be_given_up(const struct reach_monitor *monitor,
+    const struct entry_request *request, usec_t now)
 {
-	return !request->response_started &&
-	    reachability_is_cut_off(monitor->reachability, request->service) &&
+	if (request->response_started &&
+	    now < request->heard_at + REACH_BEGUN_ANSWER_SPAN)
+		return false;
+	return reachability_is_cut_off(
+		   monitor->reachability, request->service) &&
 	    exchange_may_have_sent(request->exchange) &&
 	    can_be_retried(request) && !continuation_is_in_progress(request);
 }
@@ -264,7 +270,7 @@
 handle_silent(
     struct reach_monitor *monitor, struct entry_request *request, usec_t now)
 {
-	if (!is_to_be_given_up(monitor, request)) {
+	if (!is_to_be_given_up(monitor, request, now)) {
 		reachability_suspect(
 		    monitor->reachability, now, request->service);
 		return;
