directory: an entry of an unnamed service took a live upstream's address

What callers saw: 503 for a service with one upstream, from the moment at which another writer put a sound entry with that upstream's address and a service that the configuration doesn't name, until the upstream's own entry was written again.

Cause: claim_address() removed the record with the older entry, whatever the service of the newer one. The directory didn't know which services there are.

The view now tells the directory the configuration in force. A service is named if it is listed or if a route leads to it. An entry whose service isn't named takes no address from one whose service is; the latter takes it even if it is older. Only between two named services is the decision final, with a tombstone. Otherwise the losing entry stays among the view's saved items, which are put again when the configuration has changed, entries were deleted or a full list was applied. So an entry counts once its service is named, and one that lost its address before the first configuration came gets it back. An entry that is put again takes no address from a named service: a running upstream writes its entry again, and that decides at all instances alike, also at those that don't see the writes in which only the sequence number changes.

The upstream of a service that goes stays known as long as no named one has its address, so that requests at it end as before. Messages between instances are unchanged.

The new case of entry_odd_entries failed before ("still waiting for addresses of both: shop2 to be gone"), as did the new test of view_test (u1 missing after the configuration came). The tests in directory_test use the new functions and can't be built without them.

--- a/src/godwitvale/core/deployment.c
+++ b/src/godwitvale/core/deployment.c
@@ -277,6 +277,37 @@
 	return g_hash_table_lookup(deployment->services, name);
 }
 
+/// Checks whether a route leads to a service.
+static bool
+leads_to_service(const struct route *route, const char *name)
+{
+	for (guint i = 0; i < route->shares->len; i++) {
+		const struct route_share *share =
+		    &g_array_index(route->shares, struct route_share, i);
+
+		if (strcmp(share->service, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/// Checks whether a configuration names a service, be it in its list of
+/// services or in a route.
+///
+/// @param deployment  configuration to search
+/// @param name        name of a service
+/// @return whether the configuration names the service
+bool
+deployment_names_service(const struct deployment *deployment, const char *name)
+{
+	if (g_hash_table_contains(deployment->services, name))
+		return true;
+	for (guint i = 0; i < deployment->routes->len; i++)
+		if (leads_to_service(deployment->routes->pdata[i], name))
+			return true;
+	return false;
+}
+
 /// Picks one of the services among which a route's requests are split, in
 /// proportion to their weights. Equal hashes pick the same service.
 ///
--- a/src/godwitvale/core/deployment.h
+++ b/src/godwitvale/core/deployment.h
@@ -23,6 +23,8 @@
     const struct deployment *deployment, const char *name);
 const struct service *deployment_find_service(
     const struct deployment *deployment, const char *name);
+bool deployment_names_service(
+    const struct deployment *deployment, const char *name);
 const char *route_pick_service(const struct route *route, uint64_t hash);
 
 #endif
--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "godwitvale/core/deployment.h"
 #include "godwitvale/core/handle_table.h"
 #include "godwitvale/core/hash.h"
 
@@ -19,6 +20,7 @@
 	GHashTable *by_address; /// address -> struct record * of its upstream
 	GHashTable *tombstones; /// id -> struct tombstone *
 	struct handle_table *handles;
+	struct deployment *deployment; /// current one; NULL: none yet
 	usec_t store_regained_at; /// end of the last outage; 0: no outage yet
 	bool store_lost;          /// the store is unreachable
 	uint64_t list_epoch;      /// number of full lists begun
@@ -102,9 +104,25 @@
 	g_hash_table_unref(directory->records);
 	g_hash_table_unref(directory->tombstones);
 	handle_table_free(directory->handles);
+	deployment_unref(directory->deployment);
 	g_free(directory);
 }
 
+/// Sets the configuration that says which services there are. Without one,
+/// every service counts as named. The caller then puts the entries again that
+/// have no record, because they may now have the better claim to an address.
+///
+/// @param directory   directory to update
+/// @param deployment  the current configuration; the directory adds a reference
+void
+directory_set_deployment(
+    struct directory *directory, struct deployment *deployment)
+{
+	deployment_ref(deployment);
+	deployment_unref(directory->deployment);
+	directory->deployment = deployment;
+}
+
 /// Returns the list of a service's records; creates it when there is none.
 static GPtrArray *
 ensure_service_records(struct directory *directory, const char *service)
@@ -208,28 +226,52 @@
 		record->upstream.draining_since = now;
 }
 
+/// Checks whether the current configuration names a service.
+static bool
+is_named(const struct directory *directory, const char *service)
+{
+	return directory->deployment == NULL ||
+	    deployment_names_service(directory->deployment, service);
+}
+
 /// Claims an address for an upstream. Another upstream that announced the same
 /// address in an older entry is removed: its process can't run there any more.
+/// An entry whose service is named precedes one whose service isn't.
 ///
-/// @return false when a newer entry of another upstream has the address
+/// The decision is final if the configuration names both services. Otherwise
+/// no tombstone is added, so that the other entry can be put again.
+///
+/// @return false when another upstream has the better claim to the address
 static bool
 claim_address(struct directory *directory, const struct upstream_entry *entry,
     uint64_t revision)
 {
 	struct record *previous =
 	    g_hash_table_lookup(directory->by_address, entry->address);
+	bool is_better;
+	bool is_final;
+	bool named;
+	bool previous_named;
 
 	if (previous == NULL)
 		return true;
-	if (previous->upstream.revision > revision)
+	named = is_named(directory, entry->service);
+	previous_named = is_named(directory, previous->upstream.entry.service);
+	is_better = named == previous_named
+	    ? previous->upstream.revision <= revision
+	    : named;
+	if (!is_better)
 		return false;
-	add_tombstone(directory, previous->upstream.entry.id,
-	    previous->upstream.revision, previous);
-	remove_record(directory, previous);
+	is_final = directory->deployment != NULL && named && previous_named;
+	if (is_final)
+		remove_gone_record(directory, previous);
+	else
+		remove_record(directory, previous);
 	return true;
 }
 
-/// Adds a record for an id without one, unless a newer entry has its address.
+/// Adds a record for an id without one, unless another upstream has the better
+/// claim to its address.
 static void
 add_record(struct directory *directory, usec_t now,
     const struct upstream_entry *entry, uint64_t revision)
@@ -360,6 +402,29 @@
 	return true;
 }
 
+/// Puts an entry again that has no record, because another upstream had its
+/// address. It takes no address from an upstream whose service is named: of
+/// those, the one that still runs writes its entry again.
+///
+/// @param directory  directory to update
+/// @param now        current time
+/// @param entry      contents of the entry; copied
+/// @param revision   store revision of the entry
+void
+directory_put_unused_entry(struct directory *directory, usec_t now,
+    const struct upstream_entry *entry, uint64_t revision)
+{
+	const struct record *holder =
+	    g_hash_table_lookup(directory->by_address, entry->address);
+
+	if (directory_find(directory, entry->id) != NULL)
+		return;
+	if (holder != NULL &&
+	    is_named(directory, holder->upstream.entry.service))
+		return;
+	directory_put_entry(directory, now, entry, revision);
+}
+
 /// Checks whether the store is unreachable, or became reachable again less than
 /// DIRECTORY_OUTAGE_GRACE ago. Entries may then be missing because their leases
 /// expired during the outage, although the upstreams still run.
--- a/src/godwitvale/core/directory.h
+++ b/src/godwitvale/core/directory.h
@@ -12,6 +12,12 @@
  * A store that was restored from a copy shows entries of some seconds ago. Of
  * the entries of one upstream, the one with the later incarnation, or the
  * higher sequence number, is newer, whatever their revisions are.
+ *
+ * An address belongs to one upstream. An entry whose service the configuration
+ * doesn't name takes no address from one whose service it names. Its upstream
+ * stays known unless such an entry has its address, so that requests that it
+ * executes can end. The caller puts the entries again that have no record when
+ * the configuration has changed or entries were deleted.
  */
 #ifndef GODWITVALE_CORE_DIRECTORY_H
 #define GODWITVALE_CORE_DIRECTORY_H
@@ -63,8 +69,12 @@
 
 struct directory *directory_new(directory_listener listener, void *owner);
 void directory_free(struct directory *directory);
+void directory_set_deployment(
+    struct directory *directory, struct deployment *deployment);
 bool directory_put_entry(struct directory *directory, usec_t now,
     const struct upstream_entry *entry, uint64_t revision);
+void directory_put_unused_entry(struct directory *directory, usec_t now,
+    const struct upstream_entry *entry, uint64_t revision);
 void directory_put_unreadable_entry(
     struct directory *directory, usec_t now, const char *id, uint64_t revision);
 void directory_delete_entry(
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -86,13 +86,47 @@
 	g_free(view);
 }
 
+/// Passes a saved entry to the directory once more. One that can't be read was
+/// logged when it came.
+static void
+put_saved_entry(struct view *view, usec_t now, const struct site_item *item)
+{
+	gsize len;
+	const char *text = g_bytes_get_data(item->value, &len);
+	struct upstream_entry *entry =
+	    view->options.site->read_upstream(item->name, text, len, NULL);
+
+	if (entry != NULL)
+		directory_put_unused_entry(
+		    view->directory, now, entry, item->revision);
+	site_entry_free(entry);
+}
+
+/// Passes the entries without a record to the directory once more, after the
+/// configuration has changed or entries were deleted: another entry had their
+/// address, and may no longer have the better claim to it.
+static void
+put_unused_entries(struct view *view, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, view->scopes[SITE_SCOPE_UPSTREAMS].items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct site_item *item = value;
+
+		if (directory_find(view->directory, item->name) == NULL)
+			put_saved_entry(view, now, item);
+	}
+}
+
 /// Makes a configuration current if its version is newer than that of the
 /// current configuration. A deleted or unreadable configuration leaves the
 /// current one unchanged.
 ///
 /// @return whether it is current now
 static bool
-apply_config(struct view *view, const struct site_item *item)
+apply_config(struct view *view, usec_t now, const struct site_item *item)
 {
 	GError *error = NULL;
 	gsize len;
@@ -127,7 +161,9 @@
 	    " routes=%u organisations=%u",
 	    deployment->version, store_revision_number(deployment->revision),
 	    deployment->routes->len, deployment->organisations->len);
+	directory_set_deployment(view->directory, deployment);
 	view->options.vtable->config_changed(view->options.owner, deployment);
+	put_unused_entries(view, now);
 	return true;
 }
 
@@ -243,7 +279,7 @@
 
 	switch (item->kind) {
 	case SITE_ITEM_CONFIG:
-		accepted = !saved && apply_config(view, item);
+		accepted = !saved && apply_config(view, now, item);
 		break;
 	case SITE_ITEM_EVACUATION:
 		if (!saved)
@@ -377,6 +413,8 @@
 	if (scope == SITE_SCOPE_UPSTREAMS)
 		directory_end_full_list(view->directory, now, as_of);
 	remove_unlisted(view, now, scope, listed, as_of, is_restored);
+	if (scope == SITE_SCOPE_UPSTREAMS)
+		put_unused_entries(view, now);
 	g_hash_table_unref(listed);
 }
 
@@ -396,6 +434,19 @@
 	return record != NULL && record->missing_deadline == 0;
 }
 
+/// Checks whether any of the items is deleted.
+static bool
+has_deletion(const GPtrArray *items)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const struct site_item *item = items->pdata[i];
+
+		if (item->value == NULL)
+			return true;
+	}
+	return false;
+}
+
 /// Applies changes that follow the revision of the view without a gap.
 ///
 /// @param view   updated
@@ -418,6 +469,8 @@
 		if (!is_applied(view, scope, items->pdata[i]))
 			apply_item(
 			    view, now, &view->scopes[scope], items->pdata[i]);
+	if (scope == SITE_SCOPE_UPSTREAMS && has_deletion(items))
+		put_unused_entries(view, now);
 }
 
 /// Ends held evacuations whose time is over.
--- a/test/functional/entry_odd_entries.sh
+++ b/test/functional/entry_odd_entries.sh
@@ -117,6 +117,23 @@
 wait_for "shop1 again" counted '"upstream-added","upstream":"shop1"' "$n"
 follows "written again"
 
+echo "== the address of a worker, for a service that isn't named"
+n=$(count '"upstream-removed","upstream":"shop1"')
+# address_of WORKER: its last address, as logged.
+address_of()
+{
+	sed -n "/\"upstream-added\",\"upstream\":\"$1\"/s/.*\"address\":\"\([^\"]*\).*/\1/p" \
+	    "$workdir/e1.log" | tail -1
+}
+for worker in shop1 shop2; do
+	entry address "\"$(address_of $worker)\"" |
+	    sed 's/"shop"/"none"/' >"$workdir/value"
+	grep -q '"127.0.0.1:[0-9]' "$workdir/value" || fail "no address"
+	ctl "put/servers/none-$worker" "@$workdir/value"
+done
+follows "addresses of both"
+counted '"upstream-removed","upstream":"shop1"' "$n" && echo "WRONG: removed"
+
 echo "== names of items"
 long=$(head -c 180 /dev/zero | tr '\0' n)
 entry >"$workdir/value"
--- a/test/unit/directory_test.c
+++ b/test/unit/directory_test.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "godwitvale/core/deployment.h"
 #include "godwitvale/core/directory.h"
 
 #define SEC USEC_PER_SEC
@@ -224,6 +225,116 @@
 	assert_null(directory_find(directory, "u1"));
 }
 
+/// Puts the entry of an upstream of a service at an address that all share.
+static bool
+put_entry_of(const char *id, const char *service, uint64_t revision)
+{
+	const struct upstream_entry entry = {
+	    .id = (char *)id,
+	    .service = (char *)service,
+	    .address = (char *)"10.0.0.1:9",
+	    .zone = (char *)"a",
+	    .software_version = (char *)"v1",
+	    .state = UPSTREAM_READY,
+	    .slots = 4,
+	    .incarnation = 1,
+	};
+
+	return directory_put_entry(directory, SEC, &entry, revision);
+}
+
+/// Puts the entry of an upstream again that has no record.
+static void
+put_unused_entry_of(const char *id, const char *service, uint64_t revision)
+{
+	const struct upstream_entry entry = {
+	    .id = (char *)id,
+	    .service = (char *)service,
+	    .address = (char *)"10.0.0.1:9",
+	    .zone = (char *)"a",
+	    .software_version = (char *)"v1",
+	    .state = UPSTREAM_READY,
+	    .slots = 4,
+	    .incarnation = 1,
+	};
+
+	directory_put_unused_entry(directory, SEC, &entry, revision);
+}
+
+/// Sets a configuration that names one service, in its list or in a route.
+static void
+set_service(const char *listed, const char *routed)
+{
+	struct deployment *deployment = deployment_new();
+
+	if (listed != NULL)
+		deployment_add_service(deployment, listed);
+	if (routed != NULL) {
+		struct route *route = deployment_add_route(deployment);
+
+		route->host = g_strdup("h");
+		route->prefix = g_strdup("/");
+		route_add_share(route, routed, 1);
+	}
+	directory_set_deployment(directory, deployment);
+	deployment_unref(deployment);
+}
+
+static void
+entry_of_an_unnamed_service_took_the_address_of_a_live_upstream(void **state)
+{
+	(void)state;
+	set_service("lm", NULL);
+	put_entry_of("u1", "lm", 10);
+	assert_true(put_entry_of("u2", "none", 11));
+	assert_changes("added:u1 ");
+	put_entry_of("u1", "lm", 12);
+	assert_true(put_entry_of("u2", "none", 13));
+	assert_changes("");
+	/* It has none to give, either. */
+	directory_delete_entry(directory, SEC, "u1", 14);
+	put_unused_entry_of("u2", "none", 13);
+	assert_changes("removed:u1 added:u2 ");
+	put_entry_of("u3", "lm", 12);
+	assert_changes("removed:u2 added:u3 ");
+}
+
+static void
+entry_took_an_address_before_its_service_was_known_to_be_unnamed(void **state)
+{
+	(void)state;
+	put_entry_of("u1", "lm", 10);
+	put_entry_of("u2", "none", 11);
+	assert_changes("added:u1 removed:u1 added:u2 ");
+	set_service(NULL, "lm");
+	put_unused_entry_of("u1", "lm", 10);
+	assert_changes("removed:u2 added:u1 ");
+	/* The service is named later, and the entry then written again. */
+	set_service("none", "lm");
+	put_unused_entry_of("u2", "none", 11);
+	assert_changes("");
+	put_entry_of("u2", "none", 12);
+	assert_changes("removed:u1 added:u2 ");
+	/* The upstream that had the address before is gone. */
+	directory_delete_entry(directory, SEC, "u2", 13);
+	put_unused_entry_of("u1", "lm", 10);
+	assert_changes("removed:u2 ");
+}
+
+/// Requests that an upstream executes end although its service goes.
+static void
+upstream_stays_known_when_its_service_goes(void **state)
+{
+	(void)state;
+	set_service("lm", NULL);
+	put_entry_of("u1", "lm", 10);
+	set_service("none", NULL);
+	put_entry_of("u1", "lm", 11);
+	assert_changes("added:u1 ");
+	put_entry_of("u2", "none", 12);
+	assert_changes("removed:u1 added:u2 ");
+}
+
 static void
 records_are_listed_by_service(void **state)
 {
@@ -256,6 +367,14 @@
 	    cmocka_unit_test_setup_teardown(
 		address_belongs_to_the_latest_upstream_to_announce_it, setup,
 		teardown),
+	    cmocka_unit_test_setup_teardown(
+		entry_of_an_unnamed_service_took_the_address_of_a_live_upstream,
+		setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		entry_took_an_address_before_its_service_was_known_to_be_unnamed,
+		setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		upstream_stays_known_when_its_service_goes, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		records_are_listed_by_service, setup, teardown),
 	};
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -662,10 +662,48 @@
 	    store_revision_make(2, 10));
 }
 
+static void
+entry_of_an_unnamed_service_took_the_address_of_a_live_upstream(void **state)
+{
+	static const char config[] =
+	    "{\"version\":%d,\"routes\":[],\"services\":[{\"name\":\"%s\"}]}";
+	static const char other[] =
+	    "{\"service\":\"none\",\"address\":\"10.1.0.1:80\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":24,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"sequence\":4}";
+	char text[128];
+
+	(void)state;
+	/* Before there is a configuration. */
+	apply_change(SEC, SITE_ITEM_UPSTREAM, "u1", 10, entry);
+	apply_change(SEC, SITE_ITEM_UPSTREAM, "u2", 11, other);
+	assert_null(directory_find(view_directory(view), "u1"));
+	g_snprintf(text, sizeof(text), config, 1, "lm");
+	apply_change(SEC, SITE_ITEM_CONFIG, "", 12, text);
+	assert_non_null(directory_find(view_directory(view), "u1"));
+	assert_null(directory_find(view_directory(view), "u2"));
+	/* The service is named, and the other upstream leaves. */
+	g_snprintf(text, sizeof(text), config, 2, "none");
+	apply_change(SEC, SITE_ITEM_CONFIG, "", 13, text);
+	assert_null(directory_find(view_directory(view), "u1"));
+	assert_non_null(directory_find(view_directory(view), "u2"));
+	g_snprintf(text, sizeof(text), config, 3, "lm");
+	apply_change(SEC, SITE_ITEM_CONFIG, "", 14, text);
+	assert_non_null(directory_find(view_directory(view), "u1"));
+	apply_change(SEC, SITE_ITEM_UPSTREAM, "u1", 15, NULL);
+	assert_null(directory_find(view_directory(view), "u1"));
+	assert_non_null(directory_find(view_directory(view), "u2"));
+	apply_change(SEC, SITE_ITEM_UPSTREAM, "u2", 16, NULL);
+	assert_int_equal(directory_size(view_directory(view)), 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		entry_of_an_unnamed_service_took_the_address_of_a_live_upstream,
+		setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		keeps_the_newest_configuration, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
