store: a page of malformed items only ended the list as complete

Cause: the next page began after the last item that could be read, so that a page with none, although `truncated`, counted as the last one. Everything the list lacked was then handled as deleted: callers would have got 503.

A reply now names the key of its last item, malformed or not, and the next page begins after it. A page with more to come and no key can't be continued: the call counts as failed and is tried again, and what is known holds.

Found by reading. The stand-in's store can now begin lists with such a page. The new case of entry_odd_entries failed before at the list with "odd-pages": "still waiting for odd-pages: shop2 to be gone".

--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -175,17 +175,24 @@
 }
 
 /// Handles a page of a list. After the last page the list is applied and the
-/// reader starts to watch for changes.
+/// reader starts to watch for changes. A page that doesn't say where the next
+/// one begins can't be continued; what the list lacks then isn't known.
 static void
 handle_page(struct scope_reader *reader, struct site_reply *reply)
 {
 	struct view *view = reader->store->options.view;
 	GPtrArray *items;
 
+	if (reply->has_more && reply->last_key == NULL) {
+		site_reply_free(reply);
+		handle_failure(reader, "page-without-key", 200);
+		return;
+	}
+	handle_success(reader);
 	if (reader->pages == NULL)
 		reader->pages = g_ptr_array_new_with_free_func(free_reply);
 	g_ptr_array_add(reader->pages, reply);
-	if (reply->has_more && reply->items->len > 0) {
+	if (reply->has_more) {
 		start_call(reader);
 		return;
 	}
@@ -272,6 +279,7 @@
 	    has_significant_change(store->options.view, reply->items);
 	bool is_empty = reply->items->len == 0;
 
+	handle_success(reader);
 	reader->must_read = false;
 	if (reader->covers_operator)
 		apply_scope_changes(reader, SITE_SCOPE_OPERATOR, reply);
@@ -425,7 +433,6 @@
 		return;
 	}
 	set_reply_era(reply, store->era);
-	handle_success(reader);
 	if (reader->is_list_call)
 		handle_page(reader, reply);
 	else
@@ -482,12 +489,10 @@
 	reader->is_list_call = !reader->has_list;
 	if (reader->is_list_call) {
 		if (reader->pages != NULL) {
-			struct site_reply *page =
+			const struct site_reply *page =
 			    reader->pages->pdata[reader->pages->len - 1];
-			struct site_item *item =
-			    page->items->pdata[page->items->len - 1];
 
-			after = item->key;
+			after = page->last_key;
 		}
 		return site->list_target(reader->scope, after, false);
 	}
--- a/src/godwitvale/site/site.c
+++ b/src/godwitvale/site/site.c
@@ -22,6 +22,7 @@
 site_reply_free(struct site_reply *reply)
 {
 	g_ptr_array_unref(reply->items);
+	g_free(reply->last_key);
 	g_free(reply);
 }
 
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -49,6 +49,9 @@
 	GPtrArray *items; /// struct site_item *
 	uint64_t as_of;   /// store revision of the reply; a number only, too
 	bool has_more;    /// another page follows the last item
+	/// key of the last item that has one, even if the item is malformed and
+	/// skipped; NULL: none
+	char *last_key;
 };
 
 /// Part of the store that is read by one call.
--- a/test/functional/entry_odd_entries.sh
+++ b/test/functional/entry_odd_entries.sh
@@ -164,6 +164,24 @@
 ctl store/up
 follows "watches that can be read"
 
+echo "== lists that begin with a page of malformed items only"
+for mode in odd-pages keyless-pages; do
+	n=$(count '"upstream-removed","upstream":"shop1"')
+	n_failed=$(count '"reason":"page-without-key"')
+	n_lists=$(count '"store-history-lost"')
+	ctl "store/$mode"
+	ctl store/forget
+	wait_for "$mode: a new list" counted '"store-history-lost"' "$n_lists"
+	[ "$mode" = odd-pages ] ||
+	    wait_for "$mode: no list" counted '"reason":"page-without-key"' "$n_failed"
+	[ "$mode" = keyless-pages ] || follows "$mode"
+	call_is e1 /order/1 "a$((++n_calls))" 200 || fail "$mode: not served"
+	ctl store/up
+	follows "$mode, ended"
+	counted '"upstream-removed","upstream":"shop1"' "$n" &&
+	    echo "WRONG: removed"
+done
+
 echo "== no such entry was used; another instance gets the list"
 logged e1 '"upstream-added","upstream":"(odd|large|nn)' && echo "WRONG: used"
 settings_entry e2 "${entry_control[e1]}"
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -52,6 +52,8 @@
 	bool busy;
 	bool silent;
 	char *garbled; /// response to each call; NULL: as usual
+	/// only item of the first page of each list, as JSON; NULL: as usual
+	const char *odd_item;
 	bool garbles_watches_only;
 	uint64_t era;      /// rises with each restore
 	GHashTable *saved; /// copy to restore: key -> struct item *
@@ -221,6 +223,31 @@
 	g_free(wait);
 }
 
+/// Checks whether a call is for a first page that has a malformed item only.
+static bool
+is_odd_page(const struct site_store *store, const char *target)
+{
+	char *after = site_get_query_field(target, "after");
+	bool is_first = after == NULL || after[0] == '\0';
+
+	g_free(after);
+	return store->odd_item != NULL && is_first &&
+	    g_str_has_prefix(target, "/v1/kv-range");
+}
+
+/// Sends such a page.
+static void
+send_odd_page(struct site_store *store, struct http_call *call)
+{
+	char *body = g_strdup_printf(
+	    "{\"entries\":[%s],\"truncated\":true,\"as_of\":%" G_GUINT64_FORMAT
+	    "}",
+	    store->odd_item, store->revision);
+
+	send_response(store, call, 200, body);
+	g_free(body);
+}
+
 /// Responds with one page of a list.
 static void
 handle_range(
@@ -447,6 +474,8 @@
 		send_response(store, call, 200, store->garbled);
 	else if (g_str_has_prefix(target, "/v1/kv-watch"))
 		handle_watch(store, call, target);
+	else if (is_odd_page(store, target))
+		send_odd_page(store, call);
 	else if (g_str_has_prefix(target, "/v1/kv-range"))
 		handle_range(store, call, target);
 	else
@@ -553,7 +582,9 @@
 /// @param mode   "up": responds as usual; "busy": responds with 503; "silent":
 ///     accepts calls but doesn't respond; "forget": discards its history;
 ///     "garbled", "garbled-watches", "deep": responds to all calls, or to
-///     watches, with what can't be read, or is nested too deeply.
+///     watches, with what can't be read, or is nested too deeply;
+///     "odd-pages", "keyless-pages": begins each list with a page of one
+///     malformed item, with or without a key; "forget" doesn't end this.
 ///     Pending watch calls are aborted, but stay open without a response in
 ///     mode "silent", and aren't affected by "up"
 void
@@ -568,6 +599,12 @@
 		store->garbled = g_strnfill(DEEP_LEVELS, '[');
 	else if (g_str_has_prefix(mode, "garbled"))
 		store->garbled = g_strdup("\xff{\"entries\":[],");
+	if (strcmp(mode, "odd-pages") == 0)
+		store->odd_item = "{\"key\":\"!\",\"revision\":\"x\"}";
+	else if (strcmp(mode, "keyless-pages") == 0)
+		store->odd_item = "{\"revision\":1}";
+	else if (strcmp(mode, "forget") != 0)
+		store->odd_item = NULL;
 	store->garbles_watches_only = strcmp(mode, "garbled-watches") == 0;
 	if (strcmp(mode, "forget") == 0)
 		store->compacted_revision = ++store->revision;
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -351,6 +351,7 @@
 	site_reply_free(reply);
 	reply = platform_read_store_reply(page, strlen(page), NULL);
 	assert_true(reply->has_more);
+	assert_null(reply->last_key);
 	site_reply_free(reply);
 	assert_null(platform_read_store_reply("{}", 2, NULL));
 	assert_null(
@@ -358,6 +359,8 @@
 	reply =
 	    platform_read_store_reply(bad_revision, strlen(bad_revision), NULL);
 	assert_int_equal(reply->items->len, 0);
+	/* The next page begins after a malformed item, too. */
+	assert_string_equal(reply->last_key, "servers/i-1");
 	site_reply_free(reply);
 	target = platform_build_watch_target(
 	    SITE_SCOPE_OPERATOR, 411, 4 * USEC_PER_SEC);
