peers: many deletions at once were not passed on

Cause: peers_send_changes() counted the sizes of the values only, so that deletions, which have none, all went into one batch. One that didn't fit into the buffer couldn't be encoded and was dropped without a word; the other instances then had to read the store to go on.

The whole encoded size of each item counts now. The messages keep their format.

Found by reading. The new test, of 800 deletions with names of 76 characters, failed before: none was received.

--- a/src/godwitvale/fleet/peers_changes.c
+++ b/src/godwitvale/fleet/peers_changes.c
@@ -4,7 +4,7 @@
 #include "godwitvale/fleet/fleet_codec.h"
 #include "godwitvale/fleet/peers_state.h"
 
-/// Maximum total size of the values in one datagram with changes, in bytes. It
+/// Maximum total size of the items in one datagram with changes, in bytes. It
 /// keeps the datagram to about the size of one Ethernet packet.
 #define PEERS_CHANGE_BYTES_MAX 1400
 /// Maximum length of a datagram with the operator's changes, in bytes. Longer
@@ -53,12 +53,13 @@
 	for (guint i = 0; i < items->len; i++) {
 		const struct site_item *item = items->pdata[i];
 		fleet_item wire;
+		size_t size;
 
 		if (!view_is_significant_change(peers->options.view, item))
 			continue;
 		wire = fleet_item_from_store_item(item);
-		if (batch->len > 0 &&
-		    bytes + wire.value.value_len > PEERS_CHANGE_BYTES_MAX) {
+		size = xdr_sizeof((xdrproc_t)xdr_fleet_item, &wire);
+		if (batch->len > 0 && bytes + size > PEERS_CHANGE_BYTES_MAX) {
 			uint64_t last_revision =
 			    store_revision_make(store_revision_era(as_of),
 				g_array_index(batch, fleet_item, batch->len - 1)
@@ -70,7 +71,7 @@
 			bytes = 0;
 		}
 		g_array_append_val(batch, wire);
-		bytes += wire.value.value_len;
+		bytes += size;
 	}
 	send_change_batch(peers, batch, after, as_of);
 	g_array_unref(batch);
--- /dev/null
+++ b/test/unit/peers_changes_test.c
@@ -0,0 +1,148 @@
+/* Unit tests of the changes that an instance passes on to the others. */
+#include <arpa/inet.h>
+#include <limits.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "godwitvale/fleet/fleet_codec.h"
+#include "godwitvale/fleet/peers_state.h"
+#include "platform/platform.h"
+
+/// Number of deletions whose names alone fill more than one datagram.
+#define N_DELETIONS 800
+/// Length of each name, in characters.
+#define NAME_LEN 76
+/// Store revision before the first deletion.
+#define FIRST_REVISION 10
+
+static int receiver;
+static struct peers peers;
+
+/// Binds a UDP socket to a free port of 127.0.0.1.
+static uint16_t
+open_receiver(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t len = sizeof(address);
+
+	receiver = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+	    bind(receiver, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(
+	    getsockname(receiver, (struct sockaddr *)&address, &len), 0);
+	return ntohs(address.sin_port);
+}
+
+static int
+setup(void **state)
+{
+	const struct view_options view_options = {.site = platform_site()};
+	struct hub_options hub_options = {
+	    .name = "e1", .min_instances = UINT_MAX};
+
+	(void)state;
+	peers = (struct peers){.name = (char *)"e1", .zone = (char *)"z"};
+	peers.options.port = open_receiver();
+	peers.options.view = view_new(&view_options);
+	peers.fd = socket(AF_INET, SOCK_DGRAM, 0);
+	peers.membership = membership_new("e1", USEC_PER_SEC, NULL, NULL);
+	hub_options.membership = peers.membership;
+	peers.hub = hub_new(&hub_options);
+	peers.addresses = address_book_new(0, 1);
+	address_book_add_seed(peers.addresses, INADDR_LOOPBACK);
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	(void)state;
+	address_book_free(peers.addresses);
+	hub_free(peers.hub);
+	membership_free(peers.membership);
+	view_free(peers.options.view);
+	close(peers.fd);
+	close(receiver);
+	return 0;
+}
+
+/// Lists the deletions of upstreams with long names.
+static GPtrArray *
+list_deletions(void)
+{
+	GPtrArray *items = g_ptr_array_new_with_free_func(site_item_free);
+
+	for (unsigned i = 0; i < N_DELETIONS; i++) {
+		struct site_item *item = g_new0(struct site_item, 1);
+
+		item->kind = SITE_ITEM_UPSTREAM;
+		item->name = g_strdup_printf("%0*u", NAME_LEN, i);
+		item->revision = FIRST_REVISION + 1 + i;
+		g_ptr_array_add(items, item);
+	}
+	return items;
+}
+
+/// Receives a datagram, whose changes must follow those before it.
+///
+/// @param after  store revision after the changes before; updated
+/// @return number of changes
+static unsigned
+receive_changes(uint64_t *after)
+{
+	static char bytes[PEERS_BUFFER_BYTES];
+	fleet_message message;
+	struct fleet_trailer trailer;
+	const fleet_news *news = &message.fleet_message_u.news;
+	ssize_t len = recv(receiver, bytes, sizeof(bytes), 0);
+	unsigned n_items;
+
+	if (len <= 0)
+		return 0;
+	assert_true(
+	    fleet_message_decode(bytes, (size_t)len, &message, &trailer));
+	assert_int_equal(message.kind, FLEET_NEWS);
+	assert_int_equal(news->after, *after);
+	*after = news->as_of;
+	n_items = news->items.items_len;
+	fleet_message_clear(&message);
+	return n_items;
+}
+
+static void
+many_deletions_at_once_were_not_passed_on(void **state)
+{
+	GPtrArray *items = list_deletions();
+	uint64_t after = FIRST_REVISION;
+	unsigned n_received = 0;
+	unsigned n;
+
+	(void)state;
+	peers_send_changes(
+	    &peers, items, FIRST_REVISION, FIRST_REVISION + N_DELETIONS);
+	while ((n = receive_changes(&after)) > 0)
+		n_received += n;
+	assert_int_equal(n_received, N_DELETIONS);
+	assert_int_equal(after, FIRST_REVISION + N_DELETIONS);
+	g_ptr_array_unref(items);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		many_deletions_at_once_were_not_passed_on, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
