--- a/test/functional/entry_odd_entries.sh
+++ b/test/functional/entry_odd_entries.sh
@@ -117,6 +117,23 @@
 wait_for "shop1 again" counted '"upstream-added","upstream":"shop1"' "$n"
 follows "written again"
 
+echo "== the address of a worker, for a service that isn't named"
+n=$(count '"upstream-removed","upstream":"shop1"')
+# address_of WORKER: its last address, as logged.
+address_of()
+{
+	sed -n "/\"upstream-added\",\"upstream\":\"$1\"/s/.*\"address\":\"\([^\"]*\).*/\1/p" \
+	    "$workdir/e1.log" | tail -1
+}
+for worker in shop1 shop2; do
+	entry address "\"$(address_of $worker)\"" |
+	    sed 's/"shop"/"none"/' >"$workdir/value"
+	grep -q '"127.0.0.1:[0-9]' "$workdir/value" || fail "no address"
+	ctl "put/servers/none-$worker" "@$workdir/value"
+done
+follows "addresses of both"
+counted '"upstream-removed","upstream":"shop1"' "$n" && echo "WRONG: removed"
+
 echo "== names of items"
 long=$(head -c 180 /dev/zero | tr '\0' n)
 entry >"$workdir/value"
@@ -147,6 +164,24 @@
 ctl store/up
 follows "watches that can be read"
 
+echo "== lists that begin with a page of malformed items only"
+for mode in odd-pages keyless-pages; do
+	n=$(count '"upstream-removed","upstream":"shop1"')
+	n_failed=$(count '"reason":"page-without-key"')
+	n_lists=$(count '"store-history-lost"')
+	ctl "store/$mode"
+	ctl store/forget
+	wait_for "$mode: a new list" counted '"store-history-lost"' "$n_lists"
+	[ "$mode" = odd-pages ] ||
+	    wait_for "$mode: no list" counted '"reason":"page-without-key"' "$n_failed"
+	[ "$mode" = keyless-pages ] || follows "$mode"
+	call_is e1 /order/1 "a$((++n_calls))" 200 || fail "$mode: not served"
+	ctl store/up
+	follows "$mode, ended"
+	counted '"upstream-removed","upstream":"shop1"' "$n" &&
+	    echo "WRONG: removed"
+done
+
 echo "== no such entry was used; another instance gets the list"
 logged e1 '"upstream-added","upstream":"(odd|large|nn)' && echo "WRONG: used"
 settings_entry e2 "${entry_control[e1]}"
