Crashes: one counts only if a round trip right after it succeeds

What callers saw: 503 "request-quarantined" for sound requests, after the links of an instance to its upstreams had been cut for a moment.

Cause: an instance whose links are cut sees resets and refusals, as if its upstreams had crashed. Such crashes were kept, and counted as soon as anything was heard from any upstream within ten seconds. So they all counted right after the links had healed, and again with the next cut.

Now a crash counts only if something that was sent within 0.3 s after it was answered by any upstream of any service. That shows that the links worked then; what arrives later may have been under way before, or after the cut. Otherwise it is dropped (crash-unconfirmed). core/crash_doubts.c decides; segments and requests alike are spared.

So that there is such a round trip, upstreams of all services are probed after a crash, each time others, until it is confirmed or the 0.3 s are over. Probes for this purpose don't bear on whether the instance is cut off from a service.

If all upstreams of all services are down, no crash counts: it can't be told from a cut, and a crash more is better than a sound caller refused. A cut that ends within 0.3 s may still count.

--- a/src/godwitvale/entry/answer.c
+++ b/src/godwitvale/entry/answer.c
@@ -251,7 +251,7 @@
 	request->heard_at = g_get_monotonic_time();
 	request->entry->site->read_answer(head, &info);
 	request_guard_note_alive(request);
-	request_guard_note_heard(request->entry);
+	crash_probes_note_round_trip(request->entry, request->sent_at);
 	note_limit(request, &info);
 	note_pause(request, &info);
 	note_brittle(request, &info);
@@ -426,8 +426,6 @@
 	struct entry_request *request = entry_request_ref(owner);
 
 	request->heard_at = g_get_monotonic_time();
-	if (!request->is_forwarding)
-		request_guard_note_heard(request->entry);
 	if (!request->is_stream) {
 		handle_plain_body(request, data, len);
 	} else if (!event_splitter_feed(
--- a/src/godwitvale/entry/crash_probe.c
+++ b/src/godwitvale/entry/crash_probe.c
@@ -3,7 +3,9 @@
 
 #include <string.h>
 
+#include "godwitvale/core/crash_doubts.h"
 #include "godwitvale/entry/entry_metrics.h"
+#include "godwitvale/entry/reach_monitor.h"
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/log.h"
@@ -13,13 +15,14 @@
 
 struct crash_probes {
 	struct entry *entry;
-	GHashTable *pending; /// set of struct crash_probe *; owns them
+	GHashTable *pending;         /// set of struct crash_probe *; owns them
+	struct crash_doubts *doubts; /// the finished ones that don't count yet
 };
 
 /// A query to an upstream.
 struct crash_probe {
 	struct crash_probes *probes;
-	struct fetch *fetch;
+	struct fetch *fetch; /// NULL: the upstream has crashed, it seems
 	struct crash_report report;
 };
 
@@ -44,6 +47,7 @@
 
 	probes->entry = entry;
 	probes->pending = g_hash_table_new_full(NULL, NULL, probe_free, NULL);
+	probes->doubts = crash_doubts_new();
 	return probes;
 }
 
@@ -54,9 +58,86 @@
 crash_probes_free(struct crash_probes *probes)
 {
 	g_hash_table_unref(probes->pending);
+	crash_doubts_free(probes->doubts);
 	g_free(probes);
 }
 
+/// Passes a crash to the guards.
+static void
+count_crash(struct crash_probes *probes, const struct crash_report *report)
+{
+	series_add(&entry_metric_crashes, report->upstream, NULL, 1);
+	segment_guard_add_crash(probes->entry->guard, report);
+	/* A segment in quarantine explains the crash. */
+	if (!segment_guard_covers(
+		probes->entry->guard, report->segments, report->n_segments))
+		request_guard_add_crash(probes->entry->request_guard, report);
+}
+
+/// Counts the crashes that are certain by now.
+static void
+count_confirmed(struct crash_probes *probes)
+{
+	struct crash_probe *probe;
+
+	while ((probe = crash_doubts_take_confirmed(probes->doubts)) != NULL) {
+		count_crash(probes, &probe->report);
+		g_hash_table_remove(probes->pending, probe);
+	}
+}
+
+/// Notes that an upstream has answered: this instance isn't cut off, so that
+/// the crashes right before were no cut of its own links.
+///
+/// @param entry    instance that has the answer
+/// @param sent_at  time at which what is answered was sent
+void
+crash_probes_note_round_trip(struct entry *entry, usec_t sent_at)
+{
+	crash_doubts_note_answered(entry->crash_probes->doubts, sent_at);
+	count_confirmed(entry->crash_probes);
+}
+
+/// Drops a crash that can't be told from a cut of this instance's own links.
+static void
+drop_crash(struct crash_probe *probe, usec_t now)
+{
+	log_event(LOG_LEVEL_WARN, "crash-unconfirmed",
+	    "id=%s upstream=%s age_ms=%" G_GINT64_FORMAT " outcome=dropped",
+	    probe->report.request_id, probe->report.upstream,
+	    (now - probe->report.cut_at) / USEC_PER_MSEC);
+	g_hash_table_remove(probe->probes->pending, probe);
+}
+
+/// Drops the crashes that can't be confirmed any more, and has upstreams probed
+/// for the others: those that were probed before may have crashed, too.
+///
+/// @param probes  probes to check
+/// @param now     current time
+void
+crash_probes_tick(struct crash_probes *probes, usec_t now)
+{
+	struct crash_probe *probe;
+
+	while ((probe = crash_doubts_take_expired(probes->doubts, now)) != NULL)
+		drop_crash(probe, now);
+	if (crash_doubts_want_probes(probes->doubts, now))
+		reach_monitor_verify(probes->entry);
+}
+
+/// Keeps a crash until it is certain. This instance's own links may have been
+/// cut instead, which probes of other upstreams show.
+static void
+keep_crash(struct crash_probes *probes, struct crash_probe *probe)
+{
+	if (!crash_doubts_add(probes->doubts, probe->report.cut_at, probe)) {
+		drop_crash(probe, g_get_monotonic_time());
+		return;
+	}
+	reach_monitor_verify(probes->entry);
+	count_confirmed(probes);
+}
+
 /// Fetch callback: an upstream has answered, or failed to answer.
 static void
 on_answered(void *owner, const struct fetch_response *answer)
@@ -81,16 +162,10 @@
 	    (report->cut_at - report->sent_at) / USEC_PER_MSEC, report->began,
 	    report->fingerprint);
 	g_free(segments);
-	if (crashed) {
-		series_add(&entry_metric_crashes, report->upstream, NULL, 1);
-		segment_guard_add_crash(probes->entry->guard, report);
-		/* A segment in quarantine explains the crash. */
-		if (!segment_guard_covers(probes->entry->guard,
-			report->segments, report->n_segments))
-			request_guard_add_crash(
-			    probes->entry->request_guard, report);
-	}
-	g_hash_table_remove(probes->pending, probe);
+	if (crashed)
+		keep_crash(probes, probe);
+	else
+		g_hash_table_remove(probes->pending, probe);
 }
 
 /// Checks whether the end of an upstream would be no surprise.
--- a/src/godwitvale/entry/crash_probe.h
+++ b/src/godwitvale/entry/crash_probe.h
@@ -27,6 +27,8 @@
 
 struct crash_probes *crash_probes_new(struct entry *entry);
 void crash_probes_free(struct crash_probes *probes);
+void crash_probes_tick(struct crash_probes *probes, usec_t now);
+void crash_probes_note_round_trip(struct entry *entry, usec_t sent_at);
 void crash_probes_note_cut(struct entry_request *request, bool was_down);
 
 #endif
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -304,6 +304,7 @@
 	reports_tick(entry->reports, now);
 	segment_guard_tick(entry->guard, now);
 	request_guard_tick(entry->request_guard, now);
+	crash_probes_tick(entry->crash_probes, now);
 	reach_monitor_tick(entry->reach_monitor, now);
 	resumption_tick(entry->resumption, now);
 	rate_limits_tick(entry->rate_limits, now);
--- a/src/godwitvale/entry/reach_monitor.c
+++ b/src/godwitvale/entry/reach_monitor.c
@@ -1,10 +1,10 @@
 /* Watches requests for silence, and sends the probes. */
 #include "godwitvale/entry/reach_monitor.h"
 
+#include "godwitvale/entry/crash_probe.h"
 #include "godwitvale/entry/entry.h"
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/forwarding.h"
-#include "godwitvale/entry/request_guard.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -18,6 +18,10 @@
 #define REACH_BEGUN_ANSWER_SPAN (1500 * USEC_PER_MSEC)
 /// Time that an upstream has to answer a probe.
 #define REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
+/// Number of upstreams of each service that a verification probes.
+#define REACH_VERIFY_PROBES 2
+/// Minimum time from one verification to the next.
+#define REACH_VERIFY_INTERVAL (20 * USEC_PER_MSEC)
 /// Interval of the search for silent requests.
 #define REACH_SCAN_INTERVAL (100 * USEC_PER_MSEC)
 
@@ -26,7 +30,9 @@
 	struct reachability *reachability;
 	GHashTable *probes; /// set of struct reach_probe *; owns them
 	usec_t next_scan_at;
-	unsigned n_probed; /// turns over the upstreams of a service
+	usec_t next_verify_at; /// reach_monitor_verify() does nothing before
+	guint next_probed;     /// turns over the upstreams of a service
+	guint next_verified;   /// the same for reach_monitor_verify()
 };
 
 /// A query to one upstream.
@@ -36,6 +42,9 @@
 	char *service;
 	char *upstream; /// id
 	usec_t sent_at;
+	/// An answer shows that this instance reaches upstreams at all; the
+	/// outcome doesn't matter to core/reachability.c.
+	bool is_verification;
 };
 
 /// Frees a probe; cancels its query if it is pending.
@@ -70,9 +79,10 @@
 	series_add(&entry_metric_reach_probes, probe->service,
 	    has_answered ? "answered" : "failed", 1);
 	if (has_answered)
-		request_guard_note_heard(monitor->entry);
-	reachability_note_probe(
-	    monitor->reachability, now, probe->service, has_answered);
+		crash_probes_note_round_trip(monitor->entry, probe->sent_at);
+	if (!probe->is_verification)
+		reachability_note_probe(
+		    monitor->reachability, now, probe->service, has_answered);
 	g_hash_table_remove(monitor->probes, probe);
 }
 
@@ -80,7 +90,7 @@
 /// while new ones are refused.
 static void
 start_probe(struct reach_monitor *monitor, const char *service,
-    const struct upstream_record *record)
+    const struct upstream_record *record, bool is_verification)
 {
 	struct entry *entry = monitor->entry;
 	const struct service *settings =
@@ -101,6 +111,7 @@
 	    settings->health_path != NULL)
 		options.target = settings->health_path;
 	probe->monitor = monitor;
+	probe->is_verification = is_verification;
 	probe->service = g_strdup(service);
 	probe->upstream = g_strdup(record->entry.id);
 	probe->sent_at = g_get_monotonic_time();
@@ -118,30 +129,41 @@
 	    !view_is_zone_evacuated(entry->view, record->entry.zone);
 }
 
-/// Reachability callback: probes upstreams of a service, each time others.
+/// Probes upstreams of a service.
+///
+/// @param next  index of the first one to consider; advanced
+/// @return number of probes that were begun
 static unsigned
-send_probes(void *owner, const char *service, unsigned n_probes)
+probe_upstreams(struct reach_monitor *monitor, const char *service, guint *next,
+    unsigned n_probes, bool is_verification)
 {
-	struct reach_monitor *monitor = owner;
 	const GPtrArray *records = directory_get_service_records(
 	    view_directory(monitor->entry->view), service);
 	guint n_records = records == NULL ? 0 : records->len;
-	guint first = monitor->n_probed;
 	unsigned n = 0;
 
 	for (guint i = 0; i < n_records && n < n_probes; i++) {
 		const struct upstream_record *record =
-		    records->pdata[(first + i) % n_records];
+		    records->pdata[(*next)++ % n_records];
 
-		monitor->n_probed++;
 		if (!is_probe_worthwhile(monitor->entry, record))
 			continue;
-		start_probe(monitor, service, record);
+		start_probe(monitor, service, record, is_verification);
 		n++;
 	}
 	return n;
 }
 
+/// Reachability callback: probes upstreams of a service, each time others.
+static unsigned
+send_probes(void *owner, const char *service, unsigned n_probes)
+{
+	struct reach_monitor *monitor = owner;
+
+	return probe_upstreams(
+	    monitor, service, &monitor->next_probed, n_probes, false);
+}
+
 /// Closes the idle connections to all upstreams of a service. Those that were
 /// cut off silently would hang.
 static void
@@ -222,6 +244,32 @@
 	    g_get_monotonic_time(), request->service);
 }
 
+/// Has upstreams of all services probed at once, each time others, to find out
+/// whether this instance reaches any. crash_probes_note_round_trip() hears of
+/// their answers. Does nothing if that was just done.
+///
+/// @param entry  instance that may be cut off from all upstreams
+void
+reach_monitor_verify(struct entry *entry)
+{
+	struct reach_monitor *monitor = entry->reach_monitor;
+	usec_t now = g_get_monotonic_time();
+	GHashTableIter iter;
+	void *service;
+
+	if (now < monitor->next_verify_at)
+		return;
+	monitor->next_verify_at = now + REACH_VERIFY_INTERVAL;
+	g_hash_table_iter_init(&iter, view_deployment(entry->view)->services);
+	while (g_hash_table_iter_next(&iter, &service, NULL)) {
+		guint next = monitor->next_verified;
+
+		probe_upstreams(
+		    monitor, service, &next, REACH_VERIFY_PROBES, true);
+	}
+	monitor->next_verified += REACH_VERIFY_PROBES;
+}
+
 /// Checks whether nothing has come from a request's upstream for long.
 static bool
 is_silent(const struct entry_request *request, usec_t now)
--- a/src/godwitvale/entry/reach_monitor.h
+++ b/src/godwitvale/entry/reach_monitor.h
@@ -14,6 +14,7 @@
 struct reachability *reach_monitor_reachability(
     const struct reach_monitor *monitor);
 void reach_monitor_note_failed(const struct entry_request *request);
+void reach_monitor_verify(struct entry *entry);
 void reach_monitor_tick(struct reach_monitor *monitor, usec_t now);
 
 #endif
--- a/src/godwitvale/entry/request_guard.c
+++ b/src/godwitvale/entry/request_guard.c
@@ -16,26 +16,12 @@
 /// A crash is evidence on each of the requests that were there.
 #define REQUEST_GUARD_TELL_DELAY_MS 5
 
-/// A crash that this instance can't tell from a cut of its own links is
-/// forgotten after this time. Upstreams that crash are back within it.
-#define REQUEST_GUARD_DOUBT_SPAN (10 * USEC_PER_SEC)
-/// Maximum number of such crashes.
-#define REQUEST_GUARD_DOUBTS_MAX 64
-
-/// A crash that counts once this instance has heard from any upstream since.
-struct doubtful_crash {
-	uint64_t fingerprint;
-	struct crash_exposure exposure;
-};
-
 struct request_guard {
 	struct entry *entry;
 	struct crash_suspects *suspects;
 	/// Set of upstreams, by the hash of their ids, that have failed and not
 	/// answered since.
 	GHashTable *down;
-	usec_t heard_at;    /// when anything last came from any upstream
-	GArray *doubts;     /// struct doubtful_crash
 	guint sweep_source; /// GLib source id; 0: no sweep is scheduled
 	guint tell_source;  /// tells the other instances; 0: not scheduled
 };
@@ -83,15 +69,6 @@
 		    REQUEST_GUARD_TELL_DELAY_MS, on_tell_due, guard);
 }
 
-/// Adds a crash, and has the other instances told if it is new.
-static void
-add_exposure(struct request_guard *guard, const struct doubtful_crash *crash)
-{
-	if (crash_suspects_add(guard->suspects, g_get_monotonic_time(),
-		crash->fingerprint, &crash->exposure))
-		schedule_tell(guard);
-}
-
 /// Suspects callback: a quarantine has begun or ended.
 static void
 on_change(void *owner, enum crash_suspect_change change,
@@ -134,8 +111,6 @@
 
 	guard->entry = entry;
 	guard->suspects = crash_suspects_new(on_change, guard);
-	guard->doubts =
-	    g_array_new(false, false, sizeof(struct doubtful_crash));
 	guard->down =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	return guard;
@@ -152,7 +127,6 @@
 	if (guard->tell_source != 0)
 		g_source_remove(guard->tell_source);
 	g_hash_table_unref(guard->down);
-	g_array_unref(guard->doubts);
 	crash_suspects_free(guard->suspects);
 	g_free(guard);
 }
@@ -253,24 +227,7 @@
 		schedule_tell(guard);
 }
 
-/// Notes that something has come from an upstream: this instance isn't cut off,
-/// so the crashes before were no cut of its own links.
-///
-/// @param entry  instance that has heard from an upstream
-void
-request_guard_note_heard(struct entry *entry)
-{
-	struct request_guard *guard = entry->request_guard;
-
-	guard->heard_at = g_get_monotonic_time();
-	for (guint i = 0; i < guard->doubts->len; i++)
-		add_exposure(guard,
-		    &g_array_index(guard->doubts, struct doubtful_crash, i));
-	g_array_set_size(guard->doubts, 0);
-}
-
-/// Adds the crash of an upstream to which a request had been sent. It counts
-/// once this instance has heard from any upstream since.
+/// Adds the crash of an upstream to which a request had been sent.
 ///
 /// @param guard   guard to add to
 /// @param report  the request
@@ -280,21 +237,18 @@
 {
 	usec_t span = report->cut_at - report->sent_at;
 	bool is_short = span < REQUEST_GUARD_SHORT_SPAN;
-	const struct doubtful_crash crash = {
-	    .fingerprint = report->fingerprint,
-	    .exposure = {.upstream = report->upstream_key,
-		.crashed_at = report->cut_at,
-		.span = span,
-		.is_weak =
-		    is_short || (report->is_generation && !report->began)},
+	const struct crash_exposure exposure = {
+	    .upstream = report->upstream_key,
+	    .crashed_at = report->cut_at,
+	    .span = span,
+	    .is_weak = is_short || (report->is_generation && !report->began),
 	};
 
 	if (span < REQUEST_GUARD_MIN_SPAN || (is_short && report->was_down))
 		return;
-	if (guard->heard_at > report->cut_at)
-		add_exposure(guard, &crash);
-	else if (guard->doubts->len < REQUEST_GUARD_DOUBTS_MAX)
-		g_array_append_val(guard->doubts, crash);
+	if (crash_suspects_add(guard->suspects, g_get_monotonic_time(),
+		report->fingerprint, &exposure))
+		schedule_tell(guard);
 }
 
 /// Forgets evidence that is of no use any more.
@@ -305,12 +259,4 @@
 request_guard_tick(struct request_guard *guard, usec_t now)
 {
 	crash_suspects_tick(guard->suspects, now);
-	for (guint i = guard->doubts->len; i > 0; i--) {
-		const struct doubtful_crash *crash =
-		    &g_array_index(guard->doubts, struct doubtful_crash, i - 1);
-
-		if (now >=
-		    crash->exposure.crashed_at + REQUEST_GUARD_DOUBT_SPAN)
-			g_array_remove_index(guard->doubts, i - 1);
-	}
 }
--- a/src/godwitvale/entry/request_guard.h
+++ b/src/godwitvale/entry/request_guard.h
@@ -15,7 +15,6 @@
 void request_guard_note_sent(struct entry_request *request);
 bool request_guard_note_failed(const struct entry_request *request);
 void request_guard_note_alive(const struct entry_request *request);
-void request_guard_note_heard(struct entry *entry);
 void request_guard_note_answered(struct entry_request *request);
 void request_guard_forget_upstream(struct request_guard *guard, uint64_t key);
 void request_guard_add_crash(
