--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -45,6 +45,12 @@
     {"garbled", "%s sent something that is not a valid answer"},
     {"unreachable", "%s could not be reached"},
     {"resume-refused", "%s refused to resume from the copy"},
+    {"resume-unreachable",
+	"%s, which held the copy of its generation, accepted no connection "
+	"for seconds"},
+    {"resume-target-gone",
+	"%s, which held the copy of its generation, was not to get requests "
+	"any more"},
     {"resume-failed", "%s answered the attempt to resume with an error"},
     {"deadline",
 	"no final answer came from %s within the time limit of the "
