Placement: comments say what the code does

Cause: the comments still said that a request which waits is ended when there is no upstream; since it is when the configuration has no such service.

Change: two comments. Result: builds, formatter and linter clean; behaviour unchanged.

--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -243,9 +243,9 @@
 	}
 }
 
-/// Checks whether the configuration in force has no place for a request that
-/// waits. Otherwise an upstream may still come. A begun answer can't be refused
-/// any more.
+/// Checks whether the configuration in force lacks the service of a request
+/// that waits. Otherwise an upstream may still come. A begun answer can't be
+/// refused any more.
 static bool
 is_service_gone(const struct entry_request *request)
 {
@@ -255,7 +255,7 @@
 }
 
 /// Queue callback: tries to place a waiting request, or ends it because of a
-/// quarantine, or because its service has no upstream any more.
+/// quarantine, or because its service is gone.
 ///
 /// @return false if no upstream has capacity
 static bool
