--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -1431,6 +1432,8 @@
 	if (instance->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* It must not outlive a case that is ended from outside. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		signal(SIGPIPE, SIG_DFL);
