Take-ups: an instance that has just started is no witness of versions

Cause: a stream that nobody remembers went on if its service had had one version in the last minute, as far as this instance and those that answered had noted. One that has just started has noted what is registered now. The same trust was in "all have answered", in lists that follow a lost history, and in views that were confirmed in the last three seconds.

Now the view knows since when no upstream can have come and gone unseen, and instances say so with their answers (feature WITNESS; earlier builds are asked as before). The time that must be covered is what a caller of the route may wait, plus the time for which an upstream serves unlisted. If no instance has watched for so long, the store's history may, read from its beginning. Before such a stream goes on, the store is asked what has changed since.

The search moved from entry/resumption.c to entry/stream_lookup.c.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -39,6 +39,13 @@
 	(void)evacuated;
 }
 
+static void
+ignore_entry(void *owner, const struct upstream_entry *entry)
+{
+	(void)owner;
+	(void)entry;
+}
+
 static void
 ignore_upstream(void *owner, enum directory_change change,
     const struct upstream_record *record)
@@ -66,7 +73,7 @@
 }
 
 static const struct view_vtable vtable = {
-    ignore_config, ignore_zone, ignore_upstream};
+    ignore_config, ignore_zone, ignore_entry, ignore_upstream};
 
 /// Adds an item to a list.
 static void
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -4,9 +4,12 @@
 declare -A entry_zone entry_caller entry_ready entry_control entry_metrics entry_pid
 site_version=1
 retry_slack=10
+deadline_ms=20000 # that callers name
 hub_min=40
 site_routes=
 n_entries=0
+STREAMS=6 # that callers take up at a time, so that none passes by chance
+declare -A engine_version
 fleet_ports=
 
 # start_site ID,SERVICE,ZONE...: the store and workers; sets $site and
@@ -160,7 +163,7 @@
 {
 	curl -sS -N -m "$CURL_CAP" "http://${entry_caller[$1]}$2" \
 	    -H 'Host: a.example' -H 'Authorization: Token k1' \
-	    -H "Attempt-Id: $3" -H 'Deadline-Ms: 20000' \
+	    -H "Attempt-Id: $3" -H "Deadline-Ms: $deadline_ms" \
 	    -w '%{http_code}\n' "${@:4}" 2>>"$workdir/curl.err"
 }
 
@@ -236,3 +239,69 @@
 	echo "$1: $ended, $(runs "$1") runs, text of an error:" \
 	    "$(grep -c error "$file")"
 }
+
+# has_begun FILE: whether events have come.
+has_begun()
+{
+	grep -q '^id: 5$' "$1"
+}
+
+# begin INSTANCE PREFIX: streams whose callers then lose their connections.
+begin()
+{
+	local i callers=()
+	for ((i = 0; i < STREAMS; i++)); do
+		call "$1" /hint/x "$2$i" -X POST -H 'Token-Usage: 100,4000' \
+		    >"$workdir/$2$i" &
+		callers+=($!)
+	done
+	for ((i = 0; i < STREAMS; i++)); do
+		wait_for "events of $2$i" has_begun "$workdir/$2$i"
+	done
+	streams_of=("${callers[@]}")
+}
+
+# leave: the callers of the last streams close their connections.
+leave()
+{
+	kill "${streams_of[@]}" 2>/dev/null
+	wait "${streams_of[@]}" 2>/dev/null
+}
+
+# engine_of ID: the engine that a run began at.
+engine_of()
+{
+	sed -n "s/^run $1 \([a-z0-9]*\) .*$/\1/p" "$site_log" | tail -1
+}
+
+# version_of ID: the version that a run began at, as set in engine_version.
+version_of()
+{
+	local engine
+	engine=$(engine_of "$1")
+	[ -z "$engine" ] || echo "${engine_version[$engine]}"
+}
+
+# take_up INSTANCE PREFIX NEW: the callers take the streams up; prints how many
+# went on at the version that began them, and the rest.
+take_up()
+{
+	local i last same=0 other=0 refused=0
+	for ((i = 0; i < STREAMS; i++)); do
+		last=$(sed -n 's/^id: //p' "$workdir/$2$i" | tail -1)
+		call "$1" /hint/x "$3$i" -X POST -H "Resumes: $2$i" \
+		    -H "Last-Event-Id: $last" \
+		    -H "Token-Usage: 100,$(((last + 2) * 4))" \
+		    -D "$workdir/$3$i.head" >"$workdir/$3$i"
+		if [ "$(tail -1 "$workdir/$3$i")" = 503 ]; then
+			refused=$((refused + 1))
+			grep -qi '^Retry-After' "$workdir/$3$i.head" ||
+			    echo "WRONG: no Retry-After"
+		elif [ "$(version_of "$3$i")" = "$(version_of "$2$i")" ]; then
+			same=$((same + 1))
+		else
+			other=$((other + 1))
+		fi
+	done
+	echo "same version: $same, another: $other, refused: $refused"
+}
--- a/src/godwitvale/core/membership.h
+++ b/src/godwitvale/core/membership.h
@@ -33,11 +33,14 @@
 #define MEMBER_FEATURE_HUBS 16
 /// The instance's build takes the operator's changes from other instances.
 #define MEMBER_FEATURE_OPERATOR 32
+/// The instance's build says since when it has watched the upstreams.
+#define MEMBER_FEATURE_WITNESS 64
 /// Features of this build.
 #define MEMBER_FEATURES                                         \
 	(MEMBER_FEATURE_STREAMS | MEMBER_FEATURE_TURNS |        \
 	    MEMBER_FEATURE_SUSPECTS | MEMBER_FEATURE_FORWARDS | \
-	    MEMBER_FEATURE_HUBS | MEMBER_FEATURE_OPERATOR)
+	    MEMBER_FEATURE_HUBS | MEMBER_FEATURE_OPERATOR |     \
+	    MEMBER_FEATURE_WITNESS)
 /// Not a feature of the build: the instance has subscribers as a hub.
 #define MEMBER_IS_HUB (UINT64_C(1) << 32)
 
--- a/src/godwitvale/core/stream_versions.c
+++ b/src/godwitvale/core/stream_versions.c
@@ -151,10 +151,22 @@
 	return list;
 }
 
+/// Checks whether a stream may go on only if one version alone can have begun
+/// it: there is no record of it, or one of a placement, which may be out of
+/// date if not all others have answered.
+///
+/// @param inputs  what is known of the stream; `only_version` isn't used
+/// @return whether `only_version` decides
+bool
+resume_needs_only_version(const struct resume_inputs *inputs)
+{
+	const struct stream_version *found = inputs->found;
+
+	return found == NULL || (!found->has_begun && !inputs->has_all_answers);
+}
+
 /// Decides what to do with a stream that a caller takes up. A record of a
-/// stream that has begun is final. A record of a placement may be out of date
-/// if not all others have answered; it is worth no more than none. Without a
-/// record, the stream may still go on if only one version can have begun it.
+/// stream that has begun is final.
 ///
 /// @param inputs  what is known of the stream
 /// @return the next step, and the version
@@ -163,10 +175,9 @@
 {
 	const struct stream_version *found = inputs->found;
 	bool has_begun = found != NULL && found->has_begun;
-	uint64_t version_key =
-	    has_begun || (found != NULL && inputs->has_all_answers)
-	    ? found->version_key
-	    : inputs->only_version;
+	uint64_t version_key = resume_needs_only_version(inputs)
+	    ? inputs->only_version
+	    : found->version_key;
 
 	if (!has_begun && !inputs->is_lookup_over)
 		return (struct resume_decision){.step = RESUME_WAIT};
--- a/src/godwitvale/core/stream_versions.h
+++ b/src/godwitvale/core/stream_versions.h
@@ -40,10 +40,11 @@
 struct resume_inputs {
 	const struct stream_version *found; /// NULL: not remembered
 	bool is_lookup_over; /// the others have answered, or had the time to
+	/// all have answered, and have been running since the stream began
 	bool has_all_answers;
-	/// only version of its service that any instance has seen for as long
-	/// as a stream may last; 0: there were several, or none, or what this
-	/// instance sees is out of date
+	/// only version that its service is certain to have had for as long as
+	/// the stream may last; 0: there were several, or none, or it isn't
+	/// certain
 	uint64_t only_version;
 };
 
@@ -63,6 +64,7 @@
 void stream_versions_expire(struct stream_versions *versions, usec_t now);
 size_t stream_versions_count(const struct stream_versions *versions);
 GArray *stream_versions_list(const struct stream_versions *versions);
+bool resume_needs_only_version(const struct resume_inputs *inputs);
 struct resume_decision resume_decide(const struct resume_inputs *inputs);
 const char *resume_step_name(enum resume_step step);
 
--- a/src/godwitvale/core/version_history.c
+++ b/src/godwitvale/core/version_history.c
@@ -1,8 +1,6 @@
 /* Tracks which software versions each service has had recently. */
 #include "godwitvale/core/version_history.h"
 
-#include <stdbool.h>
-
 #include <glib.h>
 
 /// A version of a service.
@@ -63,29 +61,59 @@
 	g_array_append_val(history->versions, added);
 }
 
-/// Finds the only version that a service has had for some time.
+/// Counts the versions that a service has had for some time.
 ///
 /// @param history  history to search
 /// @param service  hash of the service's name
 /// @param since    beginning of that time
-/// @return the version; 0: there were several, or none
-uint64_t
-version_history_only(
-    const struct version_history *history, uint64_t service, usec_t since)
+/// @param last     set to one of them; 0: there are none
+/// @return number of versions
+static unsigned
+count_versions(const struct version_history *history, uint64_t service,
+    usec_t since, uint64_t *last)
 {
-	uint64_t only = 0;
+	unsigned n = 0;
 
+	*last = 0;
 	for (guint i = 0; i < history->versions->len; i++) {
 		const struct seen_version *version =
 		    &g_array_index(history->versions, struct seen_version, i);
 
 		if (version->service != service || version->seen_at < since)
 			continue;
-		if (only != 0)
-			return 0;
-		only = version->version_key;
+		*last = version->version_key;
+		n++;
 	}
-	return only;
+	return n;
+}
+
+/// Finds the only version that a service has had for some time.
+///
+/// @param history  history to search
+/// @param service  hash of the service's name
+/// @param since    beginning of that time
+/// @return the version; 0: there were several, or none
+uint64_t
+version_history_only(
+    const struct version_history *history, uint64_t service, usec_t since)
+{
+	uint64_t version;
+
+	return count_versions(history, service, since, &version) == 1 ? version
+								      : 0;
+}
+
+/// @param history  history to search
+/// @param service  hash of the service's name
+/// @param since    beginning of a time
+/// @return whether the service has had more than one version since then
+bool
+version_history_has_several(
+    const struct version_history *history, uint64_t service, usec_t since)
+{
+	uint64_t version;
+
+	return count_versions(history, service, since, &version) > 1;
 }
 
 /// Forgets the versions that were last seen long ago.
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -20,6 +20,7 @@
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/resumption.h"
 #include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/entry/stream_lookup.h"
 #include "godwitvale/entry/version_check.h"
 #include "godwitvale/ops/cmd.h"
 #include "godwitvale/ops/crash.h"
@@ -181,7 +182,18 @@
 	entry_schedule_update(entry);
 }
 
+/// View callback: an upstream's entry was read.
+static void
+on_entry_read(void *owner, const struct upstream_entry *upstream)
+{
+	const struct entry *entry = owner;
+
+	if (entry->resumption != NULL)
+		resumption_note_entry(entry->resumption, upstream);
+}
+
 static const struct view_vtable view_vtable = {
+    .entry_read = on_entry_read,
     .config_changed = on_config,
     .zone_changed = on_zone,
     .upstream_changed = on_upstream,
@@ -465,6 +477,7 @@
 	entry->crash_probes = crash_probes_new(entry);
 	entry->reach_monitor = reach_monitor_new(entry);
 	entry->resumption = resumption_new(entry);
+	entry->stream_lookups = stream_lookups_new(entry);
 	entry->version_checks = version_checks_new(entry);
 	if (!open_callers(entry, error) || !entry_peers_open(entry, error))
 		return false;
@@ -496,6 +509,7 @@
 	g_clear_pointer(&entry->reach_monitor, reach_monitor_free);
 	g_clear_pointer(&entry->guard, segment_guard_free);
 	g_clear_pointer(&entry->request_guard, request_guard_free);
+	g_clear_pointer(&entry->stream_lookups, stream_lookups_free);
 	g_clear_pointer(&entry->resumption, resumption_free);
 	g_clear_pointer(&entry->version_checks, version_checks_free);
 	g_clear_pointer(&entry->dispatch, dispatch_free);
--- a/src/godwitvale/entry/entry_defs.h
+++ b/src/godwitvale/entry/entry_defs.h
@@ -15,6 +15,7 @@
 struct request_guard;
 struct resumption;
 struct segment_guard;
+struct stream_lookups;
 struct version_checks;
 
 /// An entry instance. Owns all of its members except `site`.
@@ -37,6 +38,7 @@
 	struct crash_probes *crash_probes;
 	struct reach_monitor *reach_monitor;
 	struct resumption *resumption;
+	struct stream_lookups *stream_lookups;
 	struct version_checks *version_checks;
 	struct wait_queue *waiting;
 	struct estimate *estimate;          /// of output lengths, per route
--- a/src/godwitvale/entry/entry_peers.c
+++ b/src/godwitvale/entry/entry_peers.c
@@ -7,6 +7,7 @@
 #include "godwitvale/entry/reach_monitor.h"
 #include "godwitvale/entry/request_guard.h"
 #include "godwitvale/entry/resumption.h"
+#include "godwitvale/entry/stream_lookup.h"
 #include "godwitvale/entry/segment_guard.h"
 #include "godwitvale/ops/log.h"
 
@@ -177,24 +178,25 @@
 		store_read_operator(entry->store);
 }
 
-/// Peers callback: checks whether a service has had several software versions.
-static bool
-has_several_versions(void *owner, uint64_t service)
+/// Peers callback: fills in what is known of the versions of a service.
+static void
+testify(
+    void *owner, uint64_t service, usec_t span, struct version_witness *witness)
 {
 	const struct entry *entry = owner;
 
-	return resumption_has_several_versions(entry->resumption, service);
+	stream_lookups_testify(entry->stream_lookups, service, span, witness);
 }
 
 /// Peers callback: another instance was asked for a stream and has answered.
 static void
-on_stream_answered(
-    void *owner, uint64_t stream, uint64_t instance, bool several_versions)
+on_stream_answered(void *owner, uint64_t stream, uint64_t instance,
+    const struct version_witness *witness)
 {
 	const struct entry *entry = owner;
 
-	resumption_on_answer(
-	    entry->resumption, stream, instance, several_versions);
+	stream_lookups_on_answer(
+	    entry->stream_lookups, stream, instance, witness);
 }
 
 static const struct peers_vtable peers_vtable = {
@@ -213,7 +215,7 @@
     .departure_reported = on_departure_reported,
     .later_era_reported = on_later_era_reported,
     .operator_changed = on_operator_changed,
-    .has_several_versions = has_several_versions,
+    .testify = testify,
     .stream_answered = on_stream_answered,
 };
 
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -15,6 +15,7 @@
 #include "godwitvale/entry/forward_fields.h"
 #include "godwitvale/entry/resumption.h"
 #include "godwitvale/entry/segment_guard.h"
+#include "godwitvale/entry/stream_lookup.h"
 #include "godwitvale/entry/version_check.h"
 #include "godwitvale/ops/log.h"
 
@@ -95,7 +96,7 @@
 	request->is_done = true;
 	entry_request_cancel_exchange(request);
 	continuation_clear(request);
-	resumption_clear(request);
+	stream_lookup_clear(request);
 	version_check_cancel(request);
 	wait_queue_remove(entry->waiting, request);
 	request->is_waiting = false;
@@ -271,7 +272,7 @@
 		entry_request_refuse(
 		    request, RETRY_AFTER_UPSTREAMS_FULL, "no-room");
 	} else if (request->lookup != NULL) {
-		resumption_advance(request);
+		stream_lookup_advance(request);
 	} else {
 		if (request->exchange != NULL &&
 		    !exchange_may_have_sent(request->exchange) &&
@@ -299,7 +300,7 @@
 	usec_t wake_at =
 	    MIN(request->deadline, handover_wake_time(&request->handover));
 
-	wake_at = MIN(wake_at, resumption_wake_time(request));
+	wake_at = MIN(wake_at, stream_lookup_wake_time(request));
 	if (request->is_waiting)
 		wake_at = MIN(wake_at, request->wait_deadline);
 	if (request->exchange != NULL &&
--- a/src/godwitvale/entry/entry_request_start.c
+++ b/src/godwitvale/entry/entry_request_start.c
@@ -9,6 +9,7 @@
 #include "godwitvale/entry/forward_fields.h"
 #include "godwitvale/entry/forwarding.h"
 #include "godwitvale/entry/resumption.h"
+#include "godwitvale/entry/stream_lookup.h"
 
 /// Returns the series of output lengths of a request's service and route.
 static struct estimate_series *
@@ -216,7 +217,7 @@
 	else if (request->has_version)
 		resumption_place_at_version(request);
 	else if (resumption_is_needed(request))
-		resumption_start(request);
+		stream_lookup_start(request);
 	else
 		entry_request_place(request);
 }
--- a/src/godwitvale/entry/resumption.h
+++ b/src/godwitvale/entry/resumption.h
@@ -15,10 +15,10 @@
 void resumption_tick(struct resumption *resumption, usec_t now);
 struct stream_versions *resumption_versions(
     const struct resumption *resumption);
-bool resumption_has_several_versions(
-    struct resumption *resumption, uint64_t service);
-void resumption_on_answer(struct resumption *resumption, uint64_t stream,
-    uint64_t instance, bool several_versions);
+uint64_t resumption_find_only_version(const struct resumption *resumption,
+    uint64_t service, usec_t since, bool *has_several);
+void resumption_note_entry(
+    struct resumption *resumption, const struct upstream_entry *entry);
 void resumption_on_upstream_change(struct resumption *resumption,
     enum directory_change change, const struct upstream_record *record);
 
@@ -26,11 +26,7 @@
     struct resumption *resumption, const struct upstream_record *record);
 
 bool resumption_is_needed(const struct entry_request *request);
-void resumption_start(struct entry_request *request);
 void resumption_place_at_version(struct entry_request *request);
-void resumption_advance(struct entry_request *request);
-usec_t resumption_wake_time(const struct entry_request *request);
-void resumption_clear(struct entry_request *request);
 void resumption_note_placed(struct entry_request *request);
 bool resumption_admits_event(struct entry_request *request);
 
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -182,6 +182,22 @@
 	fleet_stream known<1>;
 };
 
+/* Asks for the version of a stream, and what the receiver has seen of its
+   service; answered to `ip`. */
+struct fleet_stream_lookup {
+	fleet_stream_query query;
+	unsigned int span_ms; /* the stream isn't older than this */
+};
+
+/* What an instance remembers of a stream and has seen of its service. */
+struct fleet_stream_witness {
+	fleet_stream_answer answer;
+	unsigned hyper only_version; /* of the service; 0: several, or none */
+	unsigned hyper revision; /* of the sender's upstreams, with its era */
+	unsigned int running_ms; /* since the sender's process started */
+	unsigned int watched_ms; /* time of which it knows all upstreams */
+};
+
 /* Service whose upstreams fall over when they must turn requests away. */
 struct fleet_brittle {
 	unsigned hyper service; /* hash of its name */
@@ -246,7 +262,9 @@
 	FLEET_SERVICES = 12,
 	FLEET_PACK = 13,
 	FLEET_ALIVE = 14,
-	FLEET_OPERATOR = 15
+	FLEET_OPERATOR = 15,
+	FLEET_STREAM_LOOKUP = 16,
+	FLEET_STREAM_WITNESS = 17
 };
 
 union fleet_message switch (fleet_kind kind) {
@@ -280,6 +298,10 @@
 	fleet_alive alive;
 case FLEET_OPERATOR:
 	fleet_operator operator_news;
+case FLEET_STREAM_LOOKUP:
+	fleet_stream_lookup stream_lookup;
+case FLEET_STREAM_WITNESS:
+	fleet_stream_witness stream_witness;
 };
 
 /* All items that an instance has. Fetched over HTTP. */
--- a/src/godwitvale/fleet/fleet_wire_xdr.c
+++ b/src/godwitvale/fleet/fleet_wire_xdr.c
@@ -443,6 +443,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_stream_lookup (XDR *xdrs, fleet_stream_lookup *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_stream_query (xdrs, &objp->query))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->span_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_stream_witness (XDR *xdrs, fleet_stream_witness *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_stream_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->only_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->watched_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_brittle (XDR *xdrs, fleet_brittle *objp)
 {
@@ -620,6 +650,14 @@
 		 if (!xdr_fleet_operator (xdrs, &objp->fleet_message_u.operator_news))
 			 return FALSE;
 		break;
+	case FLEET_STREAM_LOOKUP:
+		 if (!xdr_fleet_stream_lookup (xdrs, &objp->fleet_message_u.stream_lookup))
+			 return FALSE;
+		break;
+	case FLEET_STREAM_WITNESS:
+		 if (!xdr_fleet_stream_witness (xdrs, &objp->fleet_message_u.stream_witness))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/godwitvale/fleet/fleet_wire_xdr.h
+++ b/src/godwitvale/fleet/fleet_wire_xdr.h
@@ -248,6 +248,21 @@
 };
 typedef struct fleet_stream_answer fleet_stream_answer;
 
+struct fleet_stream_lookup {
+	fleet_stream_query query;
+	u_int span_ms;
+};
+typedef struct fleet_stream_lookup fleet_stream_lookup;
+
+struct fleet_stream_witness {
+	fleet_stream_answer answer;
+	u_quad_t only_version;
+	u_quad_t revision;
+	u_int running_ms;
+	u_int watched_ms;
+};
+typedef struct fleet_stream_witness fleet_stream_witness;
+
 struct fleet_brittle {
 	u_quad_t service;
 	u_int left_ms;
@@ -326,6 +341,8 @@
 	FLEET_PACK = 13,
 	FLEET_ALIVE = 14,
 	FLEET_OPERATOR = 15,
+	FLEET_STREAM_LOOKUP = 16,
+	FLEET_STREAM_WITNESS = 17,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -347,6 +364,8 @@
 		fleet_pack pack;
 		fleet_alive alive;
 		fleet_operator operator_news;
+		fleet_stream_lookup stream_lookup;
+		fleet_stream_witness stream_witness;
 	} fleet_message_u;
 };
 typedef struct fleet_message fleet_message;
@@ -385,6 +404,8 @@
 extern  bool_t xdr_fleet_streams (XDR *, fleet_streams*);
 extern  bool_t xdr_fleet_stream_query (XDR *, fleet_stream_query*);
 extern  bool_t xdr_fleet_stream_answer (XDR *, fleet_stream_answer*);
+extern  bool_t xdr_fleet_stream_lookup (XDR *, fleet_stream_lookup*);
+extern  bool_t xdr_fleet_stream_witness (XDR *, fleet_stream_witness*);
 extern  bool_t xdr_fleet_brittle (XDR *, fleet_brittle*);
 extern  bool_t xdr_fleet_services (XDR *, fleet_services*);
 extern  bool_t xdr_fleet_turn (XDR *, fleet_turn*);
@@ -418,6 +439,8 @@
 extern bool_t xdr_fleet_streams ();
 extern bool_t xdr_fleet_stream_query ();
 extern bool_t xdr_fleet_stream_answer ();
+extern bool_t xdr_fleet_stream_lookup ();
+extern bool_t xdr_fleet_stream_witness ();
 extern bool_t xdr_fleet_brittle ();
 extern bool_t xdr_fleet_services ();
 extern bool_t xdr_fleet_turn ();
--- a/src/godwitvale/fleet/peers.c
+++ b/src/godwitvale/fleet/peers.c
@@ -218,30 +218,31 @@
 	peers_send_datagram(owner, peers_parse_ipv4(ip), bytes, len);
 }
 
-/// Stream callback: checks whether a service has had several versions.
-static bool
-has_several_versions(void *owner, uint64_t service)
+/// Stream callback: fills in what is known of the versions of a service.
+static void
+testify(
+    void *owner, uint64_t service, usec_t span, struct version_witness *witness)
 {
 	const struct peers *peers = owner;
 
-	return peers->options.vtable->has_several_versions(
-	    peers->options.owner, service);
+	peers->options.vtable->testify(
+	    peers->options.owner, service, span, witness);
 }
 
 /// Stream callback: another instance has answered for a stream.
 static void
-on_stream_answered(
-    void *owner, uint64_t stream, uint64_t instance, bool several_versions)
+on_stream_answered(void *owner, uint64_t stream, uint64_t instance,
+    const struct version_witness *witness)
 {
 	const struct peers *peers = owner;
 
 	peers->options.vtable->stream_answered(
-	    peers->options.owner, stream, instance, several_versions);
+	    peers->options.owner, stream, instance, witness);
 }
 
 static const struct stream_sync_vtable stream_sync_vtable = {
     .send = send_to_ip,
-    .has_several_versions = has_several_versions,
+    .testify = testify,
     .answered = on_stream_answered,
 };
 
--- a/src/godwitvale/fleet/peers.h
+++ b/src/godwitvale/fleet/peers.h
@@ -77,11 +77,11 @@
 	/// Another instance reports that an upstream leaves. `upstream` is the
 	/// hash of its id and incarnation.
 	void (*departure_reported)(void *owner, uint64_t upstream, usec_t at);
-	/// Returns whether a service has had several versions recently.
-	bool (*has_several_versions)(void *owner, uint64_t service);
-	/// Another instance has answered for a stream; see stream_sync.h.
+	/// These two are as in struct stream_sync_vtable.
+	void (*testify)(void *owner, uint64_t service, usec_t span,
+	    struct version_witness *witness);
 	void (*stream_answered)(void *owner, uint64_t stream, uint64_t instance,
-	    bool several_versions);
+	    const struct version_witness *witness);
 };
 
 /// Options of the peers.
--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -284,6 +284,14 @@
 		stream_sync_on_answer(peers->stream_sync,
 		    &message->fleet_message_u.stream_answer);
 		break;
+	case FLEET_STREAM_LOOKUP:
+		stream_sync_on_lookup(peers->stream_sync,
+		    &message->fleet_message_u.stream_lookup);
+		break;
+	case FLEET_STREAM_WITNESS:
+		stream_sync_on_witness(peers->stream_sync,
+		    &message->fleet_message_u.stream_witness);
+		break;
 	case FLEET_ALIVE:
 		handle_alive(peers, &message->fleet_message_u.alive);
 		break;
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -2,6 +2,7 @@
 #include "godwitvale/fleet/store.h"
 
 #include "godwitvale/core/backoff.h"
+#include "godwitvale/fleet/store_check.h"
 #include "godwitvale/http/fetch.h"
 #include "godwitvale/ops/log.h"
 
@@ -353,18 +354,6 @@
 	return false;
 }
 
-/// Completes the revisions of a reply, of which the adapter reads the numbers.
-static void
-set_reply_era(struct site_reply *reply, uint64_t era)
-{
-	reply->as_of = store_revision_make(era, reply->as_of);
-	for (guint i = 0; i < reply->items->len; i++) {
-		struct site_item *item = reply->items->pdata[i];
-
-		item->revision = store_revision_make(era, item->revision);
-	}
-}
-
 /// Discards what a watch continued, as the store doesn't know its changes any
 /// more. The items of all scopes that it covers are listed anew.
 static void
@@ -432,7 +421,7 @@
 		g_error_free(error);
 		return;
 	}
-	set_reply_era(reply, store->era);
+	store_reply_set_era(reply, store->era);
 	if (reader->is_list_call)
 		handle_page(reader, reply);
 	else
--- a/src/godwitvale/fleet/stream_sync.c
+++ b/src/godwitvale/fleet/stream_sync.c
@@ -15,6 +15,10 @@
 #define STREAM_SYNC_BUFFER_BYTES 4096
 /// A longer lifetime in a message is shortened to this, in milliseconds.
 #define STREAM_SYNC_TTL_MAX_MS (10 * 60 * 1000)
+/// A longer age or span in a message is shortened to this, in milliseconds.
+#define STREAM_SYNC_AGE_MAX_MS (60 * 60 * 1000)
+/// Age of a stream that an instance of an earlier build asks for.
+#define STREAM_SYNC_UNNAMED_SPAN (60 * USEC_PER_SEC)
 
 struct stream_sync {
 	struct stream_sync_options options;
@@ -125,6 +129,13 @@
 	stream_versions_merge(sync->options.versions, now, &record);
 }
 
+/// @return a span of time in milliseconds, as in messages
+static u_int
+encode_age(usec_t span)
+{
+	return (u_int)CLAMP(span / USEC_PER_MSEC, 0, STREAM_SYNC_AGE_MAX_MS);
+}
+
 /// Encodes a message and sends it to an instance.
 static void
 send_message(
@@ -191,28 +202,39 @@
 	g_ptr_array_unref(members);
 }
 
-/// Asks other instances for the version of a stream.
+/// Asks other instances for the version of a stream, and what they have seen of
+/// its service. Those of earlier builds are asked for the version only.
 ///
-/// @param sync     sends the question
-/// @param stream   hash of the id of the attempt that began the stream
-/// @param service  hash of the name of the service
-/// @param asked    filled in with the hashes of the names of those asked; room
-///                 for STREAM_SYNC_ASKED
+/// @param sync      sends the question
+/// @param question  the stream
+/// @param asked     filled in with the hashes of the names of those asked; room
+///                  for STREAM_SYNC_ASKED
 /// @return number of instances asked
 size_t
-stream_sync_ask(struct stream_sync *sync, uint64_t stream, uint64_t service,
-    uint64_t *asked)
+stream_sync_ask(struct stream_sync *sync,
+    const struct stream_question *question, uint64_t *asked)
 {
 	GPtrArray *members = membership_list(sync->options.membership);
 	struct owner_list owners =
-	    find_owners(members, stream, STREAM_SYNC_ASKED);
-	fleet_message message = {.kind = FLEET_STREAM_QUERY};
+	    find_owners(members, question->stream, STREAM_SYNC_ASKED);
+	const fleet_stream_query query = {
+	    sync->ip, question->stream, question->service};
+	fleet_message message;
 
-	message.fleet_message_u.stream_query =
-	    (fleet_stream_query){sync->ip, stream, service};
 	for (size_t i = 0; i < owners.n; i++) {
-		asked[i] = owners.members[i]->name_hash;
-		send_message(sync, owners.members[i]->ip, &message);
+		const struct member *member = owners.members[i];
+
+		asked[i] = member->name_hash;
+		if (member->features & MEMBER_FEATURE_WITNESS) {
+			message.kind = FLEET_STREAM_LOOKUP;
+			message.fleet_message_u.stream_lookup =
+			    (fleet_stream_lookup){
+				query, encode_age(question->span)};
+		} else {
+			message.kind = FLEET_STREAM_QUERY;
+			message.fleet_message_u.stream_query = query;
+		}
+		send_message(sync, member->ip, &message);
 	}
 	g_ptr_array_unref(members);
 	return owners.n;
@@ -229,7 +251,32 @@
 		merge_received(sync, &received->streams.streams_val[i]);
 }
 
-/// Answers another instance's question for a stream.
+/// Makes the answer for a stream.
+///
+/// @param wire  what this instance remembers of the stream, if anything; the
+///              answer refers to it
+static fleet_stream_answer
+make_answer(struct stream_sync *sync, const fleet_stream_query *query,
+    const struct version_witness *witness, fleet_stream *wire)
+{
+	usec_t now = g_get_monotonic_time();
+	const struct stream_version *record =
+	    stream_versions_find(sync->options.versions, now, query->stream);
+	fleet_stream_answer answer = {
+	    .name = sync->name,
+	    .stream = query->stream,
+	    .several = witness->has_several,
+	};
+
+	if (record != NULL) {
+		*wire = encode_record(record, now);
+		answer.known.known_len = 1;
+		answer.known.known_val = wire;
+	}
+	return answer;
+}
+
+/// Answers the question of an instance of an earlier build.
 ///
 /// @param sync   sends the answer
 /// @param query  a decoded message
@@ -237,28 +284,61 @@
 stream_sync_on_query(struct stream_sync *sync, const fleet_stream_query *query)
 {
 	const struct stream_sync_options *options = &sync->options;
-	usec_t now = g_get_monotonic_time();
-	const struct stream_version *record =
-	    stream_versions_find(options->versions, now, query->stream);
 	fleet_message message = {.kind = FLEET_STREAM_ANSWER};
-	fleet_stream_answer *answer = &message.fleet_message_u.stream_answer;
+	struct version_witness witness;
 	fleet_stream wire;
 
-	*answer = (fleet_stream_answer){
-	    .name = sync->name,
-	    .stream = query->stream,
-	    .several = options->vtable->has_several_versions(
-		options->owner, query->service),
-	};
-	if (record != NULL) {
-		wire = encode_record(record, now);
-		answer->known.known_len = 1;
-		answer->known.known_val = &wire;
-	}
+	options->vtable->testify(
+	    options->owner, query->service, STREAM_SYNC_UNNAMED_SPAN, &witness);
+	witness.has_several = witness.only_version == 0;
+	message.fleet_message_u.stream_answer =
+	    make_answer(sync, query, &witness, &wire);
 	send_message(sync, query->ip, &message);
 }
 
+/// Answers another instance's question for a stream.
+///
+/// @param sync    sends the answer
+/// @param lookup  a decoded message
+void
+stream_sync_on_lookup(
+    struct stream_sync *sync, const fleet_stream_lookup *lookup)
+{
+	const struct stream_sync_options *options = &sync->options;
+	usec_t now = g_get_monotonic_time();
+	fleet_message message = {.kind = FLEET_STREAM_WITNESS};
+	struct version_witness witness;
+	fleet_stream wire;
+
+	options->vtable->testify(options->owner, lookup->query.service,
+	    (usec_t)lookup->span_ms * USEC_PER_MSEC, &witness);
+	message.fleet_message_u.stream_witness = (fleet_stream_witness){
+	    .answer = make_answer(sync, &lookup->query, &witness, &wire),
+	    .only_version = witness.only_version,
+	    .revision = witness.revision,
+	    .running_ms = encode_age(now - witness.running_since),
+	    .watched_ms = witness.watched_since == USEC_NEVER
+		? 0
+		: encode_age(now - witness.watched_since),
+	};
+	send_message(sync, lookup->query.ip, &message);
+}
+
 /// Handles the answer of another instance.
+static void
+handle_answer(struct stream_sync *sync, const fleet_stream_answer *answer,
+    const struct version_witness *witness)
+{
+	const struct stream_sync_options *options = &sync->options;
+
+	if (answer->known.known_len > 0)
+		merge_received(sync, answer->known.known_val);
+	options->vtable->answered(
+	    options->owner, answer->stream, hash_name(answer->name), witness);
+}
+
+/// Handles the answer of an instance of an earlier build. It doesn't say since
+/// when it has watched.
 ///
 /// @param sync    merges the record, if there is one
 /// @param answer  a decoded message
@@ -266,12 +346,33 @@
 stream_sync_on_answer(
     struct stream_sync *sync, const fleet_stream_answer *answer)
 {
-	const struct stream_sync_options *options = &sync->options;
+	const struct version_witness witness = {
+	    .has_several = answer->several,
+	    .running_since = USEC_NEVER,
+	    .watched_since = USEC_NEVER,
+	};
 
-	if (answer->known.known_len > 0)
-		merge_received(sync, answer->known.known_val);
-	options->vtable->answered(options->owner, answer->stream,
-	    hash_name(answer->name), answer->several);
+	handle_answer(sync, answer, &witness);
+}
+
+/// Handles the answer of another instance and what it has seen of the service.
+///
+/// @param sync      merges the record, if there is one
+/// @param received  a decoded message
+void
+stream_sync_on_witness(
+    struct stream_sync *sync, const fleet_stream_witness *received)
+{
+	usec_t now = g_get_monotonic_time();
+	const struct version_witness witness = {
+	    .only_version = received->only_version,
+	    .has_several = received->answer.several,
+	    .revision = received->revision,
+	    .running_since = now - (usec_t)received->running_ms * USEC_PER_MSEC,
+	    .watched_since = now - (usec_t)received->watched_ms * USEC_PER_MSEC,
+	};
+
+	handle_answer(sync, &received->answer, &witness);
 }
 
 /// Checks whether a member is among the owners of a stream.
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -20,7 +20,11 @@
 	/// the same, but for snapshots of other instances, whose data may be
 	/// old
 	usec_t read_at;
-	GHashTable *items; /// label -> struct site_item *, latest version
+	/// all items that were there at this time or later are, or were, known;
+	/// USEC_NEVER: nothing received yet
+	usec_t watched_since;
+	uint64_t watched_from; /// revision at that time
+	GHashTable *items;     /// label -> struct site_item *, latest version
 };
 
 struct view {
@@ -66,9 +70,11 @@
 	view->directory = directory_new(on_directory_change, view);
 	view->evacuated =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (size_t i = 0; i < G_N_ELEMENTS(view->scopes); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(view->scopes); i++) {
+		view->scopes[i].watched_since = USEC_NEVER;
 		view->scopes[i].items = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, site_item_free);
+	}
 	return view;
 }
 
@@ -223,6 +229,7 @@
 		    view->directory, now, item->name, item->revision);
 		return true;
 	}
+	view->options.vtable->entry_read(view->options.owner, entry);
 	accepted =
 	    directory_put_entry(view->directory, now, entry, item->revision);
 	site_entry_free(entry);
@@ -364,6 +371,17 @@
 	}
 }
 
+/// Records that a list takes the place of what was known. Items that came and
+/// went since then aren't known.
+static void
+restart_watch(struct scope_state *state, usec_t now, uint64_t as_of)
+{
+	if (as_of == state->revision && state->watched_since != USEC_NEVER)
+		return;
+	state->watched_since = now;
+	state->watched_from = as_of;
+}
+
 /// Applies a full list of the items in a scope.
 ///
 /// If the list is of a later era than the view, the store was restored from a
@@ -398,6 +416,7 @@
 		    (int)scope, store_revision_era(as_of),
 		    store_revision_number(as_of),
 		    store_revision_number(state->revision), items->len);
+	restart_watch(state, now, as_of);
 	confirm_revision(view, now, scope, as_of);
 	listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	if (scope == SITE_SCOPE_UPSTREAMS && is_restored)
@@ -548,6 +567,19 @@
 	view->scopes[scope].read_at = read_at;
 }
 
+/// @param view  view to query
+/// @param from  set to the store's revision at the time that is returned
+/// @return time since which no upstream has come and gone unseen; USEC_NEVER:
+///         no upstreams are known yet
+usec_t
+view_watched_since(const struct view *view, uint64_t *from)
+{
+	const struct scope_state *state = &view->scopes[SITE_SCOPE_UPSTREAMS];
+
+	*from = state->watched_from;
+	return state->watched_since;
+}
+
 /// @param view   view to query
 /// @param scope  scope of the items
 /// @return when the store, or a reader of it, last said that the data is up to
--- a/src/godwitvale/fleet/view.h
+++ b/src/godwitvale/fleet/view.h
@@ -19,6 +19,8 @@
 	void (*config_changed)(void *owner, struct deployment *deployment);
 	/// A zone is evacuated, or its evacuation has ended.
 	void (*zone_changed)(void *owner, const char *zone, bool evacuated);
+	/// An upstream's entry was read, whether it is used or not.
+	void (*entry_read)(void *owner, const struct upstream_entry *entry);
 	/// The directory has changed; `record` is valid during the call only.
 	void (*upstream_changed)(void *owner, enum directory_change change,
 	    const struct upstream_record *record);
@@ -38,6 +40,7 @@
 void view_apply_snapshot(struct view *view, usec_t now, enum site_scope scope,
     GPtrArray *items, uint64_t as_of);
 usec_t view_read_at(const struct view *view, enum site_scope scope);
+usec_t view_watched_since(const struct view *view, uint64_t *from);
 void view_apply_changes(struct view *view, usec_t now, enum site_scope scope,
     GPtrArray *items, uint64_t as_of);
 void view_tick(struct view *view, usec_t now);
--- a/src/godwitvale/ops/explain.c
+++ b/src/godwitvale/ops/explain.c
@@ -65,7 +65,7 @@
 	"usable"},
     {"stream-unknown",
 	"its caller takes up a stream, no instance remembers which software "
-	"version began it, and its service has had several"},
+	"version began it, and its service has had several, or may have"},
     {"no-service", "its route names no service"},
     {"upstream-full", "%s refused it and no further attempt was allowed"},
     {"quarantined",
--- a/test/unit/view_test.c
+++ b/test/unit/view_test.c
@@ -45,8 +45,15 @@
 	g_string_append_printf(owner, "%d:%s ", change, record->entry.id);
 }
 
+static void
+on_entry_read(void *owner, const struct upstream_entry *entry)
+{
+	(void)owner;
+	(void)entry;
+}
+
 static const struct view_vtable vtable = {
-    on_config_changed, on_zone_changed, on_upstream_changed};
+    on_config_changed, on_zone_changed, on_entry_read, on_upstream_changed};
 
 static int
 setup(void **state)
@@ -192,6 +199,31 @@
 	g_ptr_array_unref(none);
 }
 
+/// A list takes the place of a lost history: upstreams may have come and gone
+/// in between. Changes and a list of the known revision leave no gap.
+static void
+a_list_restarts_the_watch_of_the_upstreams(void **state)
+{
+	GPtrArray *none = g_ptr_array_new();
+	uint64_t from;
+
+	(void)state;
+	assert_true(view_watched_since(view, &from) == USEC_NEVER);
+	view_apply_list(view, SEC, SITE_SCOPE_UPSTREAMS, none, 9);
+	apply_change(2 * SEC, SITE_ITEM_UPSTREAM, "u1", 10, entry);
+	view_apply_list(view, 3 * SEC, SITE_SCOPE_UPSTREAMS, none, 10);
+	assert_int_equal(view_watched_since(view, &from), SEC);
+	assert_int_equal(from, 9);
+	view_apply_list(view, 4 * SEC, SITE_SCOPE_OPERATOR, none, 15);
+	assert_int_equal(view_watched_since(view, &from), SEC);
+	view_apply_list(view, 5 * SEC, SITE_SCOPE_UPSTREAMS, none, 12);
+	assert_int_equal(view_watched_since(view, &from), 5 * SEC);
+	assert_int_equal(from, 12);
+	view_apply_snapshot(view, 6 * SEC, SITE_SCOPE_UPSTREAMS, none, 14);
+	assert_int_equal(view_watched_since(view, &from), 6 * SEC);
+	g_ptr_array_unref(none);
+}
+
 /// A change of nothing but the sequence number, such as a heartbeat, must not
 /// be sent to other instances.
 static void
@@ -710,6 +742,8 @@
 		tracks_evacuated_zones, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		ignores_an_outdated_list, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_list_restarts_the_watch_of_the_upstreams, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		sequence_numbers_are_not_significant, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
