Store: a call that began in an outage doesn't outlive it

Cause: the call for the operator's scope began in the outage with the long wait of a sound store, on a connection that never answers. When the history was lost, discard_list() forgot both lists, but started the operator's call only if none was running. A call under way was taken for one that will be answered.

Now a lost history, and an answer of the store after a failure, give up a running call of the other scope; while one scope's calls fail the other's don't wait long; and announced changes give up a running watch.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -5,6 +5,7 @@
 site_version=1
 retry_slack=10
 deadline_ms=20000 # that callers name
+site_keys='"k1","k2"'
 hub_min=40
 site_routes=
 n_entries=0
@@ -69,7 +70,7 @@
 	    {\"name\":\"shop\",\"max_conns\":100}],
 	    \"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,
 	    \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
-	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"]}]}"
+	    \"tenants\":[{\"name\":\"t1\",\"api_keys\":[$site_keys]}]}"
 }
 
 # usual_routes: adds one route of each kind.
--- a/src/godwitvale/entry/shutdown.c
+++ b/src/godwitvale/entry/shutdown.c
@@ -41,8 +41,8 @@
 		work.first_event_limit = route->target_latency;
 		work.event_gap = route->target_gap;
 	}
-	return shutdown_admission_accepts(&work,
-	    request->entry->leave_deadline - g_get_monotonic_time());
+	return shutdown_admission_accepts(
+	    &work, request->entry->leave_deadline - g_get_monotonic_time());
 }
 
 /// Refuses a request that hasn't run, if this process leaves and the request
@@ -84,8 +84,8 @@
 
 	if (!entry->leaving)
 		return;
-	done = now >= entry->leaving_since + SHUTDOWN_MIN_SPAN &&
-	    is_idle(entry);
+	done =
+	    now >= entry->leaving_since + SHUTDOWN_MIN_SPAN && is_idle(entry);
 	if (!done && now < entry->leave_deadline)
 		return;
 	log_event(LOG_LEVEL_INFO, "stopping",
--- a/src/godwitvale/fleet/store.c
+++ b/src/godwitvale/fleet/store.c
@@ -7,8 +7,9 @@
 #include "godwitvale/ops/log.h"
 
 /// Longest time for which the store may delay its answer to a watch for the
-/// operator's changes. A dead connection is noticed only after this time; until
-/// then other instances report the changes.
+/// operator's changes. A dead connection is noticed after this time, or when
+/// the store answers a call for upstreams after one has failed; until then
+/// other instances report the changes.
 #define STORE_OPERATOR_WAIT (15 * USEC_PER_SEC)
 /// Longest time for which the store may delay its answer to a watch for changes
 /// of upstreams.
@@ -53,6 +54,7 @@
 	struct store *store;
 	enum site_scope scope;
 	struct fetch *fetch;
+	usec_t started_at; /// of the current call
 	guint timer;
 	struct backoff backoff;
 	bool has_list;     /// a full list was read since the last lost history
@@ -70,7 +72,8 @@
 	struct store_options options;
 	struct scope_reader readers[2]; /// by enum site_scope
 	uint64_t calls;                 /// started so far
-	uint64_t era; /// latest era of the store that is known; 0: none
+	usec_t failed_at; /// end of the last call of any scope that failed
+	uint64_t era;     /// latest era of the store that is known; 0: none
 };
 
 static void start_call(struct scope_reader *reader);
@@ -142,6 +145,7 @@
 	reader->reachable = false;
 	reader->must_read = false;
 	reader->failed_at = g_get_monotonic_time();
+	reader->store->failed_at = reader->failed_at;
 	g_clear_pointer(&reader->pages, g_ptr_array_unref);
 	backoff_record_failure(&reader->backoff, g_get_monotonic_time(),
 	    options->vtable->fleet_size(options->owner), n_others_failing,
@@ -163,16 +167,37 @@
 	schedule_retry(reader);
 }
 
-/// Handles a successful call.
+/// Gives up the current call, if there is one, and starts another one soon: the
+/// call may be one that the store never answers, or its answer is of no use.
+static void
+renew_call(struct scope_reader *reader, const char *reason)
+{
+	if (reader->fetch == NULL)
+		return;
+	log_event(LOG_LEVEL_INFO, "store-call-renewed",
+	    "scope=%s reason=%s age_ms=%" G_GINT64_FORMAT,
+	    scope_name(reader->scope), reason,
+	    (g_get_monotonic_time() - reader->started_at) / USEC_PER_MSEC);
+	g_clear_pointer(&reader->fetch, fetch_cancel);
+	g_clear_pointer(&reader->pages, g_ptr_array_unref);
+	schedule_call(reader, 0);
+}
+
+/// Handles a successful call. A call of the other scope that was running while
+/// the store didn't answer may stay silent although the store is back.
 static void
 handle_success(struct scope_reader *reader)
 {
+	struct scope_reader *other = other_reader(reader);
+
 	if (!reader->reachable)
 		log_event(LOG_LEVEL_INFO, "store-reachable", "scope=%s",
 		    scope_name(reader->scope));
 	reader->reachable = true;
 	backoff_reset(&reader->backoff);
-	shorten_backoff(other_reader(reader), 0);
+	shorten_backoff(other, 0);
+	if (other->started_at <= reader->store->failed_at)
+		renew_call(other, "store-answers-again");
 }
 
 /// Handles a page of a list. After the last page the list is applied and the
@@ -365,7 +390,9 @@
 	if (!reader->covers_operator)
 		return;
 	other->has_list = false;
-	if (other->fetch == NULL && other->backoff.failures == 0)
+	if (other->fetch != NULL)
+		renew_call(other, "history-lost");
+	else if (other->backoff.failures == 0)
 		schedule_call(other, 0);
 }
 
@@ -452,8 +479,11 @@
 
 	if (reader->backoff.failures > 0)
 		return 0;
+	/* A call that begins in an outage must not outlive it by much. */
 	if (reader->scope == SITE_SCOPE_OPERATOR)
-		return STORE_OPERATOR_WAIT;
+		return other_reader(reader)->backoff.failures > 0
+		    ? STORE_UPSTREAM_WAIT
+		    : STORE_OPERATOR_WAIT;
 	/* Data that no reader confirms must not get older by waiting. */
 	return options->vtable->reader_rank(options->owner) >= 0
 	    ? STORE_UPSTREAM_WAIT
@@ -569,14 +599,15 @@
 	}
 	target = build_target(reader, &wait);
 	options.target = target;
-	options.deadline =
-	    g_get_monotonic_time() + wait + answer_timeout(reader);
+	reader->started_at = g_get_monotonic_time();
+	options.deadline = reader->started_at + wait + answer_timeout(reader);
 	store->calls++;
 	reader->fetch = fetch_start(&options);
 	g_free(target);
 }
 
 /// Reads the operator's changes soon, as a reader has more than it can pass on.
+/// A watch that is running should have returned them by then, and is given up.
 /// An instance that doesn't reach the store gets them by a snapshot.
 ///
 /// @param store  client that reads them
@@ -585,8 +616,10 @@
 {
 	struct scope_reader *reader = &store->readers[SITE_SCOPE_OPERATOR];
 
-	if (reader->must_read || !reader->reachable || reader->fetch != NULL)
+	if (reader->must_read || !reader->reachable ||
+	    (reader->fetch != NULL && reader->is_list_call))
 		return;
+	renew_call(reader, "changes-announced");
 	reader->must_read = true;
 	schedule_call(
 	    reader, (usec_t)(g_random_double() * (double)STORE_CHANGE_SPREAD));
