Changes: a reader also sends what the other reader's datagram has brought

unit/peers_changes_test, a_change_that_came_from_the_other_reader_was_left_out, fails before. Heartbeats are still left out, which a second test guards. Not shown over real processes.

--- a/src/godwitvale/fleet/peers_changes.c
+++ b/src/godwitvale/fleet/peers_changes.c
@@ -35,6 +35,17 @@
 		peers_send_to_all(peers, HUB_TWO_COPIES, bytes, len);
 }
 
+/// Checks whether a change must be sent: it is significant, or another reader's
+/// datagram has brought it, which only this instance may have got.
+static bool
+must_be_sent(const struct peers *peers, const struct site_item *item)
+{
+	const struct view *view = peers->options.view;
+
+	return view_is_significant_change(view, item) ||
+	    view_has_item(view, item);
+}
+
 /// Sends the significant changes of the upstreams to all instances. Changes
 /// that don't fit into one datagram are split into several, each of which
 /// starts at the revision at which the one before ends.
@@ -55,7 +66,7 @@
 		fleet_item wire;
 		size_t size;
 
-		if (!view_is_significant_change(peers->options.view, item))
+		if (!must_be_sent(peers, item))
 			continue;
 		wire = fleet_item_from_store_item(item);
 		size = xdr_sizeof((xdrproc_t)xdr_fleet_item, &wire);
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -744,6 +744,18 @@
 	return !same;
 }
 
+/// @param view  view to query
+/// @param item  an item as it was read
+/// @return whether the view had the item, or a later version of it, before
+bool
+view_has_item(const struct view *view, const struct site_item *item)
+{
+	return is_saved(&view->scopes[item->kind == SITE_ITEM_UPSTREAM
+				? SITE_SCOPE_UPSTREAMS
+				: SITE_SCOPE_OPERATOR],
+	    item);
+}
+
 /// @param view  view to query
 /// @return latest versions of all items (struct site_item *); free with
 ///         g_ptr_array_unref(), the items stay owned by the view
--- a/src/godwitvale/fleet/view.h
+++ b/src/godwitvale/fleet/view.h
@@ -60,6 +60,7 @@
 usec_t view_zone_returned_at(const struct view *view, const char *zone);
 bool view_is_significant_change(
     const struct view *view, const struct site_item *item);
+bool view_has_item(const struct view *view, const struct site_item *item);
 GPtrArray *view_list_items(const struct view *view);
 
 #endif
--- a/test/unit/peers_changes_test.c
+++ b/test/unit/peers_changes_test.c
@@ -42,10 +42,32 @@
 	return ntohs(address.sin_port);
 }
 
+static void
+ignore_change(void *owner, enum directory_change change,
+    const struct upstream_record *record)
+{
+	(void)owner;
+	(void)change;
+	(void)record;
+}
+
+static void
+ignore_entry(void *owner, const struct upstream_entry *entry)
+{
+	(void)owner;
+	(void)entry;
+}
+
+static const struct view_vtable view_vtable = {
+    .entry_read = ignore_entry,
+    .upstream_changed = ignore_change,
+};
+
 static int
 setup(void **state)
 {
-	const struct view_options view_options = {.site = platform_site()};
+	const struct view_options view_options = {
+	    .vtable = &view_vtable, .site = platform_site()};
 	struct hub_options hub_options = {
 	    .name = "e1", .min_instances = UINT_MAX};
 
@@ -136,12 +158,74 @@
 	g_ptr_array_unref(items);
 }
 
+/// Creates the entry of an upstream.
+static struct site_item *
+make_entry(uint64_t revision, unsigned sequence)
+{
+	struct site_item *item = g_new0(struct site_item, 1);
+	char *text = g_strdup_printf(
+	    "{\"service\":\"lm\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"version\":\"v2\",\"slots\":4,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"sequence\":%u}",
+	    sequence);
+
+	item->kind = SITE_ITEM_UPSTREAM;
+	item->name = g_strdup("u1");
+	item->revision = revision;
+	item->value = g_bytes_new_take(text, strlen(text));
+	return item;
+}
+
+/// The first reader's datagram with a new upstream is lost on the way to a
+/// third instance, but reaches the second reader. That reader's own datagram
+/// confirmed the revision without the upstream, so that the third instance
+/// never heard of it (ORDER, DRAIN).
+static void
+a_change_that_came_from_the_other_reader_was_left_out(void **state)
+{
+	GPtrArray *items = g_ptr_array_new_with_free_func(site_item_free);
+	uint64_t after = FIRST_REVISION;
+
+	(void)state;
+	g_ptr_array_add(items, make_entry(FIRST_REVISION + 1, 1));
+	view_apply_changes(peers.options.view, USEC_PER_SEC,
+	    SITE_SCOPE_UPSTREAMS, items, FIRST_REVISION + 1);
+	peers_send_changes(&peers, items, FIRST_REVISION, FIRST_REVISION + 1);
+	assert_int_equal(receive_changes(&after), 1);
+	g_ptr_array_unref(items);
+}
+
+/// Heartbeats of upstreams aren't sent, however they came to be known.
+static void
+heartbeats_are_not_passed_on(void **state)
+{
+	GPtrArray *items = g_ptr_array_new_with_free_func(site_item_free);
+	uint64_t after = FIRST_REVISION + 1;
+
+	(void)state;
+	g_ptr_array_add(items, make_entry(FIRST_REVISION + 1, 1));
+	view_apply_changes(peers.options.view, USEC_PER_SEC,
+	    SITE_SCOPE_UPSTREAMS, items, FIRST_REVISION + 1);
+	g_ptr_array_set_size(items, 0);
+	g_ptr_array_add(items, make_entry(FIRST_REVISION + 2, 2));
+	peers_send_changes(
+	    &peers, items, FIRST_REVISION + 1, FIRST_REVISION + 2);
+	assert_int_equal(receive_changes(&after), 0);
+	assert_int_equal(after, FIRST_REVISION + 2);
+	g_ptr_array_unref(items);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		many_deletions_at_once_were_not_passed_on, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_change_that_came_from_the_other_reader_was_left_out, setup,
+		teardown),
+	    cmocka_unit_test_setup_teardown(
+		heartbeats_are_not_passed_on, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
