--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -15,7 +15,8 @@
 
 # start_site ID,SERVICE,ZONE...: the store and workers; sets $site and
 # $site_log. With the prefix "linked:" a worker has a proxy in front of it,
-# which can cut instances off: see cut().
+# which can cut instances off: see cut(). "store-link" is one in front of the
+# store, whose address $store_link is.
 start_site()
 {
 	local specs=() spec
@@ -24,6 +25,7 @@
 	site_port=$port
 	for spec in "$@"; do
 		free_port
+		[ "$spec" = store-link ] && store_link=127.0.0.1:$port
 		spec+=,$port
 		if [[ $spec = linked:* ]]; then
 			free_port
@@ -36,8 +38,8 @@
 	wait_for "the site" grep -q '^ready' "$site_log"
 }
 
-# cut NAME MODE: cuts an instance off from all workers with a proxy (silent,
-# reset, refuse), or ends this (normal).
+# cut NAME MODE: cuts an instance off from all that has a proxy (silent, reset,
+# refuse), or ends this (normal).
 cut()
 {
 	ctl "cut/${entry_caller[$1]%:*}/$2"
--- a/test/site/main.c
+++ b/test/site/main.c
@@ -49,7 +49,8 @@
 	return value == NULL ? g_strdup("") : value;
 }
 
-/// Cuts some callers off from all workers that have a proxy, or ends this.
+/// Cuts some callers off from the store and all workers that have a
+/// proxy, or ends this.
 ///
 /// @param site    the simulated platform
 /// @param source  IP of the callers
@@ -100,6 +101,23 @@
 	return worker_new(site, spec) != NULL;
 }
 
+/// Creates a proxy in front of the store.
+///
+/// @param store_port  port of the store
+/// @param spec        store-link,PORT
+/// @return false when the port can't be listened on
+static bool
+start_store_link(struct site_state *site, uint16_t store_port, const char *spec)
+{
+	struct link *link =
+	    link_new((uint16_t)atoi(strchr(spec, ',') + 1), store_port);
+
+	if (link == NULL)
+		return false;
+	g_ptr_array_add(site->links, link);
+	return true;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -116,6 +134,7 @@
 	if (argc < 2) {
 		fprintf(stderr,
 		    "usage: site STORE_PORT "
+		    "[store-link,PORT] "
 		    "[ID,SERVICE,ZONE,PORT[,ANNOUNCED_PORT]]...\n");
 		return 64;
 	}
@@ -128,6 +147,9 @@
 
 		if (g_str_has_prefix(argv[i], "raw:"))
 			ok = raw_worker_new(&site, spec + 1) != NULL;
+		else if (g_str_has_prefix(argv[i], "store-link,"))
+			ok = start_store_link(
+			    &site, (uint16_t)atoi(argv[1]), argv[i]);
 		else if (g_str_has_prefix(argv[i], "linked:"))
 			ok = start_linked_worker(&site, spec + 1);
 		else
