Tests: engines that answer with a good head and bytes without an end

Calls for copies, orders, the store and other instances weren't tried; their bodies are bounded in http/fetch.c.

--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -98,18 +98,29 @@
 
 /// Appends the head of an answer that ends with its connection.
 ///
+/// @param status  code and reason
 /// @param fields  further fields, each with its line end
 static void
-append_head(struct raw_conn *conn, const char *fields)
+append_status_head(
+    struct raw_conn *conn, const char *status, const char *fields)
 {
 	const char *id = strstr(conn->request->str, "Attempt-Id: ");
 	int len = id == NULL ? 0 : (int)strcspn(id, "\r\n");
 
 	g_string_append_printf(conn->answer,
-	    "HTTP/1.1 200 OK\r\n%.*s%sResponse-Seal: %s\r\n"
+	    "HTTP/1.1 %s\r\n%.*s%sResponse-Seal: %s\r\n"
 	    "Connection: close\r\n%s\r\n",
-	    len, id == NULL ? "" : id, len == 0 ? "" : "\r\n", conn->worker->id,
-	    fields);
+	    status, len, id == NULL ? "" : id, len == 0 ? "" : "\r\n",
+	    conn->worker->id, fields);
+}
+
+/// Appends the head of a success that ends with its connection.
+///
+/// @param fields  further fields, each with its line end
+static void
+append_head(struct raw_conn *conn, const char *fields)
+{
+	append_status_head(conn, "200 OK", fields);
 }
 
 /// Appends the events of a stream.
@@ -311,6 +322,52 @@
 	g_free(kind);
 }
 
+/// Builds an answer with a good head that has no end.
+///
+/// @return false if the mode is another one
+static bool
+build_endless_body(struct raw_conn *conn)
+{
+	static const char chunk[] = "10\r\n0123456789abcdef\r\n";
+	static const struct {
+		const char *mode;
+		const char *status;
+		const char *fields;
+		const char *begin;
+		const char *burst;
+	} rows[] = {
+	    {"endless-body", "200 OK", "Content-Type: text/plain\r\n", "",
+		chunk},
+	    {"endless-error", "500 Error", "", "", chunk},
+	    {"endless-full", "503 Full", "Not-Executed: 1\r\n", "", chunk},
+	    {"endless-misdirected", "421 Other", "", "", chunk},
+	    {"endless-extension", "200 OK", "", "10;x=", "0123456789abcdef"},
+	    {"endless-size", "200 OK", "", "", "0000000000000000"},
+	    {"endless-trailer", "200 OK",
+		"Content-Type: text/event-stream\r\n",
+		"11\r\nid: 1\ndata: a b\n\n\r\n0\r\n",
+		"X-Pad: 0123456789abcdef\r\n"},
+	    {"endless-extra", "200 OK", "Content-Type: text/event-stream\r\n",
+		"11\r\nid: 1\ndata: a b\n\n\r\n0\r\n\r\n",
+		"0123456789abcdef"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *fields;
+
+		if (strcmp(rows[i].mode, conn->worker->mode) != 0)
+			continue;
+		fields = g_strdup_printf(
+		    "Transfer-Encoding: chunked\r\n%s", rows[i].fields);
+		append_status_head(conn, rows[i].status, fields);
+		g_free(fields);
+		g_string_append(conn->answer, rows[i].begin);
+		append_burst(conn, rows[i].burst);
+		return true;
+	}
+	return false;
+}
+
 /// Builds the answer to a generation.
 static void
 build_answer(struct raw_conn *conn)
@@ -321,7 +378,9 @@
 
 	if (separator != NULL)
 		build_answer_of_run(conn, separator);
-	else if (strcmp(mode, "endless-head") == 0) {
+	else if (build_endless_body(conn)) {
+		return;
+	} else if (strcmp(mode, "endless-head") == 0) {
 		g_string_append(conn->answer, "HTTP/1.1 200 OK\r\n");
 		append_burst(conn, "X-Pad: 0123456789abcdef\r\n");
 	} else if (strcmp(mode, "endless-field") == 0) {
@@ -415,6 +474,12 @@
 	char *body = g_strdup_printf("{\"state\":\"%s\",\"leaves_ms\":%d}",
 	    conn->worker->draining ? "draining" : "ready", DEPARTURE_DELAY_MS);
 
+	if (strcmp(conn->worker->mode, "endless-report") == 0) {
+		g_free(body);
+		append_head(conn, "Transfer-Encoding: chunked\r\n");
+		append_burst(conn, "10\r\n0123456789abcdef\r\n");
+		return;
+	}
 	conn->keeps = strcmp(conn->worker->mode, "repeat-copy") == 0;
 	if (conn->keeps) {
 		append_kept(conn, body);
