--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -92,6 +92,9 @@
 	bool planned_only; /// no fault but silent workers
 	usec_t grace;      /// from SIGTERM to the end of an instance's work
 	bool odd_callers;  /// some read slowly or close their sending side
+	bool releases;     /// all instances are lost in releases of the engines
+	unsigned n_steps;  /// of the plan, so far
+	unsigned n_releases;
 	const char *bindir;
 	const char *old_bindir; /// of another build beside it; NULL: none
 	char *dir;              /// settings and logs
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -5,6 +5,9 @@
 
 /// Time limit of a caller for its final response.
 #define CALL_TIMEOUT (12 * USEC_PER_SEC)
+/// Time from the loss of a caller's connection until it takes its stream up, in
+/// runs in which all instances are lost.
+#define TAKE_UP_DELAY (700 * USEC_PER_MSEC)
 /// Extra time after which a response without a pause or kill is overdue.
 #define CALL_SLACK (4 * USEC_PER_SEC)
 /// Events of a long stream, and of a short one.
@@ -111,6 +114,15 @@
 	return text;
 }
 
+/// Checks whether the caller of a stream that broke off comes back by now. When
+/// all instances are lost, callers come back once these are started again.
+static bool
+is_back(const struct soak_call *call)
+{
+	return !call->soak->releases ||
+	    g_get_monotonic_time() >= call->ended_at + TAKE_UP_DELAY;
+}
+
 /// Makes a request take up the stream of another one, as its caller lost its
 /// connection.
 static void
@@ -235,7 +247,7 @@
 
 		if (call->kind != CALL_HINT || call->conn != NULL ||
 		    call->complete || call->events == 0 || call->was_taken_up ||
-		    call->resumed != NULL)
+		    call->resumed != NULL || !is_back(call))
 			continue;
 		call->was_taken_up = true;
 		send_call(soak, call);
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* Main program of the fault soak: soak --bindir DIR [--seeds N] [--from S]
- * [--span S] [--odd-callers] */
+ * [--span S] [--odd-callers] [--releases] */
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -250,6 +250,7 @@
 	int from = 1;
 	int span = 10;
 	gboolean odd_callers = FALSE;
+	gboolean releases = FALSE;
 	struct soak options = {.bindir = "build"};
 	const GOptionEntry entries[] = {
 	    {"bindir", 0, 0, G_OPTION_ARG_FILENAME, &options.bindir,
@@ -264,6 +265,8 @@
 		"Seconds of faults in a run", "S"},
 	    {"odd-callers", 0, 0, G_OPTION_ARG_NONE, &odd_callers,
 		"Some callers read slowly or close their sending side", NULL},
+	    {"releases", 0, 0, G_OPTION_ARG_NONE, &releases,
+		"All instances are lost in releases of the engines", NULL},
 	    G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -274,6 +277,7 @@
 		return 64;
 	g_option_context_free(context);
 	options.odd_callers = odd_callers;
+	options.releases = releases;
 	take_port_block();
 	for (int i = 0; i < seeds; i++)
 		failed += !play(&options, (guint32)(from + i), span);
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -5,6 +5,9 @@
 #include <signal.h>
 #include <string.h>
 
+/// Steps of the plan from one release in which all instances are lost to the
+/// next.
+#define RELEASE_STEPS 8
 /// Time after its grace within which an instance must have exited.
 #define LEAVE_SLACK (2 * USEC_PER_SEC)
 
@@ -311,12 +314,36 @@
 	}
 }
 
+/// Replaces all engines by ones of another software version, and kills all
+/// instances meanwhile: nobody remembers the streams of the version before.
+static void
+lose_all_in_release(struct soak *soak)
+{
+	char mode[32];
+
+	g_snprintf(mode, sizeof(mode), "version-r%u", ++soak->n_releases);
+	soak_note(soak, "all instances killed, all engines %s", mode);
+	for (int i = 0; i < SOAK_ENTRIES; i++) {
+		soak_events_add(soak, SUBJECT_PROCESS + i, false);
+		soak_world_signal(&soak->entries[i], SIGKILL);
+	}
+	for (int i = 0; i < SOAK_WORKERS; i++) {
+		if (!g_str_has_prefix(soak_worker_names[i], "lm"))
+			continue;
+		soak_events_add(soak, SUBJECT_WORKER + i, false);
+		set_mode(soak, i, mode);
+	}
+}
+
 /// Injects the next fault, or ends one.
 ///
 /// @param soak  the run
 void
 soak_plan_step(struct soak *soak)
 {
+	if (soak->releases && !soak->planned_only &&
+	    ++soak->n_steps % RELEASE_STEPS == 0)
+		lose_all_in_release(soak);
 	if (soak->planned_only) {
 		do_planned_work(soak);
 		return;
