Server: pipelined requests don't pass those that wait

Cause: input that arrived once few enough bytes of earlier answers were unsent was parsed at once, ahead of what still waited in the buffer for pipelined requests, which is read only when an answer ends or all bytes have left.

--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -381,11 +381,19 @@
 		end_if_input_ended(caller);
 }
 
-/// Connection callback: bytes were received.
+/// Connection callback: bytes were received. They must not pass those that
+/// wait.
 static void
 on_received(void *owner, const char *data, size_t len)
 {
-	server_process_input(owner, data, len);
+	struct caller *caller = owner;
+
+	if (caller->pipelined->len == 0) {
+		server_process_input(caller, data, len);
+		return;
+	}
+	buffer_pipelined(caller, data, len);
+	server_read_next(caller);
 }
 
 static const struct conn_vtable conn_vtable = {
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -592,6 +592,33 @@
 	close(fd);
 }
 
+/// A caller pipelines and reads slowly. Requests that came as few bytes of a
+/// response were left unsent passed those that waited, so that the caller got
+/// answers of other requests (MIXED).
+static void
+pipelined_requests_passed_those_that_waited(void **state)
+{
+	struct fixture *fixture = *state;
+	int fd = connect_to(fixture);
+	char bytes[65536];
+
+	send_text(fd, "GET /a HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	respond_with_large_body(fixture);
+	send_text(fd, "GET /b HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, 50 * USEC_PER_MSEC);
+	assert_int_equal(fixture->calls->len, 0);
+	for (int i = 0; i < 1000 && fixture->calls->len == 0; i++) {
+		recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		send_text(fd, "GET /c HTTP/1.1\r\n\r\n");
+		run_loop(fixture, 1, 2 * USEC_PER_MSEC);
+	}
+	assert_int_equal(fixture->calls->len, 1);
+	assert_string_equal(
+	    http_call_head(fixture->calls->pdata[0])->target, "/b");
+	close(fd);
+}
+
 /// After a pause of the process, requests that came in meanwhile are read
 /// before connections end.
 static void
@@ -718,6 +745,8 @@
 		callers_that_take_no_byte_are_ended, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		pipelined_requests_wait_for_unsent_responses, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		pipelined_requests_passed_those_that_waited, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		bad_input_is_refused_and_closed, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
