Entry: SIGHUP right after the start doesn't end the process

They are set first now, and act when the main loop runs.

functional/entry_hup_at_start fails before: the instance ends by SIGHUP while it reads its settings.

--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -395,7 +395,7 @@
 	entry->store = store_new(&store);
 }
 
-/// Creates all parts of an instance and registers its signal handlers.
+/// Creates all parts of an instance.
 static bool
 entry_open(struct entry *entry, GError **error)
 {
@@ -432,8 +432,6 @@
 	if (!admin_open(entry, error))
 		return false;
 	entry->tick_source = g_timeout_add(ENTRY_TICK_MS, on_tick, entry);
-	g_unix_signal_add(SIGTERM, on_terminate, entry);
-	g_unix_signal_add(SIGHUP, on_reload, entry);
 	return true;
 }
 
@@ -483,6 +481,9 @@
 	GError *error = NULL;
 	int status = CMD_OK;
 
+	/* Signals may come at once. They are handled when the loop runs. */
+	g_unix_signal_add(SIGTERM, on_terminate, &entry);
+	g_unix_signal_add(SIGHUP, on_reload, &entry);
 	entry.settings_path = g_strdup(settings_path);
 	entry.settings = entry_settings_load(settings_path, &error);
 	if (entry.settings == NULL) {
