Tests: one take_up() for all tests of streams that are taken up

entry_reborn_version had its own begin(), take_up() and version_in(); the shared ones in scripts/site.sh now do what it checks too (the version that the events name, no run of what was refused).

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -10,7 +10,6 @@
 site_routes=
 n_entries=0
 STREAMS=6 # that callers take up at a time, so that none passes by chance
-declare -A engine_version
 fleet_ports=
 
 # start_site ID,SERVICE,ZONE...: the store and workers; sets $site and
@@ -271,18 +270,10 @@
 	wait "${streams_of[@]}" 2>/dev/null
 }
 
-# engine_of ID: the engine that a run began at.
-engine_of()
+# version_in FILE: the version of the engine that made its first event.
+version_in()
 {
-	sed -n "s/^run $1 \([a-z0-9]*\) .*$/\1/p" "$site_log" | tail -1
-}
-
-# version_of ID: the version that a run began at, as set in engine_version.
-version_of()
-{
-	local engine
-	engine=$(engine_of "$1")
-	[ -z "$engine" ] || echo "${engine_version[$engine]}"
+	grep -m1 '^data: ' "$1" | awk '{ print $NF }'
 }
 
 # take_up INSTANCE PREFIX NEW: the callers take the streams up; prints how many
@@ -300,7 +291,9 @@
 			refused=$((refused + 1))
 			grep -qi '^Retry-After' "$workdir/$3$i.head" ||
 			    echo "WRONG: no Retry-After"
-		elif [ "$(version_of "$3$i")" = "$(version_of "$2$i")" ]; then
+			[ "$(runs "$3$i")" = 0 ] || echo "WRONG: it has run"
+		elif [ "$(version_in "$workdir/$3$i")" = \
+		    "$(version_in "$workdir/$2$i")" ]; then
 			same=$((same + 1))
 		else
 			other=$((other + 1))
--- a/src/godwitvale/fleet/store_check.c
+++ b/src/godwitvale/fleet/store_check.c
@@ -122,7 +122,7 @@
 	log_event(result.outcome == STORE_CHECK_FAILED ? LOG_LEVEL_WARN
 						       : LOG_LEVEL_INFO,
 	    "store-checked",
-	    "status=%u after=%" G_GUINT64_FORMAT " as_of=%" G_GUINT64_FORMAT
+	    "status=%u after=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
 	    " took_ms=%" G_GINT64_FORMAT " outcome=%s",
 	    answer->status, store_revision_number(check->after),
 	    reply == NULL ? 0 : store_revision_number(reply->as_of),
--- a/test/functional/entry_out_of_step.sh
+++ b/test/functional/entry_out_of_step.sh
@@ -13,8 +13,6 @@
 WATCH_SPAN=13
 
 start_site store-link lm1,lm,z1 lm2,lm,z1
-engine_version[lm1]=v1
-engine_version[lm2]=v2
 ctl worker/lm2/leave
 usual_routes
 configure
--- a/test/functional/entry_reborn_version.sh
+++ b/test/functional/entry_reborn_version.sh
@@ -7,8 +7,6 @@
 # shellcheck source=scripts/site.sh
 . "$(dirname "$0")/../../scripts/site.sh"
 
-STREAMS=6 # so that none passes by chance
-
 start_site lm1,lm,z1 lm2,lm,z1
 usual_routes
 configure
@@ -23,62 +21,6 @@
 	    '\"event\":\"peer-joined\"' '$workdir/$instance.log') -ge 2 ]"
 done
 
-# has_begun FILE: whether events have come.
-has_begun()
-{
-	grep -q '^id: 5$' "$1"
-}
-
-# begin INSTANCE PREFIX: streams whose callers lose their connections a while
-# after the first events.
-begin()
-{
-	local i callers=()
-	for ((i = 0; i < STREAMS; i++)); do
-		call "$1" /hint/x "$2$i" -X POST -H 'Token-Usage: 100,4000' \
-		    >"$workdir/$2$i" &
-		callers+=($!)
-	done
-	for ((i = 0; i < STREAMS; i++)); do
-		wait_for "events of $2$i" has_begun "$workdir/$2$i"
-	done
-	sleep 0.6
-	kill "${callers[@]}" 2>/dev/null
-	wait "${callers[@]}" 2>/dev/null
-}
-
-# version_in FILE: the version of the engine that made its first event.
-version_in()
-{
-	grep -m1 '^data: ' "$1" | awk '{ print $NF }'
-}
-
-# take_up INSTANCE PREFIX NEW: the callers take the streams up; prints how many
-# went on at the version that began them, and the rest.
-take_up()
-{
-	local i last same=0 other=0 refused=0
-	for ((i = 0; i < STREAMS; i++)); do
-		last=$(sed -n 's/^id: //p' "$workdir/$2$i" | tail -1)
-		call "$1" /hint/x "$3$i" -X POST -H "Resumes: $2$i" \
-		    -H "Last-Event-Id: $last" \
-		    -H "Token-Usage: 100,$(((last + 2) * 4))" \
-		    -D "$workdir/$3$i.head" >"$workdir/$3$i"
-		if [ "$(tail -1 "$workdir/$3$i")" = 503 ]; then
-			refused=$((refused + 1))
-			grep -qi '^Retry-After' "$workdir/$3$i.head" ||
-			    echo "WRONG: no Retry-After"
-			[ "$(runs "$3$i")" = 0 ] || echo "WRONG: it has run"
-		elif [ "$(version_in "$workdir/$3$i")" = \
-		    "$(version_in "$workdir/$2$i")" ]; then
-			same=$((same + 1))
-		else
-			other=$((other + 1))
-		fi
-	done
-	echo "same version: $same, another: $other, refused: $refused"
-}
-
 # silence_store: until the instances' view is old.
 silence_store()
 {
@@ -105,12 +47,16 @@
 echo "== the store is silent, and no engine is born again"
 silence_store
 begin e1 a
+sleep 0.6
+leave
 take_up e1 a b
 take_up e2 a c
 
 echo "== the only engine that is left was born again"
 back_to_normal
 begin e1 d
+sleep 0.6
+leave
 silence_store
 ctl worker/lm1/gone
 ctl worker/lm2/version-v2
@@ -128,5 +74,7 @@
 silence_store
 ctl worker/lm1/version-v2
 begin e1 h
+sleep 0.6
+leave
 take_up e2 h i | sed 's/same version: [0-9]*, another: 0, .*/none at another version/'
 take_up e3 h j | sed 's/same version: [0-9]*, another: 0, .*/none at another version/'
--- a/test/functional/entry_take_up.sh
+++ b/test/functional/entry_take_up.sh
@@ -19,9 +19,6 @@
 wait_for "the instances to know each other" logged e2 '"peer-joined","peer":"e3"'
 
 echo "== one version: a stream that nobody remembers goes on"
-for engine in lm1 lm2 lm3 lm4; do
-	engine_version[$engine]=v1
-done
 echo 'id: 3' >"$workdir/never0"
 for ((i = 1; i < STREAMS; i++)); do
 	cp "$workdir/never0" "$workdir/never$i"
@@ -36,8 +33,6 @@
 sleep 2
 
 echo "== two versions, the first instance lives"
-engine_version[lm2]=v2
-engine_version[lm4]=v2
 ctl worker/lm2/version-v2
 ctl worker/lm4/version-v2
 sleep 1
--- a/test/functional/entry_take_up_all_killed.sh
+++ b/test/functional/entry_take_up_all_killed.sh
@@ -12,11 +12,7 @@
 WATCH_SPAN=12
 
 start_site lm1,lm,z1 lm2,lm,z1 lm3,lm,z1 lm4,lm,z1
-for engine in lm1 lm2; do
-	engine_version[$engine]=v1
-done
 for engine in lm3 lm4; do
-	engine_version[$engine]=v2
 	ctl "worker/$engine/leave"
 done
 usual_routes
@@ -94,7 +90,7 @@
 	cp "$workdir/h$i" "$workdir/never$i"
 done
 take_up e3 h i
-take_up e3 never k | sed 's/same version: 0, another: 6/served: 6/'
+take_up e3 never k
 
 echo "== all have just started, and the history is lost: refused"
 kill_all
