Take-ups: a lost history doesn't refuse those that don't need it

Searches that come together share one call to the store. If one of them needs all of the store's history and the store has lost it, the others, which need only what has changed since, were refused with it. They ask again now. Found by reading, no test of its own; entry_take_up, entry_take_up_all_killed and entry_out_of_step pass.

--- a/src/godwitvale/entry/stream_lookup.c
+++ b/src/godwitvale/entry/stream_lookup.c
@@ -536,6 +536,23 @@
 	view_watched_since(entry->view, &lookups->history_watched_from);
 }
 
+/// Checks whether a check answers what a search has asked: it was started
+/// since, and is of all history if that is needed. A store that has lost its
+/// history may still answer those that don't need it.
+static bool
+is_answered_by(
+    const struct stream_lookup *lookup, const struct store_check_result *result)
+{
+	bool is_of_history = result->after == 0;
+
+	if (lookup == NULL || lookup->check != LOOKUP_CHECK_WANTED ||
+	    lookup->started_at > result->started_at)
+		return false;
+	if (lookup->needs_history)
+		return is_of_history;
+	return !is_of_history || result->outcome != STORE_CHECK_HISTORY_LOST;
+}
+
 /// Store callback: a check is over.
 static void
 on_check_done(void *owner, const struct store_check_result *result)
@@ -552,9 +569,7 @@
 		struct entry_request *request = requests->pdata[i];
 		struct stream_lookup *lookup = request->lookup;
 
-		if (lookup == NULL || lookup->check != LOOKUP_CHECK_WANTED ||
-		    lookup->started_at > result->started_at ||
-		    (lookup->needs_history && !is_of_history))
+		if (!is_answered_by(lookup, result))
 			continue;
 		lookup->check = result->outcome == STORE_CHECK_MADE
 		    ? LOOKUP_CHECK_MADE
