--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -343,13 +343,11 @@
 	    {"endless-misdirected", "421 Other", "", "", chunk},
 	    {"endless-extension", "200 OK", "", "10;x=", "0123456789abcdef"},
 	    {"endless-size", "200 OK", "", "", "0000000000000000"},
-	    {"endless-trailer", "200 OK",
-		"Content-Type: text/event-stream\r\n",
+	    {"endless-trailer", "200 OK", "Content-Type: text/event-stream\r\n",
 		"11\r\nid: 1\ndata: a b\n\n\r\n0\r\n",
 		"X-Pad: 0123456789abcdef\r\n"},
 	    {"endless-extra", "200 OK", "Content-Type: text/event-stream\r\n",
-		"11\r\nid: 1\ndata: a b\n\n\r\n0\r\n\r\n",
-		"0123456789abcdef"},
+		"11\r\nid: 1\ndata: a b\n\n\r\n0\r\n\r\n", "0123456789abcdef"},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
