Answers whose status is none of HTTP fail at once

Callers got 504 at the end of their deadline, on all kinds of route, when a worker answered with status 000 and kept its connection; statuses of 600 and more were passed on to callers of routes whose requests run at most once.

Cause: the parser accepts any number, and the exchange takes one under 200 for an interim response. The reader now rejects a status that hasn't three digits from 100 to 599, and 101, so that the exchange fails as garbled.

Evidence: entry_odd_statuses failed before: 504 for 000, 099 and 101 on all four routes, 600 and 999 passed on, 0200 taken for 200; 502 with the change, also where another instance forwards the request. The new case of http_exchange_test waited without an end before, and passes.

--- a/src/godwitvale/http/reader.c
+++ b/src/godwitvale/http/reader.c
@@ -10,6 +10,12 @@
 /// The bytes that end a head.
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_LEN 4
+/// Number of digits of a response's status, its range, and the status that
+/// follows a request for another protocol.
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_SWITCHING_PROTOCOLS 101
 /// Capacity that the buffer of the head may keep between messages.
 #define HEAD_BYTES_KEPT 1024
 
@@ -327,6 +333,34 @@
 	return false;
 }
 
+/// Checks that a response's status has three digits and is one of HTTP. The
+/// parser accepts any number, of which one under 200 would look like that of an
+/// interim response. A switch of protocols is none: it is never asked for.
+static bool
+has_valid_status(const GString *bytes)
+{
+	const char *at = memchr(bytes->str, ' ', bytes->len);
+	guint64 status;
+
+	if (at == NULL || strspn(at + 1, "0123456789") != STATUS_DIGITS)
+		return false;
+	status = g_ascii_strtoull(at + 1, NULL, 10);
+	return status >= STATUS_MIN && status <= STATUS_MAX &&
+	    status != STATUS_SWITCHING_PROTOCOLS;
+}
+
+/// Checks a complete head before it is parsed.
+static bool
+head_is_acceptable(const struct http_reader *reader)
+{
+	const GString *bytes = reader->head_bytes;
+
+	if (!head_is_well_formed(bytes))
+		return false;
+	return !reader->options.parse_responses ||
+	    (has_valid_status(bytes) && !has_second_status_line(bytes));
+}
+
 /// Buffers bytes of a head and parses the head once it is complete.
 ///
 /// @return bytes consumed
@@ -351,9 +385,7 @@
 		return len;
 	}
 	g_string_truncate(bytes, (gsize)(end - bytes->str) + HEAD_END_LEN);
-	if (!head_is_well_formed(bytes) ||
-	    (reader->options.parse_responses &&
-		has_second_status_line(bytes))) {
+	if (!head_is_acceptable(reader)) {
 		fail_reader(reader, HTTP_FAULT_SYNTAX);
 		return len;
 	}
--- /dev/null
+++ b/test/functional/entry_odd_statuses.sh
@@ -0,0 +1,69 @@
+#!/bin/bash
+# Workers send answers whose status is none of HTTP, on connections that they
+# keep: callers get a failure of the instance's own, at once and of every kind of
+# route, also if another instance has forwarded it. Such a status was read as
+# that of an interim response, so that callers got 504 at the end of their
+# deadline, or passed on.
+# shellcheck source=test/functional/lib.sh
+. "$(dirname "$0")/lib.sh"
+# shellcheck source=scripts/site.sh
+. "$(dirname "$0")/../../scripts/site.sh"
+
+start_site linked:raw:raw1,lm,z1 linked:raw:raw2,shop,z1
+usual_routes
+configure
+retry_slack=1000
+deadline_ms=3000
+settings_entry e1
+settings_entry e2 "${entry_control[e1]}"
+start_instance e1
+start_instance e2
+knows()
+{
+	logged "$1" "\"peer-joined\",\"peer\":\"$2\""
+}
+wait_for "e1 to know e2" knows e1 e2
+wait_for "e2 to know e1" knows e2 e1
+
+# statuses NAME MODE: what a caller gets on each kind of route.
+statuses()
+{
+	local route out=
+	for route in draft hint order check; do
+		out+=" $route $(call "$1" "/$route/x" "$1-$route-$2" -X POST \
+		    -H 'Token-Usage: 100,20' -d x -o /dev/null | tail -1)"
+	done
+	echo "$2:$out"
+}
+
+# renew: the workers are started again, without a record of failures.
+renew()
+{
+	local worker
+	both back
+	for worker in raw1 raw2; do
+		wait_for_change e1 upstream-reborn "$worker"
+		wait_for_change e2 upstream-reborn "$worker"
+	done
+}
+
+for status in 000 099 101 600 999 0200 299 599; do
+	both "status-$status"
+	statuses e1 "$status"
+	renew
+done
+
+echo "== forwarded by another instance"
+cut e1 refuse
+for service in draft order; do
+	call e1 "/$service/x" "poke-$service" -m 3 -X POST \
+	    -H 'Token-Usage: 100,8' >/dev/null &
+	pids+=($!)
+done
+wait_for "e1 to notice" logged e1 '"service-cut-off","service":"lm"'
+wait_for "e1 to notice" logged e1 '"service-cut-off","service":"shop"'
+for status in 000 600; do
+	both "status-$status"
+	statuses e1 "$status"
+	renew
+done
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -28,6 +28,8 @@
 #define DEPARTURE_DELAY_MS 800
 /// Stands between the answers to the first run of a request and to later ones.
 #define MODE_SEPARATOR "-then-"
+/// Beginning of modes whose rest is the status of all answers.
+#define STATUS_MODE "status-"
 /// Number of events that come before a stream breaks off.
 #define BROKEN_EVENT_COUNT 3
 /// Size of a plain body that instances don't buffer whole, in bytes.
@@ -597,14 +599,32 @@
 	conn->keeps = true;
 }
 
+/// Appends an answer whose status is part of the mode, on a connection that is
+/// kept.
+static void
+append_status(struct raw_conn *conn, const char *status)
+{
+	char *id = get_field(conn, "Attempt-Id");
+
+	g_string_append_printf(conn->answer,
+	    "HTTP/1.1 %s Odd\r\nAttempt-Id: %s\r\nResponse-Seal: %s\r\n"
+	    "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nodd\n",
+	    status, id, conn->worker->id);
+	conn->keeps = true;
+	g_free(id);
+}
+
 /// Builds the answer to a request: a report, a copy or a generation.
 static void
 answer_request(struct raw_conn *conn)
 {
 	const char *refusal = find_repeated_refusal(conn);
+	const char *mode = conn->worker->mode;
 
 	if (refusal != NULL) {
 		build_kept_answer(conn, refusal);
+	} else if (g_str_has_prefix(mode, STATUS_MODE)) {
+		append_status(conn, mode + strlen(STATUS_MODE));
 	} else if (g_str_has_prefix(conn->request->str, "GET /v1/report")) {
 		append_report(conn);
 	} else if (g_str_has_prefix(conn->request->str, "POST /v1/kv-move")) {
--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -425,6 +425,24 @@
 	assert_transcript("rubbish\r\n\r\n", KEEP, " failed:garbled");
 }
 
+/// Guards against a wait for the response that would follow an interim one.
+static void
+responses_without_a_valid_status_are_garbled(void **state)
+{
+	static const char *const statuses[] = {"000", "0", "099", "600", "999",
+	    "1000", "0200", "20", "101", "-20"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *response = g_strdup_printf(
+		    "HTTP/1.1 %s Odd\r\nContent-Length: 0\r\n\r\n",
+		    statuses[i]);
+
+		assert_transcript(response, FINISH, " failed:garbled");
+		g_free(response);
+	}
+}
+
 static void
 closed_port_is_reported_unreachable(void **state)
 {
@@ -798,6 +816,7 @@
 	    cmocka_unit_test(reset_while_sending_is_no_end),
 	    cmocka_unit_test(request_that_must_not_start_is_not_sent),
 	    cmocka_unit_test(addresses_are_parsed),
+	    cmocka_unit_test(responses_without_a_valid_status_are_garbled),
 	    cmocka_unit_test(closed_port_is_reported_unreachable),
 	    cmocka_unit_test(late_responses_are_skipped),
 	    cmocka_unit_test(repeated_refusal_without_an_id_is_skipped),
