Callers that read slowly no longer keep others out

Others saw an instance that isn't ready, and no connection, while as many callers as it accepts at an address read their responses slowly, or not at all for up to 30 s: 32 are enough at the address for readiness. Found as entry_crowds_at_readiness took over a minute for its first group.

Cause: only connections that wait for a whole request are closed in favour of a new one, and only callers that take no byte for a second are dropped for memory, so that a few bytes now and then protect a caller for ever. Such callers are now slow readers also when their last response ended over five seconds ago, and are closed for a new connection if none waits for a request.

Evidence: entry_slow_readers printed "not ready" before, and "ready" now; its other two groups passed before as well. slow_readers_are_replaced failed before. longest_waiting_connection_is_closed said that unread responses are never closed for a new connection, which is the fault; now such a client is the last one that is chosen, and a new row says that one that reads isn't. The time at which the client of unread_responses_are_dropped_last ended its request is set, as the server does.

--- a/src/godwitvale/core/client_limits.c
+++ b/src/godwitvale/core/client_limits.c
@@ -51,9 +51,10 @@
 /// Shortest age that counts in the choice of a body, so that large bodies are
 /// told from small ones also when all have just begun.
 #define AGE_MIN USEC_PER_MSEC
-/// A client that has taken a byte of its responses in this time is not dropped
-/// for memory.
+/// A client that has taken a byte of its responses in the first time, and whose
+/// last response ended less than the second one ago, is not dropped.
 #define UNREAD_TIMEOUT USEC_PER_SEC
+#define UNREAD_MAX (5 * USEC_PER_SEC)
 /// A connection is kept for this time before it is closed in favour of another
 /// one, so that a flood of connections leaves time for a request.
 #define WAITING_MIN USEC_PER_SEC
@@ -284,16 +285,23 @@
 	return (double)droppable_bytes(state) * (double)age;
 }
 
+/// Checks whether a client doesn't read its finished responses, or reads them
+/// so slowly that it occupies memory and a connection for long.
+static bool
+is_slow_reader(const struct client_state *state, usec_t now)
+{
+	return state->stage == CLIENT_UNREAD &&
+	    (now - state->started_at >= UNREAD_TIMEOUT ||
+		now - state->waiting_since >= UNREAD_MAX);
+}
+
 /// Computes how much memory the unread responses of a client occupy.
 ///
 /// @return bytes; 0 if it can't be dropped for memory
 static double
 unread_cost(const struct client_state *state, usec_t now)
 {
-	if (state->stage != CLIENT_UNREAD ||
-	    now - state->started_at < UNREAD_TIMEOUT)
-		return 0;
-	return (double)state->bytes;
+	return is_slow_reader(state, now) ? (double)state->bytes : 0;
 }
 
 /// Finds the client with the highest cost.
@@ -321,7 +329,7 @@
 /// Chooses the client to be dropped while the bound on bytes is exceeded: the
 /// largest and slowest incomplete request, or further requests behind a call;
 /// if there is none, the client with most bytes of finished responses that
-/// takes none of them.
+/// takes none of them, or takes them slowly.
 ///
 /// @param limits  an account
 /// @param now     present time
@@ -339,16 +347,21 @@
 	return pick_costliest(limits, unread_cost, now);
 }
 
-/// Chooses the client whose connection is closed in favour of a new one: the
-/// one that has waited longest without a whole request.
+/// Checks whether a client's connection waits for a whole request.
+static bool
+is_waiting(const struct client_state *state, usec_t now)
+{
+	(void)now;
+	return state->stage == CLIENT_IDLE || is_incomplete(state);
+}
+
+/// Finds the client of a group that has waited longest, and for at least
+/// WAITING_MIN, among those that a check names.
 ///
-/// @param limits  an account
-/// @param group   group whose connections are used up
-/// @param now     present time
-/// @return owner of the client; NULL if all are in use or too young
-void *
-client_limits_pick_for_connection(
-    const struct client_limits *limits, const void *group, usec_t now)
+/// @return its owner; NULL if there is none
+static void *
+pick_longest(const struct client_limits *limits, const void *group,
+    bool (*check)(const struct client_state *state, usec_t now), usec_t now)
 {
 	usec_t earliest = now - WAITING_MIN;
 	void *owner = NULL;
@@ -356,9 +369,7 @@
 	for (guint i = 0; i < limits->clients->len; i++) {
 		const struct client *client = limits->clients->pdata[i];
 
-		if (client->group != group ||
-		    (client->state.stage != CLIENT_IDLE &&
-			!is_incomplete(&client->state)) ||
+		if (client->group != group || !check(&client->state, now) ||
 		    client->state.waiting_since > earliest)
 			continue;
 		earliest = client->state.waiting_since;
@@ -367,6 +378,25 @@
 	return owner;
 }
 
+/// Chooses the client whose connection is closed in favour of a new one: the
+/// one that has waited longest without a whole request; if there is none, the
+/// one whose responses have waited longest to be read.
+///
+/// @param limits  an account
+/// @param group   group whose connections are used up
+/// @param now     present time
+/// @return owner of the client; NULL if all are in use or too young
+void *
+client_limits_pick_for_connection(
+    const struct client_limits *limits, const void *group, usec_t now)
+{
+	void *owner = pick_longest(limits, group, is_waiting, now);
+
+	if (owner != NULL)
+		return owner;
+	return pick_longest(limits, group, is_slow_reader, now);
+}
+
 /// Sets how many bytes an object holds.
 ///
 /// @param hold   hold of the object
--- a/test/caller/crowd.c
+++ b/test/caller/crowd.c
@@ -313,6 +313,11 @@
 	.prepare = prepare_pipeline,
 	.target = CHECK,
 	.reading = READING_NONE},
+    /* The same, but they are read slowly. */
+    {.name = "sipping-pipeline",
+	.prepare = prepare_pipeline,
+	.target = CHECK,
+	.reading = READING_SIPS},
     /* Half of BYTES, then another connection. */
     {.name = "closing",
 	.prepare = prepare_half,
--- a/test/functional/crowds.sh
+++ b/test/functional/crowds.sh
@@ -3,6 +3,7 @@
 # the machine's speed. Sourced after scripts/site.sh by a script that sets
 # the bounds MEMORY_KB, MACHINE_KB and DESCRIPTORS.
 
+CURL_CAP=5       # seconds
 SAMPLE_PAUSE=0.1 # seconds between two measurements of memory
 descriptors_of_shell=$(ulimit -S -n)
 
--- a/test/unit/client_limits_test.c
+++ b/test/unit/client_limits_test.c
@@ -191,8 +191,10 @@
 {
 	struct client_limits *limits = client_limits_new();
 	struct client_hold hold = {.limits = limits};
-	struct client_state unread = {
-	    .stage = CLIENT_UNREAD, .bytes = BOUND, .started_at = start_time()};
+	struct client_state unread = {.stage = CLIENT_UNREAD,
+	    .bytes = BOUND,
+	    .started_at = start_time(),
+	    .waiting_since = start_time()};
 	struct client_state head = {
 	    .stage = CLIENT_IN_HEAD, .bytes = 100, .started_at = start_time()};
 	char reader;
@@ -225,17 +227,20 @@
 		usec_t age;
 		enum client_stage stage;
 		int group;
+		bool is_reading; /// it has just taken bytes of its responses
 	} rows[] = {
-	    {9 * USEC_PER_SEC, CLIENT_IN_CALL, 0},
-	    {9 * USEC_PER_SEC, CLIENT_CLOSING, 0},
-	    {9 * USEC_PER_SEC, CLIENT_UNREAD, 0},
-	    {8 * USEC_PER_SEC, CLIENT_IDLE, 1},
-	    {3 * USEC_PER_SEC, CLIENT_IDLE, 0},
-	    {4 * USEC_PER_SEC, CLIENT_IN_BODY, 0},
-	    {2 * USEC_PER_SEC, CLIENT_IN_HEAD, 0},
-	    {USEC_PER_SEC / 2, CLIENT_IDLE, 0},
+	    {9 * USEC_PER_SEC, CLIENT_IN_CALL, 0, false},
+	    {9 * USEC_PER_SEC, CLIENT_CLOSING, 0, false},
+	    {9 * USEC_PER_SEC, CLIENT_UNREAD, 0, false},
+	    {8 * USEC_PER_SEC, CLIENT_IDLE, 1, false},
+	    {3 * USEC_PER_SEC, CLIENT_IDLE, 0, false},
+	    {4 * USEC_PER_SEC, CLIENT_IN_BODY, 0, false},
+	    {2 * USEC_PER_SEC, CLIENT_IN_HEAD, 0, false},
+	    {USEC_PER_SEC / 2, CLIENT_IDLE, 0, false},
+	    {4 * USEC_PER_SEC, CLIENT_UNREAD, 0, true},
 	};
-	static const int expected[] = {5, 4, 6, -1};
+	/* A client that doesn't read its responses is the last one. */
+	static const int expected[] = {5, 4, 6, 2, -1};
 	struct client_limits *limits = client_limits_new();
 	uint32_t handles[G_N_ELEMENTS(rows)];
 	int groups[2];
@@ -243,6 +248,7 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		const struct client_state row = {.stage = rows[i].stage,
+		    .started_at = rows[i].is_reading ? start_time() : 0,
 		    .waiting_since = start_time() - rows[i].age};
 
 		handles[i] = client_limits_add(
@@ -316,6 +322,36 @@
 	assert_int_equal(connections.callers, 16);
 }
 
+/// Guards against clients that read slowly, without a stop, and so keep others
+/// out.
+static void
+slow_readers_are_replaced(void **state)
+{
+	struct client_state client = {.stage = CLIENT_UNREAD, .bytes = 2};
+	struct client_limits *limits = client_limits_new();
+	struct client_hold hold = {.limits = limits};
+	usec_t now = start_time();
+	uint32_t handle;
+	int owner;
+
+	(void)state;
+	client_limits_set_bound(limits, 1);
+	client_hold_set(&hold, client.bytes);
+	client.started_at = now - USEC_PER_SEC / 2;
+	client.waiting_since = now - 4 * USEC_PER_SEC;
+	handle = client_limits_add(limits, &owner, limits, &client);
+	assert_null(client_limits_pick_for_connection(limits, limits, now));
+	assert_null(client_limits_pick_for_memory(limits, now));
+	client.waiting_since = now - 5 * USEC_PER_SEC;
+	client_limits_update(limits, handle, &client);
+	assert_ptr_equal(
+	    client_limits_pick_for_connection(limits, limits, now), &owner);
+	assert_ptr_equal(client_limits_pick_for_memory(limits, now), &owner);
+	client_limits_remove(limits, handle);
+	client_hold_clear(&hold);
+	client_limits_free(limits);
+}
+
 /// Guards against kernel buffers of many sockets that together exceed the
 /// memory of the machine. A connection keeps the size that it began with.
 static void
@@ -382,6 +418,7 @@
 	    cmocka_unit_test(whole_requests_are_kept_and_new_ones_refused),
 	    cmocka_unit_test(unread_responses_are_dropped_last),
 	    cmocka_unit_test(longest_waiting_connection_is_closed),
+	    cmocka_unit_test(slow_readers_are_replaced),
 	    cmocka_unit_test(bodies_have_a_rate_and_a_time),
 	    cmocka_unit_test(bounds_follow_the_machine),
 	    cmocka_unit_test(socket_buffers_follow_the_number_of_clients),
