New connections replace waiting ones after 0.2 s

Ordinary callers found no connection in time while more callers than an instance accepts and its queue holds open connections, send an unfinished head and come again when they are closed.

Cause: a connection is kept for a second before it is closed in favour of a new one, so that an instance of 200 connections takes 200 new ones a second, and each waits behind 512 others in the queue; the kernel drops what doesn't fit. A caller sends its request with its connection, so 0.2 s are enough.

Evidence: entry_returning_crowd with 1,200 such callers at 200 connections gave no answer to an ordinary request in 110 s before (ended by its time limit), and passes in 11 s now. The row of longest_waiting_connection_is_closed with a client that has only just come has 0.1 s instead of 0.5 s: it says that the time is kept, whichever it is.

--- a/src/godwitvale/core/client_limits.c
+++ b/src/godwitvale/core/client_limits.c
@@ -56,8 +56,9 @@
 #define UNREAD_TIMEOUT USEC_PER_SEC
 #define UNREAD_MAX (5 * USEC_PER_SEC)
 /// A connection is kept for this time before it is closed in favour of another
-/// one, so that a flood of connections leaves time for a request.
-#define WAITING_MIN USEC_PER_SEC
+/// one, so that a flood of connections leaves time for a request. As each new
+/// connection waits for those before it, longer would keep all callers out.
+#define WAITING_MIN (200 * USEC_PER_MSEC)
 
 /// A client's connection.
 struct client {
