Readiness isn't kept out by the kernel's memory for callers

Found in reading the last changes: connections for readiness and metrics waited when the buffers of callers' connections reach their bound, though requests there are admitted whatever memory others use; and check-config wrote to a finding that a full list doesn't give.

--- a/src/godwitvale/core/config_check.c
+++ b/src/godwitvale/core/config_check.c
@@ -372,6 +372,29 @@
 	}
 }
 
+/// Checks whether the bytes for all clients fit beside the kernel's buffers for
+/// their connections.
+///
+/// @param needed  bytes for all clients, of which the machine has as many
+static void
+check_sockets(
+    struct check *check, const struct config_place *place, uint64_t needed)
+{
+	const struct config_surroundings *surroundings = check->surroundings;
+	uint64_t sockets = client_limits_derive_socket_bound(
+	    surroundings->memory_mb, surroundings->socket_memory_mb);
+	struct config_finding *finding;
+
+	if (!client_limits_exceed_machine(
+		surroundings->memory_mb, needed, sockets))
+		return;
+	finding = config_findings_add(
+	    check->findings, CONFIG_BODY_AND_SOCKETS_OVER_MEMORY, place);
+	if (finding != NULL)
+		finding->before = g_strdup_printf("%" G_GUINT64_FORMAT,
+		    client_limits_derive_room(surroundings->memory_mb));
+}
+
 /// Checks the longest body that is accepted against the machine's memory.
 static void
 check_body(struct check *check)
@@ -383,7 +406,6 @@
 	uint64_t room;
 	uint64_t intended;
 	uint64_t needed;
-	uint64_t sockets;
 	struct config_finding *finding = NULL;
 
 	if (!surroundings->has_memory)
@@ -393,14 +415,8 @@
 	    surroundings->memory_mb, surroundings->caller_memory_mb, 0);
 	needed = client_limits_derive_bound(
 	    surroundings->memory_mb, surroundings->caller_memory_mb, max_body);
-	sockets = client_limits_derive_socket_bound(
-	    surroundings->memory_mb, surroundings->socket_memory_mb);
-	if (needed <= room &&
-	    client_limits_exceed_machine(
-		surroundings->memory_mb, needed, sockets))
-		config_findings_add(check->findings,
-		    CONFIG_BODY_AND_SOCKETS_OVER_MEMORY, &place)
-		    ->before = g_strdup_printf("%" G_GUINT64_FORMAT, room);
+	if (needed <= room)
+		check_sockets(check, &place, needed);
 	if (needed > room)
 		finding = config_findings_add(
 		    check->findings, CONFIG_BODY_OVER_MEMORY, &place);
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -84,7 +84,8 @@
 			      /// finished response
 	unsigned max_callers;           /// simultaneous connections
 	struct client_body_limits body; /// time for a body
-	/// Requests are not refused because of the memory that others use.
+	/// Requests are not refused, and connections don't wait, because of the
+	/// memory that others use.
 	bool admits_all;
 };
 
--- a/src/godwitvale/http/server_clients.c
+++ b/src/godwitvale/http/server_clients.c
@@ -234,14 +234,21 @@
 	return false;
 }
 
+/// Checks whether the kernel's buffers for clients have no room for another
+/// connection. Where all are admitted, the few connections are not counted.
+static bool
+lacks_socket_memory(const struct http_server *server)
+{
+	return server->socket_buffer > 0 && !server->limits.admits_all &&
+	    client_limits_sockets_are_full(server->clients);
+}
+
 /// @param server  a server
-/// @return whether there are as many connections as may be, or the kernel's
-///         buffers for them have no room for another one
+/// @return whether there are as many connections as may be
 bool
 server_is_full(const struct http_server *server)
 {
 	return g_hash_table_size(server->callers) >=
 	    server->limits.max_callers ||
-	    (server->socket_buffer > 0 &&
-		client_limits_sockets_are_full(server->clients));
+	    lacks_socket_memory(server);
 }
--- a/test/functional/entry_slow_readers.sh
+++ b/test/functional/entry_slow_readers.sh
@@ -42,3 +42,9 @@
 crowd "${entry_ready[ready]}" sipping-pipeline 60 4000000 /
 is_ready ready && echo "  ready" || echo "  not ready"
 end_case ready
+
+echo "== the kernel's memory for connections is used up by callers"
+begin_case sockets '"socket_memory_mb": 1'
+crowd "${entry_caller[sockets]}" sipping-pipeline 200 4000000
+is_ready sockets && echo "  ready" || echo "  not ready"
+end_case sockets
