--- a/src/godwitvale/entry/shutdown.c
+++ b/src/godwitvale/entry/shutdown.c
@@ -34,8 +34,7 @@
 	const struct route *route = request->route;
 	struct shutdown_work work = {
 	    .time_limit = entry_request_time_left(request),
-	    .leaving_span =
-		request->arrived_at - request->entry->leaving_since,
+	    .leaving_span = request->arrived_at - request->entry->leaving_since,
 	};
 
 	if (route->is_generation) {
