--- a/test/functional/crowds.sh
+++ b/test/functional/crowds.sh
@@ -51,8 +51,12 @@
 	while resident=$(awk '/^VmRSS/ { print $2 }' "/proc/$pid/status" \
 	    2>/dev/null) && [ -n "$resident" ]; do
 		sum=$((resident + $(kernel_kb "$1")))
-		[ "$sum" -le "$peak" ] || peak=$sum
-		echo "$peak" >"$workdir/$1.peak"
+		if [ "$sum" -gt "$peak" ]; then
+			peak=$sum
+			# A reader must not find the file empty.
+			echo "$peak" >"$workdir/$1.peak.new"
+			mv "$workdir/$1.peak.new" "$workdir/$1.peak"
+		fi
 		sleep "$SAMPLE_PAUSE"
 	done &
 	pids+=($!)
