Placement: a begun answer that waits gets room before a copy

What callers saw: a begun stream that waited for a place, while another one was to leave its engine, was broken off at its deadline although an engine came back in time: the copy of the other one took all of its room.

Cause: after a change of the upstreams, departures are handled before the queue, and a copy's next attempt that is due takes room at once. The same happens when its timer fires between the change and the update that the change schedules. Begun answers that wait are now tried before both; requests that have not begun still come after the copies.

--- a/src/godwitvale/core/wait_queue.h
+++ b/src/godwitvale/core/wait_queue.h
@@ -32,6 +32,7 @@
 	WAIT_QUEUE_FULL,     /// its upstreams have no capacity now
 	/// its upstreams have no capacity that its group may use now
 	WAIT_QUEUE_GROUP_FULL,
+	WAIT_QUEUE_NOT_TRIED, /// it keeps waiting, and others are tried
 };
 
 /// Tries to place a request.
--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -316,7 +316,8 @@
 	charge_copy_load(request);
 }
 
-/// Chooses a target for the first copy and requests the copy.
+/// Chooses a target for the first copy and requests the copy. Begun responses
+/// that wait for a place come first.
 static void
 start_copy(struct entry_request *request)
 {
@@ -339,6 +340,9 @@
 	struct dispatch_target found = {0};
 	enum place_outcome outcome;
 
+	/* A change may have made room for which none of those was tried yet. */
+	if (request->entry->update_source != 0)
+		entry_request_place_begun(request->entry);
 	move.place.is_move = true;
 	move.place.prompt_tokens = 0;
 	outcome = dispatch_place(request->entry->dispatch, &move, &found);
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -93,13 +93,15 @@
     .limited = on_limited,
 };
 
-/// Loop callback: handles departing upstreams and places waiting requests.
+/// Loop callback: handles departing upstreams and places waiting requests. A
+/// begun response that waits gets room before the copy of one that still runs.
 static gboolean
 on_update_due(gpointer data)
 {
 	struct entry *entry = data;
 
 	entry->update_source = 0;
+	entry_request_place_begun(entry);
 	departures_handle(entry);
 	entry_request_place_waiting(entry);
 	return G_SOURCE_REMOVE;
--- a/src/godwitvale/entry/entry_request.h
+++ b/src/godwitvale/entry/entry_request.h
@@ -17,6 +17,7 @@
 void entry_request_check_copy_targets(struct entry *entry);
 GHashTable *entry_request_list_engines(struct entry *entry, bool held_only);
 void entry_request_place_waiting(struct entry *entry);
+void entry_request_place_begun(struct entry *entry);
 void entry_request_abort_all(struct entry *entry);
 
 #endif
--- a/src/godwitvale/entry/entry_request_place.c
+++ b/src/godwitvale/entry/entry_request_place.c
@@ -426,6 +426,26 @@
 	}
 }
 
+/// Queue callback: the same for a request whose response has begun.
+static enum wait_queue_result
+try_place_begun(void *owner, void *data)
+{
+	const struct entry_request *request = data;
+
+	if (!request->response_started)
+		return WAIT_QUEUE_NOT_TRIED;
+	return try_place_waiting(owner, data);
+}
+
+/// Places the begun responses that wait and for which there is capacity now.
+///
+/// @param entry  instance whose queue is processed
+void
+entry_request_place_begun(struct entry *entry)
+{
+	wait_queue_process(entry->waiting, try_place_begun, entry);
+}
+
 /// Places the waiting requests for which there is capacity now.
 ///
 /// @param entry  instance whose queue is processed
