HTTP server: connections in use make room for new ones

What callers saw: while as many callers as there are connections always had another request on the way, nobody else was accepted.

Cause: a new connection only replaced one that waits for a request, or that reads its responses slowly. If there was none, new ones waited unaccepted, without an end. The response says "Connection: close" and nothing that was passed on is dropped. Limit connections-in-use in the log and metrics.

--- a/src/godwitvale/core/client_limits.c
+++ b/src/godwitvale/core/client_limits.c
@@ -398,6 +398,40 @@
 	return pick_longest(limits, group, is_slow_reader, now);
 }
 
+/// Checks whether a client's connection is in use, and is to stay open.
+static bool
+is_kept_in_use(const struct client_state *state)
+{
+	return !state->is_yielding &&
+	    (state->stage == CLIENT_IN_CALL || state->stage == CLIENT_UNREAD);
+}
+
+/// Chooses the client whose connection is closed after its next response,
+/// because new ones wait and all are in use: the one that was accepted first.
+/// Otherwise clients with further requests keep others out for ever.
+///
+/// @param limits  an account
+/// @param group   group whose connections are used up
+/// @return owner of the client; NULL if all in use were chosen before
+void *
+client_limits_pick_to_yield(
+    const struct client_limits *limits, const void *group)
+{
+	usec_t earliest = USEC_NEVER;
+	void *owner = NULL;
+
+	for (guint i = 0; i < limits->clients->len; i++) {
+		const struct client *client = limits->clients->pdata[i];
+
+		if (client->group != group || !is_kept_in_use(&client->state) ||
+		    client->state.accepted_at >= earliest)
+			continue;
+		earliest = client->state.accepted_at;
+		owner = client->owner;
+	}
+	return owner;
+}
+
 /// Sets how many bytes an object holds.
 ///
 /// @param hold   hold of the object
--- a/src/godwitvale/core/client_limits.h
+++ b/src/godwitvale/core/client_limits.h
@@ -37,6 +37,8 @@
 	usec_t waiting_since;
 	/// Memory that the kernel may take for its socket's buffers.
 	size_t socket_bytes;
+	usec_t accepted_at;
+	bool is_yielding; /// it is closed after its next response
 };
 
 /// Bytes that one object holds on behalf of a client. The object's destructor
@@ -81,6 +83,8 @@
     const struct client_limits *limits, usec_t now);
 void *client_limits_pick_for_connection(
     const struct client_limits *limits, const void *group, usec_t now);
+void *client_limits_pick_to_yield(
+    const struct client_limits *limits, const void *group);
 
 void client_hold_set(struct client_hold *hold, size_t bytes);
 void client_hold_clear(struct client_hold *hold);
--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -74,6 +74,7 @@
 	    [HTTP_LIMIT_NO_MEMORY] = "no-memory",
 	    [HTTP_LIMIT_BODY_TIME] = "body-time",
 	    [HTTP_LIMIT_CONNECTIONS] = "connections",
+	    [HTTP_LIMIT_CONNECTIONS_IN_USE] = "connections-in-use",
 	    [HTTP_LIMIT_ACCEPT] = "accept",
 	    [HTTP_LIMIT_SOCKET_BUFFERS] = "socket-buffers",
 	};
--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -46,8 +46,9 @@
 	HTTP_LIMIT_NO_MEMORY,       /// refused; its request doesn't fit now
 	HTTP_LIMIT_BODY_TIME,       /// refused; its body came too slowly
 	HTTP_LIMIT_CONNECTIONS,     /// closed in favour of a new connection
-	HTTP_LIMIT_ACCEPT,          /// no connection is accepted for a while
-	HTTP_LIMIT_SOCKET_BUFFERS,  /// smaller for new connections
+	HTTP_LIMIT_CONNECTIONS_IN_USE, /// the same, after its next response
+	HTTP_LIMIT_ACCEPT,             /// no connection is accepted for a while
+	HTTP_LIMIT_SOCKET_BUFFERS,     /// smaller for new connections
 	HTTP_N_LIMITS
 };
 
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -136,7 +136,8 @@
 	http_head_copy_end_to_end(&framed, head);
 	if (framing != NULL)
 		http_head_add(&framed, framing, value);
-	if (call->server->keep_alive_disabled || is_last_request(call->caller))
+	if (call->server->keep_alive_disabled || call->caller->is_yielding ||
+	    is_last_request(call->caller))
 		call->close = true;
 	call->has_head = true;
 	call->caller->probe_due = USEC_NEVER;
--- a/src/godwitvale/http/server_clients.c
+++ b/src/godwitvale/http/server_clients.c
@@ -39,6 +39,8 @@
 	    .started_at = caller->received_at,
 	    .waiting_since = caller->waiting_since,
 	    .socket_bytes = caller->socket_bytes,
+	    .accepted_at = caller->accepted_at,
+	    .is_yielding = caller->is_yielding,
 	};
 
 	if (state.stage == CLIENT_IN_CALL)
@@ -59,7 +61,8 @@
 {
 	struct client_state state;
 
-	caller->waiting_since = g_get_monotonic_time();
+	caller->accepted_at = g_get_monotonic_time();
+	caller->waiting_since = caller->accepted_at;
 	caller->hold.limits = caller->server->clients;
 	client_hold_set(&caller->hold, SERVER_CALLER_BYTES);
 	state = find_state(caller);
@@ -211,8 +214,24 @@
 	    server->clients, server, g_get_monotonic_time());
 }
 
+/// Has the connection that has been in use longest closed after its next
+/// response, which says so to the caller.
+static void
+yield_connection(const struct http_server *server)
+{
+	struct caller *caller =
+	    client_limits_pick_to_yield(server->clients, server);
+
+	if (caller == NULL)
+		return;
+	server_note_limit(server, HTTP_LIMIT_CONNECTIONS_IN_USE);
+	caller->is_yielding = true;
+	server_update_client(caller);
+}
+
 /// Closes the connection that has waited longest without a whole request. A
-/// request that has arrived and wasn't read yet is read first.
+/// request that has arrived and wasn't read yet is read first. If all are in
+/// use, one of them closes after its next response.
 ///
 /// @param server  a server
 /// @return false if all connections are in use or new
@@ -222,8 +241,10 @@
 	for (int i = 0; i < SERVER_CLOSE_ATTEMPTS; i++) {
 		struct caller *caller = find_waiting(server);
 
-		if (caller == NULL)
+		if (caller == NULL) {
+			yield_connection(server);
 			return false;
+		}
 		conn_receive(caller->conn);
 		if (find_waiting(server) != caller)
 			continue;
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -50,8 +50,9 @@
 	struct client_hold hold; /// of the connection and the head
 	uint32_t client;         /// handle in the account
 	unsigned refusal; /// status that a reader callback refuses with; or 0
-	guint resume_source;    /// processes further requests; 0: not scheduled
-	size_t discarded;       /// bytes read since it was refused
+	guint resume_source; /// processes further requests; 0: not scheduled
+	size_t discarded;    /// bytes read since it was refused
+	usec_t accepted_at;
 	usec_t waiting_since;   /// end of its last request, or its acceptance
 	struct http_call *call; /// request in progress; NULL between requests
 	usec_t deadline;       /// of the current read; USEC_NEVER during a call
@@ -62,6 +63,7 @@
 	unsigned n_probes;     /// sent during the present call
 	bool is_delivering;    /// it may not have all of finished responses
 	bool lingering;        /// waits for the caller to close
+	bool is_yielding;      /// closes after its next response
 	bool input_ended;      /// the caller has closed its sending side
 	bool processing_input; /// process_input() is running
 };
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -828,6 +828,40 @@
 	close(last);
 }
 
+/// Guards against a connection that always has another request, and so keeps
+/// new callers out.
+static void
+connection_in_use_makes_room_after_its_response(void **state)
+{
+	const struct http_limits patient = {.max_head = 512,
+	    .max_body = 64,
+	    .head_timeout = 20 * USEC_PER_SEC,
+	    .idle_timeout = 20 * USEC_PER_SEC,
+	    .stall_timeout = 3 * USEC_PER_SEC,
+	    .max_callers = 1};
+	struct fixture *fixture = *state;
+	int busy;
+	int last;
+
+	http_server_set_limits(fixture->server, &patient);
+	busy = connect_to(fixture);
+	send_text(busy, "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	last = connect_to(fixture);
+	send_text(last, "GET /last HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 0, 50 * USEC_PER_MSEC);
+	assert_string_equal(
+	    fixture->limited->str, "connections-in-use accept ");
+	respond_to_first_call(fixture, 200, "first");
+	assert_received(fixture, busy, "Connection: close\r\n\r\nfirst\\|end$");
+	close(busy);
+	run_loop(fixture, 1, USEC_PER_SEC);
+	assert_int_equal(fixture->calls->len, 1);
+	assert_string_equal(
+	    http_call_head(fixture->calls->pdata[0])->target, "/last");
+	close(last);
+}
+
 /// Guards against the loss of a whole request, bytes that are still counted
 /// after a refusal or a close, and an answer without a time to retry.
 static void
@@ -1113,6 +1147,9 @@
 		longest_waiting_connection_makes_room, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		arrived_request_keeps_its_connection, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		connection_in_use_makes_room_after_its_response, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		largest_body_is_dropped_when_memory_is_used_up, setup,
 		teardown),
