HTTP server: unread responses of a closing connection can be dropped

A caller that leaves responses unread and then sends an invalid request, or whose last request closes the connection, kept up to 256 KiB in memory, and a connection, as long as it took a byte a second; the account counted the bytes but could drop none of them, so that others were refused.

Cause: a lingering connection counted as closing, which is never chosen. With unread responses it now counts as one that doesn't read them: from a second without a byte, or five seconds after it began to close.

Evidence: unit/http_server_test, refused_callers_that_read_slowly_make_room, failed before ('"" != "unread-memory "'), passes now.

--- a/src/godwitvale/http/server.c
+++ b/src/godwitvale/http/server.c
@@ -159,7 +159,8 @@
 server_start_linger(struct caller *caller)
 {
 	caller->lingering = true;
-	caller->deadline = g_get_monotonic_time() + SERVER_LINGER;
+	caller->waiting_since = g_get_monotonic_time();
+	caller->deadline = caller->waiting_since + SERVER_LINGER;
 	server_await_delivery(caller);
 	if (conn_unsent_bytes(caller->conn) == 0)
 		conn_shutdown_write(caller->conn);
--- a/src/godwitvale/http/server_clients.c
+++ b/src/godwitvale/http/server_clients.c
@@ -9,17 +9,26 @@
 /// Connections that are read before one of them is closed for a new one.
 #define SERVER_CLOSE_ATTEMPTS 8
 
+/// Checks whether a caller has not taken all of finished responses.
+static bool
+has_unread_responses(const struct caller *caller)
+{
+	return caller->is_delivering && caller->conn != NULL &&
+	    conn_unsent_bytes(caller->conn) > 0;
+}
+
 /// Determines what a caller's connection is used for.
 static enum client_stage
 find_stage(const struct caller *caller)
 {
 	if (caller->lingering)
-		return CLIENT_CLOSING;
+		return has_unread_responses(caller) ? CLIENT_UNREAD
+						    : CLIENT_CLOSING;
 	if (caller->call != NULL)
 		return CLIENT_IN_CALL;
 	if (caller->reader.progress == HTTP_IN_BODY)
 		return CLIENT_IN_BODY;
-	if (caller->is_delivering && conn_unsent_bytes(caller->conn) > 0)
+	if (has_unread_responses(caller))
 		return CLIENT_UNREAD;
 	/* Bytes of a next request may wait before their first one is parsed. */
 	if (caller->reader.progress == HTTP_IN_HEAD ||
@@ -40,7 +49,7 @@
 	    .waiting_since = caller->waiting_since,
 	    .socket_bytes = caller->socket_bytes,
 	    .accepted_at = caller->accepted_at,
-	    .is_yielding = caller->is_yielding,
+	    .is_yielding = caller->is_yielding || caller->lingering,
 	};
 
 	if (state.stage == CLIENT_IN_CALL)
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -862,6 +862,33 @@
 	close(last);
 }
 
+/// Guards against responses that a refused caller doesn't read, and that occupy
+/// the memory or the connection as long as it likes.
+static void
+refused_callers_that_read_slowly_make_room(void **state)
+{
+	const struct http_limits patient = {.max_head = 512,
+	    .max_body = 64,
+	    .head_timeout = 20 * USEC_PER_SEC,
+	    .idle_timeout = 20 * USEC_PER_SEC,
+	    .stall_timeout = 20 * USEC_PER_SEC,
+	    .max_callers = 8};
+	struct fixture *fixture = *state;
+	int fd = connect_to(fixture);
+
+	http_server_set_limits(fixture->server, &patient);
+	send_text(fd, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	respond_with_large_body(fixture);
+	assert_int_equal(http_server_count_callers(fixture->server), 1);
+	client_limits_set_bound(fixture->clients, 400000);
+	for (int i = 0; i < 300 && fixture->limited->len == 0; i++)
+		run_loop(fixture, 0, 10 * USEC_PER_MSEC);
+	assert_string_equal(fixture->limited->str, "unread-memory ");
+	assert_int_equal(http_server_count_callers(fixture->server), 0);
+	close(fd);
+}
+
 /// Guards against the loss of a whole request, bytes that are still counted
 /// after a refusal or a close, and an answer without a time to retry.
 static void
@@ -1147,6 +1174,8 @@
 		longest_waiting_connection_makes_room, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		arrived_request_keeps_its_connection, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		refused_callers_that_read_slowly_make_room, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		connection_in_use_makes_room_after_its_response, setup,
 		teardown),
