Test: strangers' datagrams at the address for other instances

functional/entry_crowd_at_peer_port: four processes send datagrams of 64 and of 60000 bytes without a pause. The instance stays ready, within its bounds, and answers an ordinary request.

--- a/test/caller/crowd.c
+++ b/test/caller/crowd.c
@@ -10,6 +10,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -75,6 +76,7 @@
 	enum reading reading;
 	enum ending ending;
 	bool reopens; /// opens another connection when its own is closed
+	bool sends_datagrams; /// without an end; there are no connections
 };
 
 /// One caller.
@@ -272,6 +274,14 @@
 	set_total(crowd, bytes / crowd->pattern->len);
 }
 
+/// Prepares datagrams of so many bytes, which are none of the protocol.
+static void
+prepare_datagrams(struct crowd *crowd, size_t bytes)
+{
+	append_bytes(crowd->pattern, bytes);
+	crowd->total = SIZE_MAX;
+}
+
 static void
 prepare_nothing(struct crowd *crowd, size_t bytes)
 {
@@ -345,6 +355,11 @@
 	.prepare = prepare_nothing,
 	.target = ORDER,
 	.reopens = true},
+    /* Datagrams of BYTES. */
+    {.name = "datagrams",
+	.prepare = prepare_datagrams,
+	.target = "",
+	.sends_datagrams = true},
 };
 
 /// Opens a caller's connection. It is left closed if there is no descriptor.
@@ -354,7 +369,10 @@
 	const int small_buffer = UNREAD_BUFFER_BYTES;
 
 	client->sent = 0;
-	client->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	client->fd = socket(AF_INET,
+	    (crowd->shape->sends_datagrams ? SOCK_DGRAM : SOCK_STREAM) |
+		SOCK_NONBLOCK,
+	    0);
 	if (client->fd < 0)
 		return;
 	if (crowd->shape->reading != READING_ALL)
@@ -538,11 +556,12 @@
 	return true;
 }
 
-/// @return whether callers of a shape may go on sending for ever
+/// @return whether callers of a shape may go on sending without an end
 static bool
 never_rests(const struct shape *shape)
 {
-	return shape->reopens || shape->reading == READING_SIPS;
+	return shape->reopens || shape->sends_datagrams ||
+	    shape->reading == READING_SIPS;
 }
 
 int
