Handovers: no timer while no step may become due

Cause: the request's timer took the time of the handover's last step also while the request resumes or waits for a place, when no step is taken. Once that time had passed, the timer fired at once, again and again.

Evidence: functional/entry_mute_resumption: an engine ends before it said it would, and the one with the copy stays mute.

--- a/src/godwitvale/entry/continuation.c
+++ b/src/godwitvale/entry/continuation.c
@@ -451,6 +451,26 @@
 		handover_target_lost(handover, now);
 }
 
+/// Checks whether a step of a request's handover may become due: not while the
+/// request is resuming, or waits for a place.
+static bool
+can_advance(const struct entry_request *request)
+{
+	if (request->is_resuming || request->is_done)
+		return false;
+	return request->exchange != NULL || request->handover.cut_at != 0;
+}
+
+/// @param request  request in any state
+/// @return when to call continuation_advance() again; USEC_NEVER: only after
+///         another event
+usec_t
+continuation_wake_time(const struct entry_request *request)
+{
+	return can_advance(request) ? handover_wake_time(&request->handover)
+				    : USEC_NEVER;
+}
+
 /// Runs the step of a request's handover that is due.
 ///
 /// @param request  request in any state
@@ -459,9 +479,7 @@
 {
 	enum handover_step step;
 
-	if (request->is_resuming || request->is_done)
-		return;
-	if (request->exchange == NULL && request->handover.cut_at == 0)
+	if (!can_advance(request))
 		return;
 	check_copy_target(request);
 	step = handover_next_step(&request->handover, g_get_monotonic_time());
--- a/src/godwitvale/entry/entry_request.c
+++ b/src/godwitvale/entry/entry_request.c
@@ -314,7 +314,7 @@
 {
 	usec_t now = g_get_monotonic_time();
 	usec_t wake_at =
-	    MIN(request->deadline, handover_wake_time(&request->handover));
+	    MIN(request->deadline, continuation_wake_time(request));
 
 	wake_at = MIN(wake_at, stream_lookup_wake_time(request));
 	if (request->is_waiting)
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -190,6 +190,7 @@
 void continuation_clear(struct entry_request *request);
 void continuation_note_leaving(struct entry_request *request, usec_t leaves_at);
 void continuation_advance(struct entry_request *request);
+usec_t continuation_wake_time(const struct entry_request *request);
 void continuation_handle_cut(struct entry_request *request, const char *reason);
 bool continuation_handle_end(struct entry_request *request);
 void continuation_handle_resumed(struct entry_request *request);
