Peers: datagrams leave a turn to the loop's other sources

Datagrams were received until none was left, so a sender that is as fast as the instance keeps callers, timers and signals from their turn.

Cause: the read of connections is bounded for each wake-up, that of datagrams wasn't. Now at most 64 are received. What tells that the process has stood still stays set until none of those from before waits.

Evidence: unit/peers_changes_test, datagrams_leave_turns_to_other_sources, failed before (all 200 in one turn).

--- a/src/godwitvale/fleet/peers_receive.c
+++ b/src/godwitvale/fleet/peers_receive.c
@@ -15,6 +15,9 @@
 #include "godwitvale/fleet/suspect_sync.h"
 #include "godwitvale/ops/log.h"
 
+/// Datagrams that are received before the loop's other sources have their turn.
+#define RECEIVES_PER_WAKEUP 64
+
 /// Converts loads from their wire format.
 static void
 decode_loads(const fleet_load *wire, u_int n_loads, struct load_entry *loads)
@@ -366,7 +369,8 @@
 	handle_bytes(owner, bytes, len, true);
 }
 
-/// Loop callback: datagrams are ready to be received.
+/// Loop callback: datagrams are ready to be received. Those that remain are
+/// received after the loop's other sources have had their turn.
 ///
 /// @param fd         the socket
 /// @param condition  unused
@@ -381,8 +385,13 @@
 
 	(void)condition;
 	peers_note_run(peers);
-	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >= 0)
+	for (int i = 0; i < RECEIVES_PER_WAKEUP; i++) {
+		len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (len < 0) {
+			peers->has_stalled = false;
+			break;
+		}
 		handle_bytes(peers, bytes, (size_t)len, false);
-	peers->has_stalled = false;
+	}
 	return G_SOURCE_CONTINUE;
 }
--- a/test/unit/peers_changes_test.c
+++ b/test/unit/peers_changes_test.c
@@ -23,6 +23,10 @@
 /// Store revision before the first deletion.
 #define FIRST_REVISION 10
 
+/// Datagrams that aren't of the protocol: more than are read in a turn, and
+/// fewer than the kernel's buffer holds.
+#define N_STRANGE 200
+
 static int receiver;
 static struct peers peers;
 
@@ -246,6 +250,50 @@
 	g_ptr_array_unref(items);
 }
 
+/// Sends datagrams that aren't of the protocol to the receiver.
+static void
+send_strange_datagrams(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(peers.options.port);
+	for (unsigned i = 0; i < N_STRANGE; i++)
+		assert_int_equal(
+		    sendto(peers.fd, "x", 1, 0, (struct sockaddr *)&address,
+			sizeof(address)),
+		    1);
+}
+
+/// @return whether a datagram waits to be received
+static bool
+has_datagram(void)
+{
+	char byte;
+
+	return recv(receiver, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
+/// Guards against senders that keep the loop reading their datagrams, and
+/// against evidence that is believed while some from before a stall wait.
+static void
+datagrams_leave_turns_to_other_sources(void **state)
+{
+	unsigned n_turns = 0;
+
+	(void)state;
+	peers.has_stalled = true;
+	send_strange_datagrams();
+	while (has_datagram()) {
+		assert_true(peers.has_stalled);
+		peers_on_readable(receiver, G_IO_IN, &peers);
+		n_turns++;
+	}
+	peers_on_readable(receiver, G_IO_IN, &peers);
+	assert_in_range(n_turns, 2, N_STRANGE);
+	assert_false(peers.has_stalled);
+}
+
 int
 main(void)
 {
@@ -259,6 +307,8 @@
 		heartbeats_are_not_passed_on, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		a_change_that_undoes_another_one_was_left_out, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		datagrams_leave_turns_to_other_sources, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
