--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -1,5 +1,5 @@
 /*
- * State of the HTTP server, shared by server.c, server_call.c,
+ * State of the HTTP server, shared by server.c, server_input.c, server_call.c,
  * server_clients.c and server_timeouts.c.
  */
 #ifndef GODWITVALE_HTTP_SERVER_STATE_H
@@ -91,12 +91,18 @@
     const struct caller *caller, enum http_loss_cause cause);
 void server_caller_free(struct caller *caller);
 void server_start_linger(struct caller *caller);
-void server_read_next(struct caller *caller);
-void server_process_input(struct caller *caller, const char *data, size_t len);
-void server_refuse_request(struct caller *caller, unsigned status);
+void server_write_interim(struct caller *caller);
+void server_start_probing(struct caller *caller);
 void server_probe_caller(struct caller *caller);
+void server_end_if_input_ended(struct caller *caller);
 void server_start_listening(struct http_server *server);
 
+/* server_input.c */
+void server_init_reader(struct caller *caller);
+void server_on_received(void *owner, const char *data, size_t len);
+void server_read_next(struct caller *caller);
+void server_refuse_request(struct caller *caller, unsigned status);
+
 /* server_clients.c */
 void server_add_client(struct caller *caller);
 void server_update_client(struct caller *caller);
