Settings: times may be written with an exponent

With bounds in fractions of a second, which the platform allows (DEPLOY, "bounds"), no instance started: the template wrote 7.5 s as 7.5000 ms, and the settings were refused ("expected an integer from 100 to 600000").

Fractions of a millisecond are still refused.

--- a/src/godwitvale/ops/json.h
+++ b/src/godwitvale/ops/json.h
@@ -31,7 +31,7 @@
 	JSON_UINT32,      /// uint32_t
 	JSON_UINT64,      /// uint64_t
 	JSON_DOUBLE,      /// double
-	JSON_DURATION_MS, /// usec_t; written in milliseconds
+	JSON_DURATION_MS, /// usec_t; written in milliseconds, whole
 	JSON_ADDRESS,     /// char * at offset, uint16_t at port_offset
 	JSON_HEX,         /// uint8_t array of max bytes
 	JSON_LIST,        /// GPtrArray * of structs described by item_table
--- a/src/godwitvale/ops/json_table.c
+++ b/src/godwitvale/ops/json_table.c
@@ -78,6 +78,26 @@
 	}
 }
 
+/// Checks whether a JSON value may be the value of a numeric option. Durations
+/// may be written with an exponent, such as 7.5e3, if they are whole.
+///
+/// @param option  an option whose value is a number
+/// @param value   JSON value of any type
+/// @return whether its type fits
+static bool
+is_number_for(const struct json_option *option, json_object *value)
+{
+	double number;
+
+	if (json_object_is_type(value, json_type_int))
+		return true;
+	if (!json_object_is_type(value, json_type_double))
+		return false;
+	number = json_object_get_double(value);
+	return option->type == JSON_DOUBLE ||
+	    (option->type == JSON_DURATION_MS && number == trunc(number));
+}
+
 /// Stores a JSON number or boolean.
 ///
 /// @param option  an option whose value is a number or boolean
@@ -87,16 +107,13 @@
 static bool
 store_number(const struct json_option *option, json_object *value, void *field)
 {
-	bool integer = json_object_is_type(value, json_type_int);
 	double number;
 
 	if (option->type == JSON_BOOL) {
 		*(bool *)field = json_object_get_boolean(value);
 		return json_object_is_type(value, json_type_boolean);
 	}
-	if (!integer &&
-	    (option->type != JSON_DOUBLE ||
-		!json_object_is_type(value, json_type_double)))
+	if (!is_number_for(option, value))
 		return false;
 	number = json_object_get_double(value);
 	if (!isfinite(number) || number < option->min || number > option->max)
