serve: bodies that clients don't finish are bounded together

Callers of "godwitvale serve" could use up the machine's memory: 200 bodies of 900 kB that stop short of their end took 185 MB, 12 bodies of 200 kB in chunks of one byte 263 MB (over 100 bytes for each chunk), and the address for operators kept bodies that nobody reads (185 MB). That for other instances has the same code; it wasn't measured before.

Cause: the library keeps each piece of a body for as long as the connection is open, and only the length of a single one was limited.

The listeners now gather bodies themselves, in one piece, and count them in the account that "entry" uses (core/client_limits.c). Beyond the bound, derived from limits.memory_mb, the largest and slowest unfinished body is closed; whole requests never are. Where bodies aren't read, they are discarded. A log line (client-limit) and godwitvale_clients_closed_total tell of it.

functional/serve_crowds: before, above its bound of 80 MB in four of eight cases (the ninth, at the address for other instances, wasn't reached); now all nine are within it, and requests of the largest size are served.

--- a/src/godwitvale/caller/listener.c
+++ b/src/godwitvale/caller/listener.c
@@ -15,6 +15,7 @@
 /// An HTTP server and its listening socket.
 struct listener {
 	SoupServer *server;
+	struct connections *connections;
 	GSocket *socket;         /// the listening socket
 	int placeholder_pipe[2]; /// replaces the socket; -1: closed
 	guint stop_source;       /// runs on_stop_check(); 0: not running
@@ -51,16 +52,19 @@
 /// program has accepted.
 ///
 /// @param address  IP address and port to listen on
+/// @param options  what the connections may use; copied
 /// @param error    set when the server can't listen on the address
 /// @return the listener, or NULL on failure
 struct listener *
-listener_new(const struct settings_address *address, GError **error)
+listener_new(const struct settings_address *address,
+    const struct connections_options *options, GError **error)
 {
 	struct listener *listener = g_new0(struct listener, 1);
 
 	listener->placeholder_pipe[0] = -1;
 	listener->placeholder_pipe[1] = -1;
 	listener->server = soup_server_new("server-header", "godwitvale", NULL);
+	listener->connections = connections_new(listener->server, options);
 	listener->socket = open_listening_socket(address, error);
 	if (listener->socket == NULL ||
 	    !soup_server_listen_socket(
@@ -136,6 +140,7 @@
 		g_source_remove(listener->stop_source);
 	soup_server_disconnect(listener->server);
 	g_object_unref(listener->server);
+	connections_free(listener->connections);
 	g_clear_object(&listener->socket);
 	for (int i = 0; i < 2; i++) {
 		if (listener->placeholder_pipe[i] >= 0)
--- a/src/godwitvale/caller/listener.h
+++ b/src/godwitvale/caller/listener.h
@@ -9,12 +9,13 @@
 
 #include <libsoup/soup.h>
 
+#include "godwitvale/caller/connections.h"
 #include "godwitvale/ops/settings_defs.h"
 
 struct listener;
 
-struct listener *listener_new(
-    const struct settings_address *address, GError **error);
+struct listener *listener_new(const struct settings_address *address,
+    const struct connections_options *options, GError **error);
 SoupServer *listener_get_server(struct listener *listener);
 void listener_stop(struct listener *listener);
 void listener_free(struct listener *listener);
--- a/src/godwitvale/ops/metrics.c
+++ b/src/godwitvale/ops/metrics.c
@@ -34,6 +34,9 @@
 #define DROPPED(value)                                  \
 	LABELLED("peer_dropped_total", "reason", value, \
 	    "Messages of other instances dropped, by reason.")
+#define CLOSED(value)                                    \
+	LABELLED("clients_closed_total", "limit", value, \
+	    "Connections of clients closed, by the limit reached.")
 
 static const struct metric_row metric_rows[METRIC_COUNT] = {
     [METRIC_REQUESTS] = COUNTER("requests_total", "Requests received."),
@@ -73,6 +76,7 @@
     [METRIC_PEER_DROPPED_FORGED] = DROPPED("forged"),
     [METRIC_PEER_DROPPED_REPLAYED] = DROPPED("replayed"),
     [METRIC_PEER_DROPPED_UNKNOWN] = DROPPED("unknown"),
+    [METRIC_CLIENTS_CLOSED_MEMORY] = CLOSED("memory"),
     [METRIC_BUNDLE_VERSION] =
 	GAUGE("bundle_version", "Version of the bundle in force."),
     [METRIC_BUNDLE_REJECTED] = COUNTER("bundle_rejected_total",
--- a/src/godwitvale/ops/settings.c
+++ b/src/godwitvale/ops/settings.c
@@ -100,6 +100,9 @@
 	64 * 1024 * 1024, "1048576", "largest request body, bytes"),
     LIMIT_OPTION("limits.max_requests", max_requests, 1, 1000000, "4096",
 	"requests held at a time"),
+    LIMIT_OPTION("limits.memory_mb", memory_mb, 0, 16777216, "0",
+	"memory of the machine in MiB, from which the memory for clients "
+	"is derived; 0: 88, that of the smallest machine"),
 };
 
 static const struct json_table settings_table = {
--- a/src/godwitvale/ops/settings_defs.h
+++ b/src/godwitvale/ops/settings_defs.h
@@ -44,6 +44,7 @@
 	usec_t resend_window;       /// "timing.resend_window_ms"
 	uint32_t max_request_bytes; /// "limits.max_request_bytes"
 	uint32_t max_requests;      /// "limits.max_requests"
+	uint32_t memory_mb;         /// "limits.memory_mb"
 };
 
 #endif
--- a/src/godwitvale/peer/peer_http.c
+++ b/src/godwitvale/peer/peer_http.c
@@ -161,10 +161,14 @@
 bool
 peer_http_open(struct instance *instance, GError **error)
 {
+	const struct connections_options options = {
+	    .name = "peer",
+	    .limits = instance->client_limits,
+	};
 	SoupServer *server;
 
 	instance->peer_listener =
-	    listener_new(&instance->settings->peer, error);
+	    listener_new(&instance->settings->peer, &options, error);
 	if (instance->peer_listener == NULL)
 		return false;
 	server = listener_get_server(instance->peer_listener);
--- a/src/godwitvale/serve/instance_defs.h
+++ b/src/godwitvale/serve/instance_defs.h
@@ -12,6 +12,7 @@
 #include "godwitvale/ops/bundle.h"
 #include "godwitvale/ops/settings.h"
 
+struct client_limits;
 struct config_watch;
 struct listener;
 struct member_list;
@@ -40,6 +41,7 @@
 	GPtrArray *requests;  /// struct request, or NULL for a free entry
 	SoupSession *session; /// HTTP client for engines and the platform
 	struct pool *pool;    /// connections to plain services
+	struct client_limits *client_limits; /// of all listeners
 	struct listener *caller_listener;
 	struct listener *operator_listener;
 	struct listener *peer_listener;
--- a/src/godwitvale/serve/operator.c
+++ b/src/godwitvale/serve/operator.c
@@ -154,10 +154,14 @@
 bool
 operator_open(struct instance *instance, GError **error)
 {
+	const struct connections_options options = {
+	    .name = "operator",
+	    .limits = instance->client_limits,
+	};
 	SoupServer *server;
 
 	instance->operator_listener =
-	    listener_new(&instance->settings->operator_, error);
+	    listener_new(&instance->settings->operator_, &options, error);
 	if (instance->operator_listener == NULL)
 		return false;
 	server = listener_get_server(instance->operator_listener);
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -9,6 +9,7 @@
 #include "godwitvale/caller/caller.h"
 #include "godwitvale/caller/hangup.h"
 #include "godwitvale/caller/listener.h"
+#include "godwitvale/core/client_limits.h"
 #include "godwitvale/core/hash.h"
 #include "godwitvale/http/pool.h"
 #include "godwitvale/ops/cmd.h"
@@ -218,6 +219,18 @@
 	instance->config = config_watch_new(instance);
 }
 
+/// Creates the account of what clients use.
+static void
+create_client_limits(struct instance *instance)
+{
+	const struct settings *settings = instance->settings;
+
+	instance->client_limits = client_limits_new();
+	client_limits_set_bound(instance->client_limits,
+	    client_limits_derive_bound(
+		settings->memory_mb, 0, settings->max_request_bytes));
+}
+
 /// Opens the listeners for peers, operators and callers, and logs an error on
 /// failure.
 ///
@@ -228,6 +241,7 @@
 {
 	GError *error = NULL;
 
+	create_client_limits(instance);
 	instance->peer = peer_open(instance, &error);
 	if (instance->peer != NULL && peer_http_open(instance, &error) &&
 	    operator_open(instance, &error) && caller_open(instance, &error))
@@ -252,6 +266,7 @@
 	listener_free(instance->caller_listener);
 	listener_free(instance->operator_listener);
 	listener_free(instance->peer_listener);
+	client_limits_free(instance->client_limits);
 	peer_close(instance->peer);
 	config_watch_free(instance->config);
 	member_list_free(instance->members);
