serve: connections of clients are bounded

With more connections than descriptors at two addresses of "godwitvale serve", no ordinary request was answered (600 idle connections, 400 descriptors: 20 attempts at the address for callers, and beside 600 at that for operators). It had 400 of 400 descriptors in use, so none was left for upstreams. The address for other instances wasn't reached before the change.

Cause: the library accepts connections as long as there are descriptors, and closes none that wait.

Half of the descriptors, less 200, are for callers, an eighth for other instances, 32 for operators, as at "entry". Beyond that a new connection replaces the one that has waited longest; if all are in use, it is closed.

functional/serve_connections failed before and passed in three runs.

--- a/src/godwitvale/caller/caller.c
+++ b/src/godwitvale/caller/caller.c
@@ -66,6 +66,7 @@
 	const struct connections_options options = {
 	    .name = "caller",
 	    .limits = instance->client_limits,
+	    .max_connections = instance->client_connections.callers,
 	    .max_body = instance->settings->max_request_bytes,
 	};
 	SoupServer *server;
--- a/src/godwitvale/caller/connections.c
+++ b/src/godwitvale/caller/connections.c
@@ -18,6 +18,7 @@
 struct connections {
 	struct connections_options options;
 	GHashTable *present; /// set of struct connection *
+	unsigned n_open;     /// of these, all but those that are being closed
 	usec_t next_log_at;
 	uint64_t n_closed; /// since the last log line
 };
@@ -84,6 +85,7 @@
 	metrics_add(metric, 1);
 	discard_body(connection);
 	connection->state.stage = CLIENT_CLOSING;
+	connection->connections->n_open--;
 	update_account(connection);
 	log_closed(connection->connections);
 	if (socket != NULL)
@@ -103,6 +105,24 @@
 		close_connection(connection, METRIC_CLIENTS_CLOSED_MEMORY);
 }
 
+/// Closes a connection if there are too many: the one that has waited longest
+/// without a whole request or, if all others are in use or new, this one.
+///
+/// @param accepted  the newest connection
+static void
+enforce_connections(struct connection *accepted)
+{
+	struct connections *connections = accepted->connections;
+	struct connection *connection;
+
+	if (connections->n_open <= connections->options.max_connections)
+		return;
+	connection = client_limits_pick_for_connection(
+	    connections->options.limits, connections, g_get_monotonic_time());
+	close_connection(connection == NULL ? accepted : connection,
+	    METRIC_CLIENTS_CLOSED_CONNECTIONS);
+}
+
 /// Notes that an exchange, and perhaps its connection, has ended.
 static void
 leave(struct connection *connection)
@@ -111,6 +131,8 @@
 
 	if (connections == NULL)
 		return;
+	if (connection->state.stage != CLIENT_CLOSING)
+		connections->n_open--;
 	discard_body(connection);
 	client_hold_clear(&connection->hold);
 	client_limits_remove(connections->options.limits, connection->client);
@@ -227,11 +249,13 @@
 	connection->hold.limits = connections->options.limits;
 	client_hold_set(&connection->hold, CONNECTION_BYTES);
 	g_hash_table_add(connections->present, connection);
+	connections->n_open++;
 	soup_message_body_set_accumulate(
 	    soup_server_message_get_request_body(message), FALSE);
 	g_object_set_data_full(
 	    G_OBJECT(message), CONNECTION_KEY, connection, free_connection);
 	connect_signals(connection);
+	enforce_connections(connection);
 }
 
 /// Begins to watch the connections of a server.
--- a/src/godwitvale/caller/connections.h
+++ b/src/godwitvale/caller/connections.h
@@ -1,10 +1,12 @@
 /*
  * Connections of clients to one HTTP server: gathers the bodies of their
- * requests, and closes clients when the memory for them is used up.
+ * requests, and closes clients when the memory or the connections for them are
+ * used up.
  *
- * Load pattern: clients that nobody controls begin bodies and don't finish
- * them. The library would keep each piece of them for as long as the connection
- * is open.
+ * Load pattern: clients that nobody controls open connections and begin bodies,
+ * and don't finish them. The library would accept connections until the process
+ * has no descriptor left, and keep each piece of a body for as long as its
+ * connection is open.
  */
 #ifndef GODWITVALE_CALLER_CONNECTIONS_H
 #define GODWITVALE_CALLER_CONNECTIONS_H
@@ -22,6 +24,7 @@
 	struct client_limits *limits;
 	/// longest body of a request, in bytes; 0: bodies are discarded
 	uint64_t max_body;
+	unsigned max_connections;
 };
 
 struct connections *connections_new(
--- a/src/godwitvale/http/server_clients.c
+++ b/src/godwitvale/http/server_clients.c
@@ -214,8 +214,7 @@
 }
 
 /// @return the caller that has waited longest without a whole request; NULL if
-/// all
-///         connections are in use or new
+///         all connections are in use or new
 static struct caller *
 find_waiting(const struct http_server *server)
 {
--- a/src/godwitvale/ops/metrics.c
+++ b/src/godwitvale/ops/metrics.c
@@ -77,6 +77,7 @@
     [METRIC_PEER_DROPPED_REPLAYED] = DROPPED("replayed"),
     [METRIC_PEER_DROPPED_UNKNOWN] = DROPPED("unknown"),
     [METRIC_CLIENTS_CLOSED_MEMORY] = CLOSED("memory"),
+    [METRIC_CLIENTS_CLOSED_CONNECTIONS] = CLOSED("connections"),
     [METRIC_BUNDLE_VERSION] =
 	GAUGE("bundle_version", "Version of the bundle in force."),
     [METRIC_BUNDLE_REJECTED] = COUNTER("bundle_rejected_total",
--- a/src/godwitvale/peer/peer_http.c
+++ b/src/godwitvale/peer/peer_http.c
@@ -164,6 +164,7 @@
 	const struct connections_options options = {
 	    .name = "peer",
 	    .limits = instance->client_limits,
+	    .max_connections = instance->client_connections.members,
 	};
 	SoupServer *server;
 
--- a/src/godwitvale/serve/instance_defs.h
+++ b/src/godwitvale/serve/instance_defs.h
@@ -6,13 +6,13 @@
 #include <libsoup/soup.h>
 
 #include "godwitvale/core/bundle_freshness.h"
+#include "godwitvale/core/client_limits.h"
 #include "godwitvale/core/quorum.h"
 #include "godwitvale/core/router.h"
 #include "godwitvale/ops/audit.h"
 #include "godwitvale/ops/bundle.h"
 #include "godwitvale/ops/settings.h"
 
-struct client_limits;
 struct config_watch;
 struct listener;
 struct member_list;
@@ -42,6 +42,7 @@
 	SoupSession *session; /// HTTP client for engines and the platform
 	struct pool *pool;    /// connections to plain services
 	struct client_limits *client_limits; /// of all listeners
+	struct client_connections client_connections;
 	struct listener *caller_listener;
 	struct listener *operator_listener;
 	struct listener *peer_listener;
--- a/src/godwitvale/serve/operator.c
+++ b/src/godwitvale/serve/operator.c
@@ -157,6 +157,7 @@
 	const struct connections_options options = {
 	    .name = "operator",
 	    .limits = instance->client_limits,
+	    .max_connections = instance->client_connections.admin,
 	};
 	SoupServer *server;
 
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -6,10 +6,11 @@
 #include <glib-unix.h>
 #include <sodium.h>
 
+#include <sys/resource.h>
+
 #include "godwitvale/caller/caller.h"
 #include "godwitvale/caller/hangup.h"
 #include "godwitvale/caller/listener.h"
-#include "godwitvale/core/client_limits.h"
 #include "godwitvale/core/hash.h"
 #include "godwitvale/http/pool.h"
 #include "godwitvale/ops/cmd.h"
@@ -219,12 +220,26 @@
 	instance->config = config_watch_new(instance);
 }
 
-/// Creates the account of what clients use.
+/// @return the most descriptors that this process may have
+static unsigned
+max_descriptors(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return 0;
+	return (unsigned)MIN(limit.rlim_cur, G_MAXUINT);
+}
+
+/// Creates the account of what clients use. Their connections leave descriptors
+/// for those to upstreams and to the platform.
 static void
 create_client_limits(struct instance *instance)
 {
 	const struct settings *settings = instance->settings;
 
+	instance->client_connections =
+	    client_limits_derive_connections(max_descriptors(), G_MAXUINT);
 	instance->client_limits = client_limits_new();
 	client_limits_set_bound(instance->client_limits,
 	    client_limits_derive_bound(
