HTTP server: pipelined requests are answered when connections end

Cause: with keep-alive disabled, each response closed its connection, whatever had been read behind its request. Change: the connection stays open while bytes of later requests were read; the last response closes it.

http_server_test: pipelined_requests_are_answered_when_keep_alive_is_disabled is new and failed before ("0 != 0x1": no second request came); 31 of 31 pass now.

--- a/src/godwitvale/http/server.h
+++ b/src/godwitvale/http/server.h
@@ -117,6 +117,7 @@
 
 const struct http_head *http_call_head(const struct http_call *call);
 const char *http_call_body(const struct http_call *call, size_t *len);
+usec_t http_call_begun_at(const struct http_call *call);
 usec_t http_call_received_at(const struct http_call *call);
 uint64_t http_call_connection(const struct http_call *call);
 void http_call_on_drain(
--- a/src/godwitvale/http/server_call.c
+++ b/src/godwitvale/http/server_call.c
@@ -24,6 +24,14 @@
 /// @param call  a call
 /// @return the monotonic time at which the request's first byte was read
 usec_t
+http_call_begun_at(const struct http_call *call)
+{
+	return call->begun_at;
+}
+
+/// @param call  a call
+/// @return the monotonic time at which the request was read whole
+usec_t
 http_call_received_at(const struct http_call *call)
 {
 	return call->received_at;
@@ -120,6 +128,17 @@
 	    !caller->processing_input;
 }
 
+/// Checks whether a connection closes after the response to the request in
+/// progress. When connections aren't kept any more, later requests that were
+/// read with it are still answered.
+static bool
+closes_after_response(const struct caller *caller)
+{
+	return caller->is_yielding || is_last_request(caller) ||
+	    (caller->server->keep_alive_disabled &&
+		!server_has_later_input(caller));
+}
+
 /// Writes the head of a response and adds its framing fields.
 ///
 /// @param framing  name of the field that frames the body; NULL: none
@@ -136,8 +155,7 @@
 	http_head_copy_end_to_end(&framed, head);
 	if (framing != NULL)
 		http_head_add(&framed, framing, value);
-	if (call->server->keep_alive_disabled || call->caller->is_yielding ||
-	    is_last_request(call->caller))
+	if (closes_after_response(call->caller))
 		call->close = true;
 	call->has_head = true;
 	call->caller->probe_due = USEC_NEVER;
--- a/src/godwitvale/http/server_clients.c
+++ b/src/godwitvale/http/server_clients.c
@@ -45,7 +45,7 @@
 	    .stage = find_stage(caller),
 	    .bytes = caller->hold.bytes + caller->body.capacity +
 		caller->pipelined.capacity,
-	    .started_at = caller->received_at,
+	    .started_at = caller->begun_at,
 	    .waiting_since = caller->waiting_since,
 	    .socket_bytes = caller->socket_bytes,
 	    .accepted_at = caller->accepted_at,
--- a/src/godwitvale/http/server_input.c
+++ b/src/godwitvale/http/server_input.c
@@ -144,8 +144,9 @@
 	call->hold.limits = server->clients;
 	client_hold_set(
 	    &call->hold, SERVER_CALL_BYTES + http_head_held_bytes(&call->head));
-	call->received_at = caller->received_at;
-	call->close = !call->head.keep_alive || server->keep_alive_disabled;
+	call->begun_at = caller->begun_at;
+	call->received_at = g_get_monotonic_time();
+	call->close = !call->head.keep_alive;
 	call->is_head_request = strcmp(call->head.method, "HEAD") == 0;
 	caller->call = call;
 	caller->deadline = USEC_NEVER;
@@ -155,6 +156,15 @@
 	server->options.vtable->request(server->options.owner, call);
 }
 
+/// @param caller  caller with a request in progress
+/// @return whether bytes of later requests were read
+bool
+server_has_later_input(const struct caller *caller)
+{
+	return caller->processing_input ? caller->unparsed > 0
+					: caller->pipelined.len > 0;
+}
+
 /// Buffers bytes of later requests until the current call is finished. While
 /// memory is short no more than these are read.
 static void
@@ -213,9 +223,9 @@
 static void
 note_first_byte(struct caller *caller)
 {
-	caller->received_at = g_get_monotonic_time();
+	caller->begun_at = g_get_monotonic_time();
 	caller->deadline =
-	    caller->received_at + caller->server->limits.head_timeout;
+	    caller->begun_at + caller->server->limits.head_timeout;
 }
 
 /// Computes until when more of a body must come.
@@ -227,7 +237,7 @@
 
 	return MIN(deadline,
 	    client_body_deadline(
-		&limits->body, caller->received_at, caller->reader.body_len));
+		&limits->body, caller->begun_at, caller->reader.body_len));
 }
 
 /// Parses bytes that a caller sent and passes whole requests on, until one has
@@ -252,6 +262,7 @@
 			break;
 		if (caller->reader.progress != HTTP_COMPLETE)
 			continue;
+		caller->unparsed = len - at;
 		dispatch_request(caller);
 		if (++n_requests >= SERVER_REQUESTS_PER_WAKEUP &&
 		    caller->conn != NULL)
--- a/src/godwitvale/http/server_state.h
+++ b/src/godwitvale/http/server_state.h
@@ -58,7 +58,7 @@
 	usec_t deadline;       /// of the current read; USEC_NEVER during a call
 	usec_t stall_deadline; /// for taking another byte of finished responses
 	uint64_t acked;        /// bytes that it had taken when that was set
-	usec_t received_at;    /// when the request's first byte was read
+	usec_t begun_at;       /// when the request's first byte was read
 	usec_t probe_due;      /// next probe; USEC_NEVER: none is due
 	unsigned n_probes;     /// sent during the present call
 	bool is_delivering;    /// it may not have all of finished responses
@@ -66,6 +66,7 @@
 	bool is_yielding;      /// closes after its next response
 	bool input_ended;      /// the caller has closed its sending side
 	bool processing_input; /// process_input() is running
+	size_t unparsed; /// bytes after the last request; while that is running
 };
 
 /// One request and its response.
@@ -75,7 +76,8 @@
 	struct http_head head;
 	struct buffer body;
 	struct client_hold hold; /// of the head and the request's state
-	usec_t received_at;
+	usec_t begun_at;         /// when its first byte was read
+	usec_t received_at;      /// when its last byte was read
 	http_disconnect_handler disconnect_handler;
 	void *disconnect_owner;
 	http_drain_handler drain_handler; /// NULL: none
@@ -101,6 +103,7 @@
 void server_init_reader(struct caller *caller);
 void server_on_received(void *owner, const char *data, size_t len);
 void server_read_next(struct caller *caller);
+bool server_has_later_input(const struct caller *caller);
 void server_refuse_request(struct caller *caller, unsigned status);
 
 /* server_clients.c */
--- a/src/godwitvale/http/server_timeouts.c
+++ b/src/godwitvale/http/server_timeouts.c
@@ -43,8 +43,8 @@
 {
 	return caller->reader.progress == HTTP_IN_BODY &&
 	    g_get_monotonic_time() >=
-	    client_body_deadline(&caller->server->limits.body,
-		caller->received_at, caller->reader.body_len);
+	    client_body_deadline(&caller->server->limits.body, caller->begun_at,
+		caller->reader.body_len);
 }
 
 /// Ends the connection of a caller whose deadline has passed, or refuses the
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -704,6 +704,32 @@
 	close(fd);
 }
 
+/// Guards against requests that were read with an earlier one, and lost as the
+/// earlier response closed the connection during a shutdown.
+static void
+pipelined_requests_are_answered_when_keep_alive_is_disabled(void **state)
+{
+	struct fixture *fixture = *state;
+	int fd = connect_to(fixture);
+
+	send_text(fd,
+	    "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+	    "GET /c HTTP/1.1\r\n\r\n");
+	run_loop(fixture, 1, USEC_PER_SEC);
+	http_server_disable_keep_alive(fixture->server);
+	for (unsigned i = 0; i < 3; i++) {
+		run_loop(fixture, 1, USEC_PER_SEC);
+		assert_int_equal(fixture->calls->len, 1);
+		respond_to_first_call(fixture, 200, "x");
+	}
+	assert_received(fixture, fd,
+	    "^HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: "
+	    "close\r\n\r\nx\\|end$");
+	close(fd);
+}
+
 static void
 expect_continue_is_answered(void **state)
 {
@@ -1166,6 +1192,9 @@
 		bad_input_is_refused_and_closed, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		disabled_keep_alive_closes_after_response, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		pipelined_requests_are_answered_when_keep_alive_is_disabled,
+		setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		expect_continue_is_answered, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
