Shutdown: the 3 s and the end are counted from before SIGTERM

Callers lost streams that they had sent later than 3 s after SIGTERM, if the instance had noticed the signal late: they counted as early, were passed on, and were cut as the platform killed the process before it ended by itself.

Cause: the 3 s and the end of the process were counted from when the signal was noticed, and a request from its first byte; both are later, or earlier, than what the rule names. With a grace under 1.8 s the process ended before the last sixth of it. Forwarded requests counted like those of callers.

Change: term_watch notes at each turn of the main loop that SIGTERM hasn't come yet; what follows it is counted from the last such time, and a request from its last byte. What counts as early was then sent within 3 s of the signal. The time to end the process is at most a twelfth of the grace. Forwarded requests are taken only if their time limit fits.

--- a/src/godwitvale/core/shutdown_admission.c
+++ b/src/godwitvale/core/shutdown_admission.c
@@ -10,30 +10,55 @@
 #define SHUTDOWN_EARLY_SPAN (3 * USEC_PER_SEC)
 /// Time for the end of an answer to reach its caller.
 #define SHUTDOWN_DELIVERY_SPAN (100 * USEC_PER_MSEC)
+/// The process ends this long before the platform would kill it.
+#define SHUTDOWN_MARGIN (300 * USEC_PER_MSEC)
+/// The margin is at most this part of the grace period. Early requests whose
+/// upstream is late are to be cut in the last sixth of it only.
+#define SHUTDOWN_MARGIN_DIVISOR 12
 
-/// @return the longest time that a request may take
+/// Computes the times of a shutdown.
+///
+/// @param not_before  SIGTERM came later than this
+/// @param grace       time from SIGTERM until the platform kills the process
+/// @return the times
+struct shutdown_schedule
+shutdown_schedule_make(usec_t not_before, usec_t grace)
+{
+	usec_t margin = MIN(SHUTDOWN_MARGIN, grace / SHUTDOWN_MARGIN_DIVISOR);
+
+	return (struct shutdown_schedule){
+	    .early_until = not_before + SHUTDOWN_EARLY_SPAN,
+	    .ends_at = not_before + grace - margin,
+	};
+}
+
+/// @return the latest time at which a request may end
 static usec_t
-find_longest_span(const struct shutdown_work *work)
+find_latest_end(const struct shutdown_schedule *schedule,
+    const struct shutdown_work *work, usec_t now)
 {
-	usec_t longest;
+	usec_t latest;
 
 	if (work->max_events == 0 || work->event_gap == 0 ||
-	    work->leaving_span > SHUTDOWN_EARLY_SPAN)
-		return work->time_limit;
-	longest = work->first_event_limit + SHUTDOWN_SILENCE_SPAN +
+	    work->is_forwarded || work->received_at > schedule->early_until)
+		return work->deadline;
+	latest = now + work->first_event_limit + SHUTDOWN_SILENCE_SPAN +
 	    (work->max_events - 1) * work->event_gap;
-	return MIN(longest, work->time_limit);
+	return MIN(latest, work->deadline);
 }
 
 /// Checks whether a request is certain to end before this process does: by its
-/// time limit or, if it came early, by the longest times that its route allows
-/// an upstream.
+/// time limit or, if its caller sent it early, by the longest times that its
+/// route allows an upstream.
 ///
-/// @param work       what determines the duration of the request
-/// @param time_left  time until this process ends
+/// @param schedule  times of the shutdown
+/// @param work      what determines the end of the request
+/// @param now       current time; the request is sent now
 /// @return false when the request must be refused immediately
 bool
-shutdown_admission_accepts(const struct shutdown_work *work, usec_t time_left)
+shutdown_admission_accepts(const struct shutdown_schedule *schedule,
+    const struct shutdown_work *work, usec_t now)
 {
-	return time_left > find_longest_span(work) + SHUTDOWN_DELIVERY_SPAN;
+	return find_latest_end(schedule, work, now) <
+	    schedule->ends_at - SHUTDOWN_DELIVERY_SPAN;
 }
--- a/src/godwitvale/entry/entry.c
+++ b/src/godwitvale/entry/entry.c
@@ -29,6 +29,7 @@
 #include "godwitvale/ops/cmd.h"
 #include "godwitvale/ops/crash.h"
 #include "godwitvale/ops/log.h"
+#include "godwitvale/ops/term_watch.h"
 
 /// Interval of the periodic tick, in milliseconds.
 #define ENTRY_TICK_MS 50
@@ -336,12 +337,11 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/// Loop callback for SIGTERM.
-static gboolean
-on_terminate(gpointer data)
+/// Watch callback: SIGTERM has come.
+static void
+on_terminate(void *owner, usec_t not_before)
 {
-	shutdown_begin(data);
-	return G_SOURCE_CONTINUE;
+	shutdown_begin(owner, not_before);
 }
 
 /// Loop callback for SIGHUP: reads the settings again and applies those that
@@ -563,11 +563,12 @@
 entry_run(const char *settings_path, const struct site *site)
 {
 	struct entry entry = {.site = site};
+	struct term_watch *term_watch;
 	GError *error = NULL;
 	int status = CMD_OK;
 
 	/* Signals may come at once. They are handled when the loop runs. */
-	g_unix_signal_add(SIGTERM, on_terminate, &entry);
+	term_watch = term_watch_new(on_terminate, &entry);
 	g_unix_signal_add(SIGHUP, on_reload, &entry);
 	entry.settings_path = g_strdup(settings_path);
 	entry.settings = entry_settings_load(settings_path, &error);
@@ -595,5 +596,6 @@
 out:
 	entry_settings_free(entry.settings);
 	g_free(entry.settings_path);
+	term_watch_free(term_watch);
 	return status;
 }
--- a/src/godwitvale/entry/entry_defs.h
+++ b/src/godwitvale/entry/entry_defs.h
@@ -4,6 +4,7 @@
 
 #include "godwitvale/core/earlier_wait.h"
 #include "godwitvale/core/estimate.h"
+#include "godwitvale/core/shutdown_admission.h"
 #include "godwitvale/core/wait_queue.h"
 #include "godwitvale/entry/dispatch.h"
 #include "godwitvale/entry/entry_settings.h"
@@ -60,8 +61,8 @@
 	usec_t boot_clock_offset; /// CLOCK_BOOTTIME minus the monotonic clock
 	bool leaving;             /// SIGTERM was received
 	bool was_ready;           /// result of the last readiness check
-	usec_t leaving_since;     /// time of SIGTERM
-	usec_t leave_deadline; /// the process ends at this time at the latest
+	usec_t leaving_since;     /// when SIGTERM was noticed
+	struct shutdown_schedule shutdown; /// valid if `leaving`
 };
 
 #endif
--- a/src/godwitvale/entry/entry_request_defs.h
+++ b/src/godwitvale/entry/entry_request_defs.h
@@ -35,8 +35,9 @@
 	/// Identifies what is asked for: hash of path, caller and body. Other
 	/// attempts of the caller have the same one, whatever their ids are.
 	uint64_t fingerprint;
-	usec_t arrived_at;
-	usec_t deadline; /// time by which the whole answer must be sent
+	usec_t arrived_at;  /// when its first byte was read
+	usec_t received_at; /// when its last byte was read
+	usec_t deadline;    /// time by which the whole answer must be sent
 	/// time by which the answer, or its first event, meets the target of
 	/// the route; earlier attempts of the caller count
 	usec_t target_at;
--- a/src/godwitvale/entry/entry_request_start.c
+++ b/src/godwitvale/entry/entry_request_start.c
@@ -104,6 +104,7 @@
 	request->connection = http_call_connection(call);
 	request->refs = 1;
 	request->arrived_at = http_call_begun_at(call);
+	request->received_at = http_call_received_at(call);
 	request->deadline = USEC_NEVER;
 	request->answer_body = g_string_new(NULL);
 	request->answer_hold.limits = http_call_account(call);
--- a/src/godwitvale/entry/shutdown.c
+++ b/src/godwitvale/entry/shutdown.c
@@ -8,8 +8,6 @@
 /// Minimum time from SIGTERM to the end of the process. The balancer sends
 /// callers here until two readiness checks, one second apart, have failed.
 #define SHUTDOWN_MIN_SPAN (3 * USEC_PER_SEC)
-/// The process ends this long before the platform would kill it.
-#define SHUTDOWN_MARGIN (300 * USEC_PER_MSEC)
 
 /// Returns the number of events that the answer to a request has at most.
 ///
@@ -33,8 +31,9 @@
 {
 	const struct route *route = request->route;
 	struct shutdown_work work = {
-	    .time_limit = entry_request_time_left(request),
-	    .leaving_span = request->arrived_at - request->entry->leaving_since,
+	    .received_at = request->received_at,
+	    .deadline = request->deadline,
+	    .is_forwarded = request->is_forwarded,
 	};
 
 	if (route->is_generation) {
@@ -43,7 +42,7 @@
 		work.event_gap = route->target_gap;
 	}
 	return shutdown_admission_accepts(
-	    &work, request->entry->leave_deadline - g_get_monotonic_time());
+	    &request->entry->shutdown, &work, g_get_monotonic_time());
 }
 
 /// Refuses a request that hasn't run, if this process leaves and the request
@@ -87,7 +86,7 @@
 		return;
 	done =
 	    now >= entry->leaving_since + SHUTDOWN_MIN_SPAN && is_idle(entry);
-	if (!done && now < entry->leave_deadline)
+	if (!done && now < entry->shutdown.ends_at)
 		return;
 	log_event(LOG_LEVEL_INFO, "stopping",
 	    "open=%u requests=%u undelivered=%u since_ms=%" G_GINT64_FORMAT,
@@ -121,20 +120,23 @@
 /// Starts the shutdown. New callers are still served until the balancer sends
 /// no more of them; each connection is closed after its next answer.
 ///
-/// @param entry  instance that got SIGTERM
+/// @param entry       instance that got SIGTERM
+/// @param not_before  the signal came later than this
 void
-shutdown_begin(struct entry *entry)
+shutdown_begin(struct entry *entry, usec_t not_before)
 {
 	if (entry->leaving)
 		return;
 	entry->leaving = true;
 	entry->leaving_since = g_get_monotonic_time();
-	entry->leave_deadline =
-	    entry->leaving_since + entry->settings->grace - SHUTDOWN_MARGIN;
+	entry->shutdown =
+	    shutdown_schedule_make(not_before, entry->settings->grace);
 	log_event(LOG_LEVEL_INFO, "leaving",
-	    "open=%u grace_ms=%" G_GINT64_FORMAT,
+	    "open=%u grace_ms=%" G_GINT64_FORMAT
+	    " noticed_after_ms=%" G_GINT64_FORMAT,
 	    http_server_count_open_calls(entry->caller_server),
-	    entry->settings->grace / USEC_PER_MSEC);
+	    entry->settings->grace / USEC_PER_MSEC,
+	    (entry->leaving_since - not_before) / USEC_PER_MSEC);
 	http_server_disable_keep_alive(entry->caller_server);
 	peers_set_leaving(entry->peers);
 	refuse_waiting(entry);
--- a/src/godwitvale/entry/shutdown.h
+++ b/src/godwitvale/entry/shutdown.h
@@ -9,7 +9,7 @@
 
 struct entry_request;
 
-void shutdown_begin(struct entry *entry);
+void shutdown_begin(struct entry *entry, usec_t not_before);
 void shutdown_tick(struct entry *entry, usec_t now);
 bool shutdown_refuse_if_late(struct entry_request *request);
 
