Take-ups go on after the loss of all, where the store proves their version

Cause: nobody remembers a stream then, and its version was certain only by an instance's own watch or by the whole history of the store. A store that has run for longer than it keeps its history has lost the beginning, which was noted for good; what it still has was not looked at.

Change: upstream_history searches the oldest revision that is left, and entry_changes judges what follows it. Entries name their upstream's start and count its heartbeats, so that they bound how long ago a revision was; each bound errs to the safe side. A stream's age is bounded by what its caller has left of its time.

--- a/src/godwitvale/core/version_history.c
+++ b/src/godwitvale/core/version_history.c
@@ -37,17 +37,17 @@
 	g_free(history);
 }
 
-/// Notes that an upstream of a service has a version now.
+/// Notes that an upstream of a service has, or had, a version.
 ///
 /// @param history      history to change
-/// @param now          current time
+/// @param seen_at      last time at which it had it
 /// @param service      hash of the service's name
 /// @param version_key  hash of the service and the version
 void
-version_history_note(struct version_history *history, usec_t now,
+version_history_note(struct version_history *history, usec_t seen_at,
     uint64_t service, uint64_t version_key)
 {
-	const struct seen_version added = {service, version_key, now};
+	const struct seen_version added = {service, version_key, seen_at};
 
 	for (guint i = 0; i < history->versions->len; i++) {
 		struct seen_version *version =
@@ -55,7 +55,7 @@
 
 		if (version->version_key != version_key)
 			continue;
-		version->seen_at = now;
+		version->seen_at = MAX(version->seen_at, seen_at);
 		return;
 	}
 	g_array_append_val(history->versions, added);
--- a/src/godwitvale/core/version_history.h
+++ b/src/godwitvale/core/version_history.h
@@ -14,7 +14,7 @@
 
 struct version_history *version_history_new(void);
 void version_history_free(struct version_history *history);
-void version_history_note(struct version_history *history, usec_t now,
+void version_history_note(struct version_history *history, usec_t seen_at,
     uint64_t service, uint64_t version_key);
 uint64_t version_history_only(
     const struct version_history *history, uint64_t service, usec_t since);
--- a/src/godwitvale/entry/resumption.c
+++ b/src/godwitvale/entry/resumption.c
@@ -126,6 +126,20 @@
 	    service, hash_pair(service, hash_name(entry->software_version)));
 }
 
+/// Notes that a service had a version.
+///
+/// @param resumption   state of the instance
+/// @param service      hash of the service's name
+/// @param version_key  hash of the service and the version
+/// @param seen_at      last time at which an upstream may have had it
+void
+resumption_note_version(struct resumption *resumption, uint64_t service,
+    uint64_t version_key, usec_t seen_at)
+{
+	version_history_note(
+	    resumption->history, seen_at, service, version_key);
+}
+
 /// Checks whether the caller of a request may take its stream up again.
 static bool
 is_resumable(const struct entry_request *request)
--- a/src/godwitvale/entry/resumption.h
+++ b/src/godwitvale/entry/resumption.h
@@ -19,6 +19,8 @@
     uint64_t service, usec_t since, bool *has_several);
 void resumption_note_entry(
     struct resumption *resumption, const struct upstream_entry *entry);
+void resumption_note_version(struct resumption *resumption, uint64_t service,
+    uint64_t version_key, usec_t seen_at);
 void resumption_on_upstream_change(struct resumption *resumption,
     enum directory_change change, const struct upstream_record *record);
 
--- a/src/godwitvale/entry/stream_lookup.c
+++ b/src/godwitvale/entry/stream_lookup.c
@@ -4,9 +4,8 @@
  * If an instance remembers the stream, it goes on at its version. If nobody
  * does, it goes on if its service has had one version for as long as it may
  * last. That is certain if this instance, or another one that answers, has
- * watched the upstreams for so long, or if the store's history goes back to its
- * beginning; and if the store itself, asked since the caller came, names no
- * other version.
+ * watched the upstreams for so long, or if the store's history tells so; and if
+ * the store itself, asked since the caller came, names no other version.
  */
 #include "godwitvale/entry/stream_lookup.h"
 
@@ -14,6 +13,7 @@
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_request_defs.h"
 #include "godwitvale/entry/resumption.h"
+#include "godwitvale/entry/upstream_history.h"
 #include "godwitvale/fleet/store_check.h"
 #include "godwitvale/ops/log.h"
 
@@ -27,31 +27,21 @@
 /// still serves, and some instances haven't heard of it yet.
 #define STREAM_LOOKUP_UNLISTED_SPAN (5 * USEC_PER_SEC)
 
-/// What is known of the store's own history.
-enum lookup_history {
-	LOOKUP_HISTORY_UNKNOWN,
-	LOOKUP_HISTORY_READ, /// from its beginning; all its versions are noted
-	LOOKUP_HISTORY_LOST, /// it doesn't go back to its beginning
-};
-
 struct stream_lookups {
 	struct entry *entry;
 	usec_t running_since;
 	GHashTable *searching; /// set of struct entry_request *
-	/// longest time that a caller has waited, by the hash of the route's
-	/// name (uint64_t *, usec_t *)
+	/// longest time that a caller waits from its first attempt on, by the
+	/// hash of the route's name (uint64_t *, usec_t *)
 	GHashTable *limits;
 	struct store_check *check;
-	enum lookup_history history;
-	/// With LOOKUP_HISTORY_READ: where the watch began that goes on from
-	/// what was read. If it was interrupted since, the history is of no use
-	/// any more.
-	uint64_t history_watched_from;
+	struct upstream_history *history;
 };
 
 /// What the store has said since a caller came.
 enum lookup_check {
-	LOOKUP_CHECK_NONE, /// it wasn't asked
+	LOOKUP_CHECK_NONE,    /// it wasn't asked
+	LOOKUP_CHECK_HISTORY, /// its history is read first
 	LOOKUP_CHECK_WANTED,
 	LOOKUP_CHECK_MADE,
 	LOOKUP_CHECK_FAILED,
@@ -73,7 +63,6 @@
 	usec_t deadline;
 	usec_t ask_again_at;
 	enum lookup_check check;
-	bool needs_history; /// the check must be of all of the store's history
 };
 
 static void on_check_done(void *owner, const struct store_check_result *result);
@@ -82,6 +71,12 @@
     .done = on_check_done,
 };
 
+static void on_history_read(void *owner, bool is_read);
+
+static const struct upstream_history_vtable history_vtable = {
+    .done = on_history_read,
+};
+
 /// Creates the searches of an instance.
 ///
 /// @param entry  the instance; its view, pool and settings are set
@@ -98,6 +93,11 @@
 	    .pool = entry->pool,
 	    .address = entry->settings->store,
 	};
+	const struct upstream_history_options history = {
+	    .vtable = &history_vtable,
+	    .owner = lookups,
+	    .entry = entry,
+	};
 
 	lookups->entry = entry;
 	lookups->running_since = g_get_monotonic_time();
@@ -105,6 +105,7 @@
 	lookups->limits =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	lookups->check = store_check_new(&options);
+	lookups->history = upstream_history_new(&history);
 	return lookups;
 }
 
@@ -115,12 +116,14 @@
 stream_lookups_free(struct stream_lookups *lookups)
 {
 	store_check_free(lookups->check);
+	upstream_history_free(lookups->history);
 	g_hash_table_unref(lookups->searching);
 	g_hash_table_unref(lookups->limits);
 	g_free(lookups);
 }
 
-/// Notes how long the caller of a request waits.
+/// Notes how long the caller of a request waits. Later attempts of a caller
+/// tell what is left of that time.
 ///
 /// @param request  request whose route is known
 void
@@ -129,8 +132,10 @@
 	GHashTable *limits = request->entry->stream_lookups->limits;
 	uint64_t route = hash_name(request->route->name);
 	usec_t *known = g_hash_table_lookup(limits, &route);
-	usec_t limit = MAX(request->params.timeout, request->route->timeout);
+	usec_t limit = request->route->timeout;
 
+	if (!resumption_is_needed(request))
+		limit = MAX(limit, request->params.timeout);
 	if (known == NULL)
 		g_hash_table_insert(limits, g_memdup2(&route, sizeof(route)),
 		    g_memdup2(&limit, sizeof(limit)));
@@ -138,17 +143,27 @@
 		*known = MAX(*known, limit);
 }
 
-/// @return the age that a stream has at most which the caller of a request
-///         takes up, plus the time for which its upstream may have served
-///         unlisted
+/// Computes the age that a stream has at most. Its caller names how much is
+/// left of the time that it waits; one that names more than callers of the
+/// route usually have isn't believed.
 static usec_t
-find_span(const struct entry_request *request)
+find_age_limit(const struct entry_request *request)
 {
 	uint64_t route = hash_name(request->route->name);
 	const usec_t *limit =
 	    g_hash_table_lookup(request->entry->stream_lookups->limits, &route);
+	usec_t left = request->params.timeout;
 
-	return *limit + STREAM_LOOKUP_TRANSIT_SPAN +
+	return left > 0 && left < *limit ? *limit - left : MAX(*limit, left);
+}
+
+/// @return the age that a stream has at most which the caller of a request
+///         takes up, plus the time for which its upstream may have served
+///         unlisted
+static usec_t
+find_span(const struct entry_request *request)
+{
+	return find_age_limit(request) + STREAM_LOOKUP_TRANSIT_SPAN +
 	    STREAM_LOOKUP_UNLISTED_SPAN;
 }
 
@@ -171,9 +186,8 @@
 	};
 	witness->watched_since =
 	    view_watched_since(entry->view, &witness->watched_from);
-	if (lookups->history == LOOKUP_HISTORY_READ &&
-	    witness->watched_from == lookups->history_watched_from)
-		witness->watched_since = 0;
+	witness->watched_since = MIN(witness->watched_since,
+	    upstream_history_known_since(lookups->history));
 	witness->only_version = resumption_find_only_version(
 	    entry->resumption, service, since, &witness->has_several);
 }
@@ -258,7 +272,6 @@
 {
 	const struct view *view = lookups->entry->view;
 	bool is_wanted = false;
-	bool needs_history = false;
 	GHashTableIter iter;
 	void *key;
 
@@ -268,15 +281,11 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const struct entry_request *request = key;
 
-		if (request->lookup->check != LOOKUP_CHECK_WANTED)
-			continue;
-		is_wanted = true;
-		needs_history |= request->lookup->needs_history;
+		is_wanted |= request->lookup->check == LOOKUP_CHECK_WANTED;
 	}
 	if (is_wanted)
-		store_check_start(lookups->check,
-		    needs_history ? 0
-				  : view_revision(view, SITE_SCOPE_UPSTREAMS));
+		store_check_start(
+		    lookups->check, view_revision(view, SITE_SCOPE_UPSTREAMS));
 }
 
 /// Finds the only version that may have begun a stream that nobody remembers,
@@ -302,6 +311,22 @@
 	return own.only_version;
 }
 
+/// Asks the store what a search lacks: its history, or what is new.
+static void
+ask_store(struct entry_request *request, bool needs_history)
+{
+	struct stream_lookups *lookups = request->entry->stream_lookups;
+	struct stream_lookup *lookup = request->lookup;
+
+	lookup->check =
+	    needs_history ? LOOKUP_CHECK_HISTORY : LOOKUP_CHECK_WANTED;
+	if (needs_history)
+		upstream_history_read(lookups->history,
+		    lookup->started_at - lookup->question.span);
+	else
+		start_check(lookups);
+}
+
 /// Finds the only version that may have begun a stream that nobody remembers,
 /// and asks the store if it hasn't been asked.
 ///
@@ -315,18 +340,23 @@
 	uint64_t version = find_candidate(request, &needs_history);
 
 	if (version == 0 || lookup->check == LOOKUP_CHECK_FAILED ||
-	    (needs_history && lookups->history == LOOKUP_HISTORY_LOST))
+	    (needs_history && upstream_history_is_exhausted(lookups->history)))
 		return 0;
 	if (lookup->check == LOOKUP_CHECK_MADE)
 		return needs_history ? 0 : version;
-	if (lookup->check == LOOKUP_CHECK_NONE) {
-		lookup->check = LOOKUP_CHECK_WANTED;
-		lookup->needs_history = needs_history;
-		start_check(lookups);
-	}
+	if (lookup->check == LOOKUP_CHECK_NONE)
+		ask_store(request, needs_history);
 	return 0;
 }
 
+/// @return whether a search waits for the store
+static bool
+waits_for_store(const struct stream_lookup *lookup)
+{
+	return lookup->check == LOOKUP_CHECK_WANTED ||
+	    lookup->check == LOOKUP_CHECK_HISTORY;
+}
+
 /// Decides how a stream goes on that a caller takes up.
 static struct resume_decision
 decide(struct entry_request *request)
@@ -345,7 +375,7 @@
 	    has_all_answers(lookup, USEC_NEVER) || now >= lookup->deadline;
 	if (inputs.is_lookup_over && resume_needs_only_version(&inputs)) {
 		inputs.only_version = find_only_candidate(request);
-		inputs.is_lookup_over = lookup->check != LOOKUP_CHECK_WANTED;
+		inputs.is_lookup_over = !waits_for_store(lookup);
 	}
 	return resume_decide(&inputs);
 }
@@ -357,6 +387,7 @@
 {
 	static const char *const checks[] = {
 	    [LOOKUP_CHECK_NONE] = "none",
+	    [LOOKUP_CHECK_HISTORY] = "history",
 	    [LOOKUP_CHECK_WANTED] = "wanted",
 	    [LOOKUP_CHECK_MADE] = "made",
 	    [LOOKUP_CHECK_FAILED] = "failed",
@@ -451,8 +482,7 @@
 usec_t
 stream_lookup_wake_time(const struct entry_request *request)
 {
-	if (request->lookup == NULL ||
-	    request->lookup->check == LOOKUP_CHECK_WANTED)
+	if (request->lookup == NULL || waits_for_store(request->lookup))
 		return USEC_NEVER;
 	return MIN(request->lookup->deadline, request->lookup->ask_again_at);
 }
@@ -511,46 +541,14 @@
 	g_ptr_array_unref(requests);
 }
 
-/// Notes the versions that the store's history names.
-static void
-note_history(struct stream_lookups *lookups, const GPtrArray *items)
-{
-	const struct entry *entry = lookups->entry;
-
-	for (guint i = 0; i < items->len; i++) {
-		const struct site_item *item = items->pdata[i];
-		struct upstream_entry *upstream;
-		gsize len;
-		const char *text;
-
-		if (item->kind != SITE_ITEM_UPSTREAM || item->value == NULL)
-			continue;
-		text = g_bytes_get_data(item->value, &len);
-		upstream =
-		    entry->site->read_upstream(item->name, text, len, NULL);
-		if (upstream != NULL)
-			resumption_note_entry(entry->resumption, upstream);
-		site_entry_free(upstream);
-	}
-	lookups->history = LOOKUP_HISTORY_READ;
-	view_watched_since(entry->view, &lookups->history_watched_from);
-}
-
 /// Checks whether a check answers what a search has asked: it was started
-/// since, and is of all history if that is needed. A store that has lost its
-/// history may still answer those that don't need it.
+/// since.
 static bool
 is_answered_by(
     const struct stream_lookup *lookup, const struct store_check_result *result)
 {
-	bool is_of_history = result->after == 0;
-
-	if (lookup == NULL || lookup->check != LOOKUP_CHECK_WANTED ||
-	    lookup->started_at > result->started_at)
-		return false;
-	if (lookup->needs_history)
-		return is_of_history;
-	return !is_of_history || result->outcome != STORE_CHECK_HISTORY_LOST;
+	return lookup != NULL && lookup->check == LOOKUP_CHECK_WANTED &&
+	    lookup->started_at <= result->started_at;
 }
 
 /// Store callback: a check is over.
@@ -558,13 +556,8 @@
 on_check_done(void *owner, const struct store_check_result *result)
 {
 	struct stream_lookups *lookups = owner;
-	bool is_of_history = result->after == 0;
 	GPtrArray *requests = list_searching(lookups);
 
-	if (is_of_history && result->outcome == STORE_CHECK_MADE)
-		note_history(lookups, result->items);
-	else if (is_of_history && result->outcome == STORE_CHECK_HISTORY_LOST)
-		lookups->history = LOOKUP_HISTORY_LOST;
 	for (guint i = 0; i < requests->len; i++) {
 		struct entry_request *request = requests->pdata[i];
 		struct stream_lookup *lookup = request->lookup;
@@ -579,3 +572,23 @@
 	g_ptr_array_unref(requests);
 	start_check(lookups);
 }
+
+/// History callback: it was read. The searches that wait for it go on, and ask
+/// the store what is new since their callers came.
+static void
+on_history_read(void *owner, bool is_read)
+{
+	GPtrArray *requests = list_searching(owner);
+
+	for (guint i = 0; i < requests->len; i++) {
+		struct entry_request *request = requests->pdata[i];
+		struct stream_lookup *lookup = request->lookup;
+
+		if (lookup == NULL || lookup->check != LOOKUP_CHECK_HISTORY)
+			continue;
+		lookup->check =
+		    is_read ? LOOKUP_CHECK_NONE : LOOKUP_CHECK_FAILED;
+		stream_lookup_advance(request);
+	}
+	g_ptr_array_unref(requests);
+}
--- a/src/godwitvale/fleet/store_check.c
+++ b/src/godwitvale/fleet/store_check.c
@@ -26,6 +26,8 @@
 		struct site_item *item = reply->items->pdata[i];
 
 		item->revision = store_revision_make(era, item->revision);
+		if (item->created != 0)
+			item->created = store_revision_make(era, item->created);
 	}
 }
 
@@ -131,6 +133,7 @@
 	if (reply != NULL) {
 		apply_news(check, reply);
 		result.items = reply->items;
+		result.as_of = reply->as_of;
 	}
 	check->options.vtable->done(check->options.owner, &result);
 	g_clear_pointer(&reply, site_reply_free);
--- a/src/godwitvale/fleet/store_check.h
+++ b/src/godwitvale/fleet/store_check.h
@@ -29,6 +29,7 @@
 	/// changes since that revision (struct site_item *); NULL unless
 	/// STORE_CHECK_MADE
 	const GPtrArray *items;
+	uint64_t as_of; /// revision that they reach; valid likewise
 };
 
 /// Callbacks of a check.
--- a/src/godwitvale/site/site.h
+++ b/src/godwitvale/site/site.h
@@ -43,6 +43,8 @@
 	/// Store revision of its last change. The adapter reads the number
 	/// only; see core/store_revision.h.
 	uint64_t revision;
+	/// Store revision at which the item came to be, likewise; 0: not told.
+	uint64_t created;
 };
 
 /// Parsed reply of the store.
--- a/test/site/main.c
+++ b/test/site/main.c
@@ -27,6 +27,15 @@
 	http_head_clear(&head);
 }
 
+/// Returns the start time of a worker that starts now, in Unix milliseconds.
+///
+/// @param before  that of its last start, which differs; 0: none
+gint64
+site_next_born(gint64 before)
+{
+	return MAX(before + 1, g_get_real_time() / USEC_PER_MSEC);
+}
+
 /// Reads a field of the query in a request target.
 ///
 /// @param target  request target, with or without a query
--- a/test/site/site.h
+++ b/test/site/site.h
@@ -63,5 +63,6 @@
 void site_send_response(
     struct http_call *call, unsigned status, const char *body);
 char *site_get_query_field(const char *target, const char *name);
+gint64 site_next_born(gint64 before);
 
 #endif
--- a/test/site/site_raw.c
+++ b/test/site/site_raw.c
@@ -47,7 +47,7 @@
 	char mode[40];
 	bool draining;
 	bool resets_next;     /// resets the next request's connection
-	unsigned start_count; /// also its incarnation
+	gint64 born;          /// start, in Unix milliseconds
 	unsigned write_count; /// of its entry
 	GPtrArray *held;      /// struct raw_conn * of held streams
 };
@@ -779,10 +779,10 @@
 	char *value = g_strdup_printf(
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 	    "\"version\":\"v1\",\"slots\":24,\"state\":\"%s\","
-	    "\"cold_left_ms\":0,\"sequence\":%u,\"born\":%u}",
+	    "\"cold_left_ms\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT "}",
 	    worker->service, worker->address, worker->zone,
 	    worker->draining ? "draining" : "ready", ++worker->write_count,
-	    worker->start_count);
+	    worker->born);
 
 	site_store_put(worker->site->store, key, value);
 	g_free(key);
@@ -808,7 +808,7 @@
 	worker->address = g_strdup_printf(
 	    "127.0.0.1:%s", parts[4] == NULL ? parts[3] : parts[4]);
 	worker->held = g_ptr_array_new();
-	worker->start_count = 1;
+	worker->born = site_next_born(0);
 	g_signal_connect(service, "incoming", G_CALLBACK(on_incoming), worker);
 	if (g_socket_listener_add_inet_port(G_SOCKET_LISTENER(service),
 		(guint16)atoi(parts[3]), NULL, NULL)) {
@@ -847,7 +847,10 @@
 {
 	if (strcmp(mode, "back") == 0 || strcmp(mode, "draining") == 0) {
 		worker->draining = strcmp(mode, "draining") == 0;
-		worker->start_count += !worker->draining;
+		if (!worker->draining) {
+			worker->born = site_next_born(worker->born);
+			worker->write_count = 0;
+		}
 		publish_entry(worker);
 		return;
 	}
--- a/test/site/site_store.c
+++ b/test/site/site_store.c
@@ -23,6 +23,7 @@
 struct item {
 	char *value;
 	uint64_t revision;
+	uint64_t created; /// revision at which it came to be
 };
 
 /// One change in the history.
@@ -30,6 +31,7 @@
 	char *key;
 	char *value; /// NULL: deleted
 	uint64_t revision;
+	uint64_t created;
 };
 
 /// A pending watch call.
@@ -108,7 +110,8 @@
 ///
 /// @param value  NULL: the item was deleted
 static json_object *
-create_item_json(const char *key, const char *value, uint64_t revision)
+create_item_json(
+    const char *key, const char *value, uint64_t revision, uint64_t created)
 {
 	json_object *object = json_object_new_object();
 
@@ -124,6 +127,8 @@
 
 	json_object_object_add(
 	    object, "value", json_object_new_string(encoded));
+	json_object_object_add(
+	    object, "created", json_object_new_uint64(created));
 	g_free(encoded);
 	return object;
 }
@@ -144,8 +149,8 @@
 		if (change->revision > watcher->after &&
 		    g_str_has_prefix(change->key, watcher->prefix))
 			json_object_array_add(events,
-			    create_item_json(
-				change->key, change->value, change->revision));
+			    create_item_json(change->key, change->value,
+				change->revision, change->created));
 	}
 	if (!timed_out && json_object_array_length(events) == 0) {
 		json_object_put(events);
@@ -275,8 +280,8 @@
 		n_bytes += strlen(item->value);
 		if (!is_full)
 			json_object_array_add(entries,
-			    create_item_json(
-				l->data, item->value, item->revision));
+			    create_item_json(l->data, item->value,
+				item->revision, item->created));
 	}
 	g_list_free(keys);
 	json_object_object_add(root, "entries", entries);
@@ -306,6 +311,7 @@
 
 		copy->value = g_strdup(item->value);
 		copy->revision = item->revision;
+		copy->created = item->created;
 		g_hash_table_insert(copies, g_strdup(key), copy);
 	}
 	return copies;
@@ -536,13 +542,15 @@
 
 /// Adds a change to the history and responds to the watches that it matches.
 static void
-record_change(struct site_store *store, const char *key, const char *value)
+record_change(struct site_store *store, const char *key, const char *value,
+    uint64_t created)
 {
 	struct change *change = g_new0(struct change, 1);
 
 	change->key = g_strdup(key);
 	change->value = g_strdup(value);
 	change->revision = store->revision;
+	change->created = created;
 	g_ptr_array_add(store->changes, change);
 	if (store->changes->len > HISTORY_MAX)
 		g_ptr_array_remove_index(store->changes, 0);
@@ -566,11 +574,13 @@
 site_store_put(struct site_store *store, const char *key, const char *value)
 {
 	struct item *item = g_new0(struct item, 1);
+	const struct item *before = g_hash_table_lookup(store->items, key);
 
 	item->value = g_strdup(value);
 	item->revision = ++store->revision;
+	item->created = before == NULL ? item->revision : before->created;
 	g_hash_table_replace(store->items, g_strdup(key), item);
-	record_change(store, key, value);
+	record_change(store, key, value, item->created);
 }
 
 /// Deletes an item under a new revision.
@@ -582,18 +592,19 @@
 {
 	store->revision++;
 	g_hash_table_remove(store->items, key);
-	record_change(store, key, NULL);
+	record_change(store, key, NULL, 0);
 }
 
 /// Sets how the store responds.
 ///
 /// @param store  the store
-/// @param mode   "up": responds as usual; "busy": responds with 503; "silent":
-///     accepts calls but doesn't respond; "forget": discards its history;
-///     "garbled", "garbled-watches", "deep": responds to all calls, or to
-///     watches, with what can't be read, or is nested too deeply;
-///     "odd-pages", "keyless-pages": begins each list with a page of one
-///     malformed item, with or without a key; "forget" doesn't end this.
+/// @param mode   "up": responds as usual; "trim-N": discards all but the last N
+///     revisions of its history, without any other effect; "busy": responds
+///     with 503; "silent": accepts calls but doesn't respond; "forget":
+///     discards its history; "garbled", "garbled-watches", "deep": responds to
+///     all calls, or to watches, with what can't be read, or is nested too
+///     deeply; "odd-pages", "keyless-pages": begins each list with a page of
+///     one malformed item, with or without a key; "forget" doesn't end this.
 ///     Pending watch calls are aborted, but stay open without a response in
 ///     mode "silent", and aren't affected by "up"
 void
@@ -601,6 +612,11 @@
 {
 	GList *watchers;
 
+	if (g_str_has_prefix(mode, "trim-")) {
+		store->compacted_revision = store->revision -
+		    g_ascii_strtoull(mode + strlen("trim-"), NULL, 10);
+		return;
+	}
 	store->busy = strcmp(mode, "busy") == 0;
 	store->silent = strcmp(mode, "silent") == 0;
 	g_clear_pointer(&store->garbled, g_free);
--- a/test/site/site_worker.c
+++ b/test/site/site_worker.c
@@ -50,8 +50,8 @@
 	bool draining;
 	bool says_leaving; /// its answers say that it leaves
 	char mode[16];
-	usec_t held_until; /// it does nothing until then
-	unsigned start_count;
+	usec_t held_until;      /// it does nothing until then
+	gint64 born;            /// start, in Unix milliseconds
 	gint64 second;          /// of the last requests turned away
 	unsigned n_turned_away; /// in that second
 	unsigned write_count;   /// of its entry
@@ -681,10 +681,10 @@
 		return;
 	}
 	if (strcmp(head->target, "/v1/report") == 0) {
-		text = g_strdup_printf(
-		    "{\"state\":\"%s\",\"leaves_ms\":%d,\"born\":%u}",
+		text = g_strdup_printf("{\"state\":\"%s\",\"leaves_ms\":%d,"
+				       "\"born\":%" G_GINT64_FORMAT "}",
 		    worker->draining ? "draining" : "ready", DEPARTURE_DELAY_MS,
-		    worker->start_count);
+		    worker->born);
 		site_send_response(call, 200, text);
 		g_free(text);
 	} else if (strcmp(head->target, "/v1/kv-move") == 0) {
@@ -720,17 +720,25 @@
 	char *value = g_strdup_printf(
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 	    "\"version\":\"%s\",\"slots\":%u,\"state\":\"%s\","
-	    "\"cold_left_ms\":0,\"sequence\":%u,\"born\":%u}",
+	    "\"cold_left_ms\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT "}",
 	    worker->service, worker->address, worker->zone, worker->version,
 	    strcmp(worker->service, "shop") == 0 ? PLAIN_SLOTS : ENGINE_SLOTS,
 	    worker->draining ? "draining" : "ready", ++worker->write_count,
-	    worker->start_count);
+	    worker->born);
 
 	site_store_put(worker->site->store, key, value);
 	g_free(key);
 	g_free(value);
 }
 
+/// Notes that another process has taken a worker's place.
+static void
+note_start(struct worker *worker)
+{
+	worker->born = site_next_born(worker->born);
+	worker->write_count = 0;
+}
+
 /// Starts to listen.
 ///
 /// @return false when the port can't be listened on
@@ -760,7 +768,7 @@
 static bool
 worker_start(struct worker *worker)
 {
-	worker->start_count++;
+	note_start(worker);
 	worker->draining = false;
 	worker->says_leaving = false;
 	return worker_listen(worker);
@@ -819,7 +827,8 @@
 /// @param worker  the worker
 /// @param mode    state of the worker: "ready" or "draining" (writes its entry
 ///     with this state; "ready" after "draining" with a new start, as no
-///     process stops draining), "saysleaving" (only its answers say that it
+///     process stops draining), "beat" (writes its entry once more),
+///     "saysleaving" (only its answers say that it
 ///     leaves, until it starts again), "gone" (stops; the entry stays),
 ///     "listen" (accepts connections again after "gone", without a new start),
 ///     "leave" (stops
@@ -847,9 +856,11 @@
 
 		/* Another process; the one that drains ends its runs. */
 		if (worker->draining && !drains)
-			worker->start_count++;
+			note_start(worker);
 		worker->draining = drains;
 		publish_entry(worker);
+	} else if (strcmp(mode, "beat") == 0) {
+		publish_entry(worker);
 	} else if (strcmp(mode, "saysleaving") == 0) {
 		worker->says_leaving = true;
 	} else if (strcmp(mode, "gone") == 0) {
