Test: responses that are cut, at each byte, are never passed on as whole

Another operator reports a 200 with a short body, framed as whole, after a worker had stopped in the middle of its answer's head. It doesn't show here: each of six answers (with a length, chunked, ending with its connection, HTTP/1.0, a length twice), alone and after an interim response, was cut at each byte by FIN and at each eighth by a reset, for a caller's exchange and for an instance's own calls. None was complete unless a head that was whole left its end to the connection; of a cut head nothing was passed on. No change of the product. An instance that forwards reads the answer of another one by the same exchange.

--- a/test/unit/http_exchange_test.c
+++ b/test/unit/http_exchange_test.c
@@ -808,6 +808,109 @@
 	g_free(second);
 }
 
+/// Sends a request without an id of an instance's own to an upstream.
+///
+/// @return its outcome as text
+static char *
+send_fetch(struct pool *pool, const char *address)
+{
+	struct transcript transcript = {
+	    g_string_new(NULL), g_main_loop_new(NULL, FALSE), NULL, false};
+	const struct fetch_options options = {
+	    .pool = pool,
+	    .address = address,
+	    .method = "GET",
+	    .target = "/",
+	    .deadline = g_get_monotonic_time() + 60 * USEC_PER_SEC,
+	    .max_body = 100,
+	    .handler = on_fetched,
+	    .owner = &transcript,
+	};
+
+	fetch_start(&options);
+	g_main_loop_run(transcript.loop);
+	g_main_loop_unref(transcript.loop);
+	return g_string_free(transcript.text, FALSE);
+}
+
+/// Sends a response that ends after some of its bytes, to a request of a caller
+/// and to one of an instance's own.
+///
+/// @param is_whole  whether it may be complete
+static void
+assert_cut(const char *text, size_t len, enum ending ending, bool is_whole)
+{
+	char *cut = g_strndup(text, len);
+	const char *const responses[] = {cut, cut, NULL};
+	struct pool *pool = pool_new();
+	struct upstream upstream;
+	char *exchanged;
+	char *fetched;
+
+	upstream_open(&upstream, responses, ending);
+	exchanged = send_request(pool, upstream.address, "a", false);
+	fetched = send_fetch(pool, upstream.address);
+	if (g_str_has_suffix(exchanged, " complete") != is_whole ||
+	    g_str_has_prefix(fetched, "200 ") != is_whole)
+		fail_msg("%zu bytes of \"%s\": \"%s\", \"%s\"", len, text,
+		    exchanged, fetched);
+	/* Of a head that isn't whole, nothing is passed on. */
+	if (strstr(cut, "\r\n\r\n") == NULL)
+		assert_true(g_str_has_prefix(exchanged, " failed:"));
+	g_free(exchanged);
+	g_free(fetched);
+	g_free(cut);
+	pool_free(pool);
+	upstream_close(&upstream);
+}
+
+/// Guards against responses with status 200 and a short body, framed as whole,
+/// whose upstream stopped in the middle of its head.
+static void
+responses_that_are_cut_are_not_complete(void **state)
+{
+	static const struct {
+		const char *text;
+		bool ends_with_connection;
+	} rows[] = {
+	    {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 12\r\n\r\n"
+	     "twelve bytes",
+		false},
+	    {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n",
+		false},
+	    {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/plain\r\n\r\n"
+	     "to the end",
+		true},
+	    {"HTTP/1.0 200 OK\r\nId: a\r\n\r\nto the end", true},
+	    {"HTTP/1.0 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nfour",
+		false},
+	    {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n"
+	     "Content-Length: 4\r\n\r\nfour",
+		false},
+	};
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const char *text = rows[i].text;
+		const char *body = strstr(text, "\r\n\r\n") + 4;
+		char *after_interim = g_strconcat(interim, text, NULL);
+
+		for (size_t len = 0; len < strlen(text); len++) {
+			bool is_whole =
+			    rows[i].ends_with_connection && text + len >= body;
+
+			assert_cut(text, len, FINISH, is_whole);
+			assert_cut(after_interim, strlen(interim) + len, FINISH,
+			    is_whole);
+			if (len % 8 == 0)
+				assert_cut(text, len, RESET, false);
+		}
+		g_free(after_interim);
+	}
+}
+
 int
 main(void)
 {
@@ -828,6 +931,7 @@
 	    cmocka_unit_test(cancel_inside_callback_is_safe),
 	    cmocka_unit_test(body_of_a_fetch_exceeds_its_limit),
 	    cmocka_unit_test(refusal_of_a_fetch_is_not_for_the_next_request),
+	    cmocka_unit_test(responses_that_are_cut_are_not_complete),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
