Clients: one pace of log lines, one reading of the descriptor limit

connections.c of "serve" and client_guard.c of "entry" each bounded their log lines to one a second, and serve.c and client_guard.c each read the process's limit on descriptors. Both stand in ops/ now: log_pace and descriptors. The values that are logged and derived are as before.

serve_connections, serve_crowds and entry_clients_over_limits pass.

--- a/src/godwitvale/caller/connections.c
+++ b/src/godwitvale/caller/connections.c
@@ -6,21 +6,19 @@
 #include "godwitvale/caller/connections.h"
 
 #include "godwitvale/ops/log.h"
+#include "godwitvale/ops/log_pace.h"
 #include "godwitvale/ops/metrics.h"
 
 /// Data key of an exchange's struct connection.
 #define CONNECTION_KEY "godwitvale-connection"
 /// Memory of a connection without a request, in the process.
 #define CONNECTION_BYTES 8192
-/// Shortest time between two log lines of a server.
-#define LOG_PAUSE (1 * USEC_PER_SEC)
 
 struct connections {
 	struct connections_options options;
-	GHashTable *present; /// set of struct connection *
-	unsigned n_open;     /// of these, all but those that are being closed
-	usec_t next_log_at;
-	uint64_t n_closed; /// since the last log line
+	GHashTable *present;  /// set of struct connection *
+	unsigned n_open;      /// of these, all but those that are being closed
+	struct log_pace pace; /// of those that were closed
 };
 
 /// A client's connection, or its exchange after the connection has ended.
@@ -60,19 +58,16 @@
 log_closed(struct connections *connections)
 {
 	struct client_limits *limits = connections->options.limits;
-	usec_t now = g_get_monotonic_time();
+	uint64_t n_closed = log_pace_note(&connections->pace);
 
-	connections->n_closed++;
-	if (now < connections->next_log_at)
+	if (n_closed == 0)
 		return;
 	log_event(LOG_LEVEL_WARN, "client-limit",
 	    "server=%s times=%" G_GUINT64_FORMAT " connections=%u"
 	    " held_bytes=%" G_GUINT64_FORMAT " max_bytes=%" G_GUINT64_FORMAT,
-	    connections->options.name, connections->n_closed,
+	    connections->options.name, n_closed,
 	    g_hash_table_size(connections->present), client_limits_held(limits),
 	    client_limits_bound(limits));
-	connections->n_closed = 0;
-	connections->next_log_at = now + LOG_PAUSE;
 }
 
 /// Closes a connection whose request isn't whole. The library learns of it in a
--- a/src/godwitvale/entry/client_guard.c
+++ b/src/godwitvale/entry/client_guard.c
@@ -3,44 +3,23 @@
 
 #include <malloc.h>
 
-#include <sys/resource.h>
-
 #include "godwitvale/entry/entry_metrics.h"
 #include "godwitvale/entry/entry_settings.h"
+#include "godwitvale/ops/descriptors.h"
 #include "godwitvale/ops/log.h"
+#include "godwitvale/ops/log_pace.h"
 
-/// Shortest time between two log lines on one limit.
-#define LOG_PAUSE (1 * USEC_PER_SEC)
 /// Blocks from this size on are returned to the system when they are freed, in
 /// bytes. By default the allocator raises the size when such a block is freed,
 /// up to 32 MiB, and then keeps the memory of bodies.
 #define RETURNED_BLOCK_BYTES (128 * 1024)
 
-/// When a limit was logged last, and how often it has taken effect since.
-struct limit_log {
-	usec_t next_at;
-	uint64_t n_effects;
-};
-
 struct client_guard {
 	const struct entry_settings *settings;
 	struct client_limits *limits;
-	struct limit_log logs[HTTP_N_LIMITS];
+	struct log_pace paces[HTTP_N_LIMITS];
 };
 
-/// Raises the process's own limit on descriptors to that of the machine, as far
-/// as this is allowed.
-static void
-raise_descriptor_limit(unsigned max_fds)
-{
-	struct rlimit limit;
-
-	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= max_fds)
-		return;
-	limit.rlim_cur = MIN((rlim_t)max_fds, limit.rlim_max);
-	setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 /// Creates the guard. Its limits hold for the longest body of 0 bytes until
 /// client_guard_set_max_body() is called.
 ///
@@ -53,7 +32,7 @@
 
 	mallopt(M_MMAP_THRESHOLD, RETURNED_BLOCK_BYTES);
 	mallopt(M_TRIM_THRESHOLD, RETURNED_BLOCK_BYTES);
-	raise_descriptor_limit(settings->max_fds);
+	descriptors_raise(settings->max_fds);
 	guard->settings = settings;
 	guard->limits = client_limits_new();
 	client_guard_set_max_body(guard, 0);
@@ -106,12 +85,11 @@
 client_guard_connections(const struct client_guard *guard)
 {
 	unsigned max_fds = guard->settings->max_fds;
-	struct rlimit limit;
+	unsigned limit = descriptors_max();
 
-	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
-	    limit.rlim_cur != RLIM_INFINITY &&
-	    (max_fds == 0 || limit.rlim_cur < max_fds))
-		max_fds = (unsigned)MIN(limit.rlim_cur, G_MAXUINT);
+	if (limit != 0 && limit != DESCRIPTORS_UNLIMITED &&
+	    (max_fds == 0 || limit < max_fds))
+		max_fds = limit;
 	return client_limits_derive_connections(
 	    max_fds, guard->settings->max_callers);
 }
@@ -137,19 +115,15 @@
 client_guard_note_limit(
     struct client_guard *guard, enum http_limit limit, const char *server)
 {
-	struct limit_log *log = &guard->logs[limit];
-	usec_t now = g_get_monotonic_time();
+	uint64_t n_times = log_pace_note(&guard->paces[limit]);
 
 	series_add(&entry_metric_limits, http_limit_name(limit), NULL, 1);
-	log->n_effects++;
-	if (now < log->next_at)
+	if (n_times == 0)
 		return;
 	log_event(LOG_LEVEL_WARN, "client-limit",
 	    "limit=%s server=%s times=%" G_GUINT64_FORMAT
 	    " held_bytes=%" G_GUINT64_FORMAT " max_bytes=%" G_GUINT64_FORMAT,
-	    http_limit_name(limit), server, log->n_effects,
+	    http_limit_name(limit), server, n_times,
 	    client_limits_held(guard->limits),
 	    client_limits_bound(guard->limits));
-	log->n_effects = 0;
-	log->next_at = now + LOG_PAUSE;
 }
--- a/src/godwitvale/serve/serve.c
+++ b/src/godwitvale/serve/serve.c
@@ -6,23 +6,22 @@
 #include <glib-unix.h>
 #include <sodium.h>
 
-#include <sys/resource.h>
-
 #include "godwitvale/caller/caller.h"
 #include "godwitvale/caller/hangup.h"
 #include "godwitvale/caller/listener.h"
 #include "godwitvale/core/hash.h"
 #include "godwitvale/http/pool.h"
 #include "godwitvale/ops/cmd.h"
+#include "godwitvale/ops/descriptors.h"
 #include "godwitvale/ops/log.h"
 #include "godwitvale/peer/peer.h"
 #include "godwitvale/peer/peer_http.h"
 #include "godwitvale/registry/config_watch.h"
 #include "godwitvale/registry/member_list.h"
-#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/actions.h"
 #include "godwitvale/serve/operator.h"
 #include "godwitvale/serve/request.h"
+#include "godwitvale/serve/rollout.h"
 #include "godwitvale/serve/slots.h"
 #include "godwitvale/upstream/call.h"
 #include "godwitvale/upstream/generation.h"
@@ -220,17 +219,6 @@
 	instance->config = config_watch_new(instance);
 }
 
-/// @return the most descriptors that this process may have
-static unsigned
-max_descriptors(void)
-{
-	struct rlimit limit;
-
-	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
-		return 0;
-	return (unsigned)MIN(limit.rlim_cur, G_MAXUINT);
-}
-
 /// Creates the account of what clients use. Their connections leave descriptors
 /// for those to upstreams and to the platform.
 static void
@@ -239,7 +227,7 @@
 	const struct settings *settings = instance->settings;
 
 	instance->client_connections =
-	    client_limits_derive_connections(max_descriptors(), G_MAXUINT);
+	    client_limits_derive_connections(descriptors_max(), G_MAXUINT);
 	instance->client_limits = client_limits_new();
 	client_limits_set_bound(instance->client_limits,
 	    client_limits_derive_bound(
