SIGTERM that comes again isn't handled twice; order of fields in a test

The source of the main loop is dispatched when its descriptor is readable, also for a second signal; the watch says that it calls once. It had no effect, as a shutdown begins once.

--- a/src/godwitvale/ops/term_watch.c
+++ b/src/godwitvale/ops/term_watch.c
@@ -66,7 +66,7 @@
 	return has_come != 0 && !source->is_handled;
 }
 
-/// Source callback: the signal has come.
+/// Source callback: the signal has come, or comes again.
 static gboolean
 dispatch(GSource *base, GSourceFunc callback, gpointer data)
 {
@@ -75,8 +75,11 @@
 	uint64_t count;
 
 	(void)callback;
-	source->is_handled = true;
 	(void)!read(wake_fd, &count, sizeof(count));
+	/* The signal may come again. */
+	if (source->is_handled)
+		return G_SOURCE_CONTINUE;
+	source->is_handled = true;
 	watch->handler(watch->owner, source->clear_at);
 	return G_SOURCE_CONTINUE;
 }
--- a/test/unit/entry_changes_test.c
+++ b/test/unit/entry_changes_test.c
@@ -287,16 +287,16 @@
 versions_are_known_from_the_last_uncertain_change_on(void **state)
 {
 	static const struct {
-		enum entry_change_kind kind;
 		uint64_t sequence;
+		enum entry_change_kind kind;
 		bool is_created;
 		bool is_certain;
 	} rows[] = {
-	    {ENTRY_CHANGE_WRITTEN, 1, true, true},
-	    {ENTRY_CHANGE_WRITTEN, 5, false, true},
-	    {ENTRY_CHANGE_WRITTEN, 1, false, false},
-	    {ENTRY_CHANGE_UNREADABLE, 0, false, false},
-	    {ENTRY_CHANGE_DELETED, 0, false, false},
+	    {1, ENTRY_CHANGE_WRITTEN, true, true},
+	    {5, ENTRY_CHANGE_WRITTEN, false, true},
+	    {1, ENTRY_CHANGE_WRITTEN, false, false},
+	    {0, ENTRY_CHANGE_UNREADABLE, false, false},
+	    {0, ENTRY_CHANGE_DELETED, false, false},
 	};
 
 	(void)state;
