--- a/src/godwitvale/core/directory.c
+++ b/src/godwitvale/core/directory.c
@@ -361,20 +361,25 @@
 	return entry->sequence > sequence;
 }
 
-/// Checks whether an entry is one of a restored store's copy that was written
-/// before the known entry of the upstream.
+/// Checks whether an entry is newer than the known entry of its upstream. After
+/// a restore of the store, the copy's entries may be older than what was known,
+/// and another instance may know of newer ones from before the restore:
+/// revisions of two eras say nothing about that.
 static bool
-is_stale_copy(const struct record *record, const struct upstream_entry *entry,
+is_newer(const struct record *record, const struct upstream_entry *entry,
     uint64_t revision)
 {
 	const struct upstream_entry *known = &record->upstream.entry;
+	uint64_t known_revision = record->upstream.revision;
+	uint64_t era = store_revision_era(revision);
+	uint64_t known_era = store_revision_era(known_revision);
 
-	if (store_revision_era(revision) <=
-	    store_revision_era(record->upstream.revision))
-		return false;
-	return entry->incarnation < known->incarnation ||
-	    (entry->incarnation == known->incarnation &&
-		entry->sequence < known->sequence);
+	if (era == known_era)
+		return revision > known_revision;
+	if (era < known_era)
+		return is_written_later(
+		    entry, known->incarnation, known->sequence);
+	return !is_written_later(known, entry->incarnation, entry->sequence);
 }
 
 /// Checks whether an upstream is known to be gone although there is an entry.
@@ -464,9 +469,7 @@
 		g_hash_table_remove(directory->tombstones, entry->id);
 	if (record != NULL)
 		record->list_epoch = directory->list_epoch;
-	if (record != NULL &&
-	    (record->upstream.revision >= revision ||
-		is_stale_copy(record, entry, revision))) {
+	if (record != NULL && !is_newer(record, entry, revision)) {
 		record->upstream.missing_deadline = 0;
 		return false;
 	}
--- a/src/godwitvale/fleet/fleet_codec.c
+++ b/src/godwitvale/fleet/fleet_codec.c
@@ -161,7 +161,8 @@
 	xdr_free((xdrproc_t)xdr_fleet_message, (char *)message);
 }
 
-/// Creates a wire item that refers to the name and value of a store item.
+/// Creates a wire item that refers to the name and value of a store item. Its
+/// revision holds the era, which earlier builds ignore.
 ///
 /// @param item  must outlive the wire item
 /// @return the wire item; its contents must not be freed
@@ -171,7 +172,7 @@
 	fleet_item wire = {
 	    .kind = (int)item->kind,
 	    .name = item->name,
-	    .revision = store_revision_number(item->revision),
+	    .revision = item->revision,
 	    .deleted = item->value == NULL,
 	};
 	gsize len = 0;
@@ -183,12 +184,23 @@
 	return wire;
 }
 
+/// Finds the revision of a wire item.
+///
+/// @param era  of a revision without one, as earlier builds send it
+static uint64_t
+find_revision(const fleet_item *wire, uint64_t era)
+{
+	if (store_revision_era(wire->revision) != 0)
+		return wire->revision;
+	return store_revision_make(era, wire->revision);
+}
+
 /// Converts wire items to store items, whose keys stay NULL. Items of an
 /// unknown kind are left out.
 ///
 /// @param items    wire items; copied
 /// @param n_items  number of items
-/// @param era      era of the items' revisions
+/// @param era      of revisions that name none
 /// @return struct site_item *; free with g_ptr_array_unref()
 GPtrArray *
 fleet_items_to_site(const fleet_item *items, size_t n_items, uint64_t era)
@@ -205,7 +217,7 @@
 		item = g_new0(struct site_item, 1);
 		item->kind = (enum site_item_kind)wire->kind;
 		item->name = g_strdup(wire->name);
-		item->revision = store_revision_make(era, wire->revision);
+		item->revision = find_revision(wire, era);
 		if (!wire->deleted)
 			item->value = g_bytes_new(
 			    wire->value.value_val, wire->value.value_len);
--- a/src/godwitvale/fleet/fleet_wire.x
+++ b/src/godwitvale/fleet/fleet_wire.x
@@ -59,7 +59,9 @@
 	fleet_load loads<FLEET_LOADS>;
 };
 
-/* One item of the store, as it was read. A deleted item has no value. */
+/* One item of the store, as it was read. A deleted item has no value. The
+ * revision holds the era of the store, see core/store_revision; builds that
+ * send none name it for the whole message only. */
 struct fleet_item {
 	int kind;
 	string name<FLEET_NAME_BYTES>;
--- a/src/godwitvale/fleet/snapshot_sync.c
+++ b/src/godwitvale/fleet/snapshot_sync.c
@@ -63,13 +63,16 @@
 	g_free(snapshot_sync);
 }
 
-/// Applies a snapshot from a peer to the view.
-static void
-apply_snapshot(struct snapshot_sync *snapshot_sync,
-    const fleet_snapshot *snapshot, uint64_t era)
+/// Applies the snapshot of another instance to a view.
+///
+/// @param view      updated
+/// @param now       current time
+/// @param snapshot  as it was received
+/// @param era       era of the store at the sender
+void
+snapshot_sync_apply(
+    struct view *view, usec_t now, const fleet_snapshot *snapshot, uint64_t era)
 {
-	struct view *view = snapshot_sync->view;
-	usec_t now = g_get_monotonic_time();
 	GPtrArray *items = fleet_items_to_site(
 	    snapshot->items.items_val, snapshot->items.items_len, era);
 	GPtrArray *scope_items[] = {g_ptr_array_new(), g_ptr_array_new()};
@@ -103,6 +106,8 @@
 on_snapshot(void *owner, const struct fetch_response *answer)
 {
 	struct snapshot_sync *snapshot_sync = owner;
+	struct view *view = snapshot_sync->view;
+	usec_t now = g_get_monotonic_time();
 	struct fleet_trailer trailer;
 	fleet_snapshot snapshot;
 
@@ -116,10 +121,9 @@
 		return;
 	}
 	if (trailer.era != 0)
-		apply_snapshot(snapshot_sync, &snapshot, trailer.era);
-	else if (!view_has_seen_restore(snapshot_sync->view))
-		apply_snapshot(
-		    snapshot_sync, &snapshot, view_era(snapshot_sync->view));
+		snapshot_sync_apply(view, now, &snapshot, trailer.era);
+	else if (!view_has_seen_restore(view))
+		snapshot_sync_apply(view, now, &snapshot, view_era(view));
 	else
 		log_event(LOG_LEVEL_WARN, "peer-snapshot-failed",
 		    "status=%u reason=no-era", answer->status);
--- a/src/godwitvale/fleet/snapshot_sync.h
+++ b/src/godwitvale/fleet/snapshot_sync.h
@@ -9,6 +9,7 @@
 #define GODWITVALE_FLEET_SNAPSHOT_SYNC_H
 
 #include "godwitvale/core/membership.h"
+#include "godwitvale/fleet/fleet_codec.h"
 #include "godwitvale/fleet/view.h"
 #include "godwitvale/http/pool.h"
 
@@ -24,5 +25,7 @@
     const struct snapshot_sync *snapshot_sync, usec_t now);
 void snapshot_sync_tick(struct snapshot_sync *snapshot_sync, usec_t now);
 GBytes *snapshot_sync_encode(const struct view *view);
+void snapshot_sync_apply(struct view *view, usec_t now,
+    const fleet_snapshot *snapshot, uint64_t era);
 
 #endif
--- a/src/godwitvale/fleet/view.c
+++ b/src/godwitvale/fleet/view.c
@@ -244,6 +244,16 @@
 	return g_strdup_printf("%d/%s", item->kind, item->name);
 }
 
+/// Checks whether an item was read before a restore of the store that another
+/// revision follows. Configurations and upstreams of two eras are put in order
+/// by what they say.
+static bool
+is_of_earlier_era(const struct site_item *item, uint64_t revision)
+{
+	return store_revision_era(item->revision) <
+	    store_revision_era(revision);
+}
+
 /// Checks whether the saved version of an item is as new or newer.
 static bool
 is_saved(const struct scope_state *state, const struct site_item *item)
@@ -253,7 +263,12 @@
 	    g_hash_table_lookup(state->items, label);
 
 	g_free(label);
-	return saved != NULL && saved->revision >= item->revision;
+	if (saved == NULL)
+		return false;
+	if (item->kind != SITE_ITEM_EVACUATION &&
+	    is_of_earlier_era(item, saved->revision))
+		return false;
+	return saved->revision >= item->revision;
 }
 
 /// Saves an item for snapshots, or removes it when it is deleted.
@@ -324,25 +339,35 @@
 	directory_on_store_regained(view->directory, now);
 }
 
-/// Handles an evacuation that a full list doesn't contain: ends it, or holds it
-/// if the list is the first one after a restore of the store.
+/// Holds an evacuation that a restored store lacks.
+static void
+hold_evacuation(struct zone_state *zone, usec_t now, const char *name)
+{
+	zone->held_until = now + VIEW_EVACUATION_HOLD;
+	log_event(LOG_LEVEL_WARN, "zone-evacuation-held",
+	    "zone=%s reason=store-restored", name);
+}
+
+/// Handles an evacuation that the store lacks according to a full list: ends
+/// it, or holds it if it was read before a restore.
 ///
 /// @return whether it has ended
 static bool
-handle_unlisted_evacuation(
-    struct view *view, usec_t now, const char *name, bool is_restored)
+handle_unlisted_evacuation(struct view *view, usec_t now,
+    const struct site_item *item, uint64_t as_of, bool is_restored)
 {
-	struct zone_state *zone = g_hash_table_lookup(view->evacuated, name);
+	struct zone_state *zone =
+	    g_hash_table_lookup(view->evacuated, item->name);
+	bool is_held = zone != NULL && zone->held_until != 0;
 
-	if (zone != NULL && zone->evacuated && is_restored) {
-		zone->held_until = now + VIEW_EVACUATION_HOLD;
-		log_event(LOG_LEVEL_WARN, "zone-evacuation-held",
-		    "zone=%s reason=store-restored", name);
+	if (zone != NULL && zone->evacuated && is_of_earlier_era(item, as_of) &&
+	    (is_restored || !is_held)) {
+		hold_evacuation(zone, now, item->name);
+		is_held = true;
 	}
-	if (zone != NULL && zone->held_until != 0)
-		return false;
-	apply_evacuation(view, now, name, false);
-	return true;
+	if (!is_held)
+		apply_evacuation(view, now, item->name, false);
+	return !is_held;
 }
 
 /// Ends evacuations and removes saved items that a full list doesn't contain.
@@ -365,7 +390,7 @@
 			continue;
 		if (item->kind == SITE_ITEM_EVACUATION &&
 		    !handle_unlisted_evacuation(
-			view, now, item->name, is_restored))
+			view, now, item, as_of, is_restored))
 			continue;
 		g_hash_table_iter_remove(&iter);
 	}
@@ -382,6 +407,15 @@
 	state->watched_from = as_of;
 }
 
+/// Checks whether the store has an item of a full list. Its own lists have none
+/// of an earlier era, but a snapshot has those that its sender holds.
+static bool
+is_in_store(const struct site_item *item, uint64_t as_of)
+{
+	return item->kind != SITE_ITEM_EVACUATION ||
+	    !is_of_earlier_era(item, as_of);
+}
+
 /// Applies a full list of the items in a scope.
 ///
 /// If the list is of a later era than the view, the store was restored from a
@@ -427,7 +461,8 @@
 		struct site_item *item = items->pdata[i];
 
 		apply_item(view, now, state, item);
-		g_hash_table_add(listed, make_label(item));
+		if (is_in_store(item, as_of))
+			g_hash_table_add(listed, make_label(item));
 	}
 	if (scope == SITE_SCOPE_UPSTREAMS)
 		directory_end_full_list(view->directory, now, as_of);
