A watch interrupted at the end of the history's search is noticed

Cause, found by reading: upstream_history noted where the watch began when its search ended. If the watch was interrupted between the store's last answer that told anything and that end, the search counted as joined to the new watch. What changed in between was in neither, so that a version that came and went there was missed, and a stream could have gone on at another version (ORDER).

Change: the search notes where the watch began when it has the answer.

--- a/src/godwitvale/entry/upstream_history.c
+++ b/src/godwitvale/entry/upstream_history.c
@@ -14,10 +14,8 @@
 	struct store_check *check;
 	bool is_reading;
 	usec_t wanted_since; /// earliest time that is asked for
+	/// of no use any more if the watch was interrupted since
 	struct history_search search;
-	/// Where the watch began that goes on from what was read; 0: nothing
-	/// was. If the watch was interrupted since, it is of no use any more.
-	uint64_t watched_from;
 	usec_t known_since; /// USEC_NEVER: no earlier than by the watch
 };
 
@@ -75,8 +73,9 @@
 static bool
 is_known(const struct upstream_history *history)
 {
-	return history->watched_from != 0 &&
-	    history->watched_from == find_watched_from(history);
+	return !history->is_reading &&
+	    history_search_reaches(
+		&history->search, find_watched_from(history));
 }
 
 /// @param history  history to query
@@ -105,12 +104,13 @@
 	usec_t now = g_get_monotonic_time();
 
 	history->is_reading = false;
-	if (is_read)
-		history->watched_from = find_watched_from(history);
+	if (!is_read)
+		history->search.watched_from = 0;
 	log_event(LOG_LEVEL_INFO, "upstream-history-read",
 	    "oldest=%" G_GUINT64_FORMAT " watched_from=%" G_GUINT64_FORMAT
 	    " known_ms=%" G_GINT64_FORMAT " outcome=%s",
-	    history->search.kept, store_revision_number(history->watched_from),
+	    history->search.kept,
+	    store_revision_number(history->search.watched_from),
 	    history->known_since == USEC_NEVER
 		? 0
 		: (now - history->known_since) / USEC_PER_MSEC,
@@ -225,12 +225,13 @@
 	case STORE_CHECK_MADE:
 		if (!reaches_watch(history, result))
 			break;
-		history_search_note(&history->search, revision, true);
+		history_search_note_kept(
+		    &history->search, revision, find_watched_from(history));
 		judge(history, result);
 		advance(history);
 		return;
 	case STORE_CHECK_HISTORY_LOST:
-		history_search_note(&history->search, revision, false);
+		history_search_note_lost(&history->search, revision);
 		advance(history);
 		return;
 	default:
@@ -254,11 +255,7 @@
 	history->is_reading = true;
 	history->wanted_since = since;
 	history->known_since = USEC_NEVER;
-	history->watched_from = 0;
-	history->search = (struct history_search){
-	    .lost = 0,
-	    .kept = store_revision_number(find_watched_from(history)),
-	};
+	history_search_begin(&history->search, find_watched_from(history));
 	/* The whole history is best, and costs nothing if it is lost. */
 	store_check_start(history->check, 0);
 }
