Histories are tested with clocks that are 5 s off

Clocks of entry_changes_test were up to 5 s from each other, but only 2.5 s from the instance's. Now they are up to 5 s from the instance's, as far as deployments allow.

--- a/test/unit/entry_changes_test.c
+++ b/test/unit/entry_changes_test.c
@@ -79,7 +79,7 @@
 	    .version = version,
 	    .born = born,
 	    .gone_at = gone_at,
-	    .skew = pick(world, -SEC * 5 / 2, SEC * 5 / 2),
+	    .skew = pick(world, -5 * SEC, 5 * SEC),
 	    .tells_start = true,
 	    .stands_still_at = USEC_NEVER,
 	};
