The soak writes an instance's settings as a new file

Since the settings were written over the old ones, and GLib leaves what is longer there: the settings of an old build are shorter.

Change: the old file is removed first.

--- a/test/soak/soak_world.c
+++ b/test/soak/soak_world.c
@@ -9,9 +9,6 @@
 
 #include "godwitvale/http/fetch.h"
 
-/// Mode of the settings files.
-#define SETTINGS_MODE 0600
-
 const char *const soak_worker_names[SOAK_WORKERS] = {
     "lm1", "lm2", "lm3", "shop1", "shop2", "depot1"};
 /// Service and zone of each worker: engines, and two plain services.
@@ -94,9 +91,9 @@
 
 	g_free(entry->settings);
 	entry->settings = g_strdup_printf("%s/%s.json", soak->dir, entry->name);
-	/* Without fsync(), which may block for long on a busy disk. */
-	g_file_set_contents_full(entry->settings, text, -1,
-	    G_FILE_SET_CONTENTS_NONE, SETTINGS_MODE, NULL);
+	/* A new file is written without fsync(), which may block for long. */
+	g_unlink(entry->settings);
+	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
 	g_free(newer);
 }
