review: the scripts of cases 11 to 14 name and write their record.txt

A record that can't be written ends the case as not run. What the cases play and check is as before.

--- a/review/stand3/case14.c
+++ b/review/stand3/case14.c
@@ -91,10 +91,9 @@
 	struct call calls[N_CALLS];
 	unsigned n_served = 0;
 	unsigned n_false = 0;
-	char path[1024];
 
 	case_begin(argc, argv);
-	snprintf(path, sizeof(path), "%s/record.txt", argv[2]);
+
 	store_start();
 	config_write(5, "\"k1\"");
 	for (unsigned i = 0; i < N_WORKERS; i++) {
@@ -125,7 +124,7 @@
 			calls_make(&calls[i], 12);
 		for (unsigned i = 0; i < N_CALLS; i++)
 			n_served += calls[i].answer.status == 200;
-		n_false += check_answers(calls, N_CALLS, path);
+		n_false += check_answers(calls, N_CALLS, argv[2]);
 		for (unsigned i = 0; i < N_CALLS; i++)
 			message_free(&calls[i].answer);
 	}
--- a/review/stand3/stand3.c
+++ b/review/stand3/stand3.c
@@ -177,18 +177,19 @@
 void
 case_begin(int argc, char **argv)
 {
-	char path[1024];
-
 	clock_gettime(CLOCK_MONOTONIC, &started);
 	main_pid = getpid();
 	if (argc != 3) {
-		fprintf(stderr, "usage: %s PROGRAM FOLDER\n", argv[0]);
+		fprintf(stderr, "usage: %s PROGRAM RECORD\n", argv[0]);
 		exit(CASE_NOT_RUN);
 	}
 	program = argv[1];
-	snprintf(path, sizeof(path), "%s/record.txt", argv[2]);
 	record_fd = open(
-	    path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+	    argv[2], O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+	if (record_fd < 0) {
+		fprintf(stderr, "%s can't be written\n", argv[2]);
+		exit(CASE_NOT_RUN);
+	}
 	snprintf(folder, sizeof(folder), "%s/review3-XXXXXX",
 	    getenv("TMPDIR") != NULL ? getenv("TMPDIR") : "/tmp");
 	if (mkdtemp(folder) == NULL)
--- a/review/stand3/stand3.h
+++ b/review/stand3/stand3.h
@@ -38,8 +38,8 @@
 void not_run(const char *format, ...)
     __attribute__((format(printf, 1, 2), noreturn));
 
-/// Begins a case: arguments are the program of the instances and the folder of
-/// the case, which gets record.txt. Ends all processes at exit.
+/// Begins a case: arguments are the program of the instances and the path of
+/// record.txt. Ends all processes at exit.
 void case_begin(int argc, char **argv);
 /// Whether the disruption is to be played: TROUBLE isn't 0.
 bool case_has_trouble(void);
